--- /dev/null
+++ b/include/chicoryvale/error.h
@@ -0,0 +1,86 @@
+#ifndef CHICORYVALE_INCLUDE_CHICORYVALE_ERROR_H_
+#define CHICORYVALE_INCLUDE_CHICORYVALE_ERROR_H_
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace chicoryvale {
+
+/// Whether a refused or failed request ran on an upstream.
+enum class Ran : std::uint8_t { kNo, kMaybe, kYes };
+
+/// The closed list of error kinds that a caller or operator can receive.
+enum class ErrorKind : std::uint8_t {
+  kMalformedRequest,
+  kRequestTooLarge,
+  kUnknownEndpoint,
+  kWrongMethod,
+  kUnsupportedMediaType,
+  kInvalidDeadline,
+  kUnauthenticated,
+  kNoConfiguration,
+  kNoQuorum,
+  kNotLeader,
+  kVersionConflict,
+  kOperationIdReused,
+  kInvalidChange,
+  kOverloaded,
+  kWorkspaceOverShare,
+  kQuarantined,
+  kRequestIdMissing,
+  kRequestIdExpired,
+  kRequestIdReused,
+  kAlreadyRan,
+  kMayHaveRun,
+  kInsufficientCoverage,
+  kSnapshotUnavailable,
+  kDeadlineExceeded,
+  kUpstreamUnavailable,
+  kShuttingDown,
+  kStorageFailed,
+  kInternal,
+};
+
+/// The answer that belongs to an error kind.
+struct ErrorAnswer {
+  ErrorKind kind;
+  /// Stable name for JSON bodies and counters, for example "no_quorum".
+  std::string_view name;
+  int http_status;
+  /// What the kind alone says about execution; a request may know better.
+  Ran ran;
+  /// Whether the caller may send the same request again.
+  bool retryable;
+};
+
+/// A failure with its kind, a message for a person, and whether the request
+/// ran.
+struct Error {
+  ErrorKind kind = ErrorKind::kInternal;
+  std::string message;
+  Ran ran = Ran::kNo;
+};
+
+/// Either a value or an Error.
+template <typename T>
+using Result = tl::expected<T, Error>;
+
+/// Returns the table of all kinds, in the order of the enumeration. Thread
+/// safe.
+std::span<const ErrorAnswer> ErrorAnswers();
+
+/// Returns the table row of `kind`. Thread safe.
+const ErrorAnswer& AnswerFor(ErrorKind kind);
+
+/// Returns "no", "maybe" or "yes". Thread safe.
+std::string_view RanName(Ran ran);
+
+/// Returns an Error of `kind` whose `ran` is the one in the table. Thread safe.
+tl::unexpected<Error> MakeError(ErrorKind kind, std::string message);
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_INCLUDE_CHICORYVALE_ERROR_H_
--- /dev/null
+++ b/src/ports/peer_transport.h
@@ -0,0 +1,73 @@
+#ifndef CHICORYVALE_SRC_PORTS_PEER_TRANSPORT_H_
+#define CHICORYVALE_SRC_PORTS_PEER_TRANSPORT_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "chicoryvale/error.h"
+
+namespace chicoryvale {
+
+/// Port: unreliable datagrams between the system's own processes. Payloads
+/// are authenticated and bounded by the adapter. Not thread safe.
+class DatagramTransport {
+ public:
+  using Receiver =
+      std::function<void(const Address& from, std::string payload)>;
+  virtual ~DatagramTransport() = default;
+
+  /// Sends one datagram; it may be lost, doubled, delayed or reordered.
+  void Send(const Address& to, std::string payload) {
+    OnSend(to, std::move(payload));
+  }
+
+  /// Sets the function that is called for each datagram received.
+  void SetReceiver(Receiver receiver) { OnSetReceiver(std::move(receiver)); }
+
+ protected:
+  virtual void OnSend(const Address& to, std::string payload) = 0;
+  virtual void OnSetReceiver(Receiver receiver) = 0;
+};
+
+/// Service behind a peer call; the first byte range of a frame names it.
+enum class PeerChannel : std::uint8_t { kReplication, kConfig, kClaims };
+
+/// Port: request and answer between the system's own processes, over a
+/// reliable stream. Payloads are authenticated and bounded by the adapter.
+/// Not thread safe.
+class PeerTransport {
+ public:
+  using Callback = std::function<void(Result<std::string> answer)>;
+  using Responder = std::function<void(std::string answer)>;
+  using Handler = std::function<void(const Address& from, std::string request,
+                                     Responder respond)>;
+  virtual ~PeerTransport() = default;
+
+  /// Sends `request` to `to`; calls `callback` exactly once, never from within
+  /// this call: with the answer, or with kUpstreamUnavailable (not sent, not
+  /// run) or kDeadlineExceeded (may have run).
+  void Call(const Address& to, PeerChannel channel, std::string request,
+            Duration timeout, Callback callback) {
+    OnCall(to, channel, std::move(request), timeout, std::move(callback));
+  }
+
+  /// Sets the handler of calls on `channel`. It may respond later, once.
+  void SetHandler(PeerChannel channel, Handler handler) {
+    OnSetHandler(channel, std::move(handler));
+  }
+
+ protected:
+  virtual void OnCall(const Address& to, PeerChannel channel,
+                      std::string request, Duration timeout,
+                      Callback callback) = 0;
+  virtual void OnSetHandler(PeerChannel channel, Handler handler) = 0;
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_PORTS_PEER_TRANSPORT_H_
--- /dev/null
+++ b/tests/base/error_test.cc
@@ -0,0 +1,26 @@
+#include "chicoryvale/error.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string_view>
+
+namespace chicoryvale {
+namespace {
+
+TEST(ErrorTest, EachKindHasItsOwnNameAndAnErrorStatus) {
+  std::set<std::string_view> names;
+  for (const ErrorAnswer& answer : ErrorAnswers()) {
+    EXPECT_EQ(&AnswerFor(answer.kind), &answer);
+    EXPECT_TRUE(names.insert(answer.name).second) << answer.name;
+    EXPECT_GE(answer.http_status, 400) << answer.name;
+  }
+}
+
+TEST(ErrorTest, MadeErrorTakesRanFromTheTable) {
+  EXPECT_EQ(MakeError(ErrorKind::kMayHaveRun, "lost").value().ran, Ran::kMaybe);
+  EXPECT_EQ(MakeError(ErrorKind::kNoQuorum, "cut off").value().ran, Ran::kNo);
+}
+
+}  // namespace
+}  // namespace chicoryvale
