--- /dev/null
+++ b/src/adapters/command_line.cc
@@ -0,0 +1,91 @@
+#include "adapters/command_line.h"
+
+#include <boost/program_options.hpp>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <vector>
+
+#include "adapters/settings_reader.h"
+
+namespace chicoryvale {
+namespace {
+
+namespace po = boost::program_options;
+
+po::options_description DaemonOptions() {
+  po::options_description options("Options");
+  options.add_options()("help,h", "print this help")("version",
+                                                     "print the version")(
+      "config,c", po::value<std::string>()->value_name("FILE"),
+      "settings file (TOML)")("check", "check the settings and exit");
+  return options;
+}
+
+bool ParseArguments(int argc, const char* const* argv,
+                    const po::options_description& options,
+                    po::variables_map* arguments) {
+  try {
+    po::store(po::parse_command_line(argc, argv, options), *arguments);
+    po::notify(*arguments);
+    return true;
+  } catch (const po::error& error) {
+    std::cerr << error.what() << "\n";
+    return false;
+  }
+}
+
+ExitCode ReadSettings(const std::string& path, const DaemonCommands& commands) {
+  std::string text;
+  if (!ReadFile(path, &text)) {
+    std::cerr << path << ": the settings file cannot be read\n";
+    return ExitCode::kBadSettings;
+  }
+  SettingsReader reader(text);
+  commands.read_settings(reader);
+  const std::vector<SettingsFault> faults = reader.Finish();
+  std::cerr << FormatFaults(path, faults);
+  return faults.empty() ? ExitCode::kOk : ExitCode::kBadSettings;
+}
+
+}  // namespace
+
+ExitCode RunDaemon(int argc, const char* const* argv,
+                   const DaemonCommands& commands) {
+  const po::options_description options = DaemonOptions();
+  po::variables_map arguments;
+  if (!ParseArguments(argc, argv, options, &arguments)) {
+    return ExitCode::kBadSettings;
+  }
+  if (arguments.contains("help")) {
+    std::cout << "Usage: " << commands.name << " --config FILE [--check]\n"
+              << commands.summary << "\n"
+              << options;
+    return ExitCode::kOk;
+  }
+  if (arguments.contains("version")) {
+    std::cout << commands.name << " " << CHICORYVALE_VERSION << "\n";
+    return ExitCode::kOk;
+  }
+  if (!arguments.contains("config")) {
+    std::cerr << "--config FILE is missing\n";
+    return ExitCode::kBadSettings;
+  }
+  const auto path = arguments["config"].as<std::string>();
+  const ExitCode read = ReadSettings(path, commands);
+  if (read != ExitCode::kOk) return read;
+  if (arguments.contains("check")) {
+    std::cout << path << ": settings are valid\n";
+    return ExitCode::kOk;
+  }
+  return commands.run();
+}
+
+bool ReadFile(const std::string& path, std::string* content) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) return false;
+  content->assign(std::istreambuf_iterator<char>(file), {});
+  return !file.bad();
+}
+
+}  // namespace chicoryvale
--- /dev/null
+++ b/src/adapters/settings_reader.cc
@@ -0,0 +1,224 @@
+#include "adapters/settings_reader.h"
+
+#include <gio/gio.h>
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+#include <utility>
+
+namespace chicoryvale {
+
+namespace {
+
+std::string NoAddressText(const std::string& key, const std::string& text) {
+  return key + ": \"" + text + "\" is not an IP number and port";
+}
+
+}  // namespace
+
+struct SettingsReader::State {
+  // The parsed file, kept alive by the reader that owns it.
+  toml::table owned;
+  const toml::table* table = nullptr;
+  std::set<std::string> read_keys;
+  std::vector<SettingsFault> faults;
+  bool syntax_fault = false;
+
+  const toml::node* Find(const std::string& key) {
+    read_keys.insert(key);
+    return table->at_path(key).node();
+  }
+
+  void Fault(const toml::node* node, const std::string& text) {
+    const std::uint32_t line = node == nullptr ? 0 : node->source().begin.line;
+    faults.push_back({line, text});
+  }
+
+  // Reads a value of one type, or reports that it has another.
+  template <typename T>
+  std::optional<T> Value(const std::string& key, const char* type) {
+    const toml::node* node = Find(key);
+    if (node == nullptr) return std::nullopt;
+    std::optional<T> value = node->value_exact<T>();
+    if (!value) Fault(node, key + " is not " + type);
+    return value;
+  }
+
+  void CheckUnknown(const toml::table& checked, const std::string& prefix) {
+    for (const auto& [name, node] : checked) {
+      const std::string key = prefix + std::string(name.str());
+      if (read_keys.contains(key)) continue;
+      if (node.is_table()) {
+        CheckUnknown(*node.as_table(), key + ".");
+      } else {
+        Fault(&node, key + " is not a known setting");
+      }
+    }
+  }
+};
+
+std::string FormatFaults(const std::string& file,
+                         const std::vector<SettingsFault>& faults) {
+  std::string text;
+  for (const SettingsFault& fault : faults) {
+    text += file + ":" + std::to_string(fault.line) + ": " + fault.text + "\n";
+  }
+  return text;
+}
+
+SettingsReader::SettingsReader(std::string_view text)
+    : m_state(std::make_unique<State>()) {
+  m_state->table = &m_state->owned;
+  try {
+    m_state->owned = toml::parse(text);
+  } catch (const toml::parse_error& error) {
+    m_state->syntax_fault = true;
+    m_state->faults.push_back(
+        {error.source().begin.line, std::string(error.description())});
+  }
+}
+
+SettingsReader::SettingsReader(std::unique_ptr<State> state)
+    : m_state(std::move(state)) {}
+
+SettingsReader::~SettingsReader() = default;
+
+std::string SettingsReader::RequiredString(const std::string& key) {
+  const auto value = m_state->Value<std::string>(key, "a string");
+  if (value && !value->empty()) return *value;
+  if (value) AddFault(key, key + " is empty");
+  if (m_state->Find(key) == nullptr) AddFault(key, key + " is missing");
+  return {};
+}
+
+std::string SettingsReader::String(const std::string& key,
+                                   const std::string& fallback) {
+  return m_state->Value<std::string>(key, "a string").value_or(fallback);
+}
+
+std::string SettingsReader::RequiredAddress(const std::string& key) {
+  std::string text = RequiredString(key);
+  if (!text.empty() && !IsHostPort(text)) {
+    AddFault(key, NoAddressText(key, text));
+  }
+  return text;
+}
+
+std::vector<std::string> SettingsReader::Addresses(const std::string& key) {
+  std::vector<std::string> addresses = Strings(key);
+  for (const std::string& text : addresses) {
+    if (!IsHostPort(text)) AddFault(key, NoAddressText(key, text));
+  }
+  return addresses;
+}
+
+std::vector<std::string> SettingsReader::Strings(const std::string& key) {
+  const toml::node* node = m_state->Find(key);
+  std::vector<std::string> strings;
+  if (node == nullptr) return strings;
+  const toml::array* array = node->as_array();
+  if (array == nullptr) {
+    m_state->Fault(node, key + " is not a list of strings");
+    return strings;
+  }
+  for (const toml::node& element : *array) {
+    const auto value = element.value_exact<std::string>();
+    if (value) {
+      strings.push_back(*value);
+    } else {
+      m_state->Fault(&element, key + " holds an element that is no string");
+    }
+  }
+  return strings;
+}
+
+std::int64_t SettingsReader::Integer(const std::string& key,
+                                     std::int64_t fallback,
+                                     IntegerRange range) {
+  const auto value = m_state->Value<std::int64_t>(key, "a whole number");
+  if (!value) return fallback;
+  if (*value >= range.min && *value <= range.max) return *value;
+  AddFault(key, key + " is " + std::to_string(*value) + ", not " +
+                    std::to_string(range.min) + " to " +
+                    std::to_string(range.max));
+  return fallback;
+}
+
+double SettingsReader::Number(const std::string& key, double fallback,
+                              double min, double max) {
+  const toml::node* node = m_state->Find(key);
+  if (node == nullptr) return fallback;
+  const auto value = node->value<double>();
+  if (!value || !node->is_number()) {
+    m_state->Fault(node, key + " is not a number");
+    return fallback;
+  }
+  if (*value >= min && *value <= max) return *value;
+  AddFault(key, key + " is " + std::to_string(*value) + ", not " +
+                    std::to_string(min) + " to " + std::to_string(max));
+  return fallback;
+}
+
+bool SettingsReader::Bool(const std::string& key, bool fallback) {
+  return m_state->Value<bool>(key, "true or false").value_or(fallback);
+}
+
+Duration SettingsReader::Milliseconds(const std::string& key, Duration fallback,
+                                      IntegerRange range_ms) {
+  const std::int64_t fallback_ms =
+      std::chrono::duration_cast<milliseconds>(fallback).count();
+  return milliseconds(Integer(key, fallback_ms, range_ms));
+}
+
+void SettingsReader::Tables(const std::string& key,
+                            const std::function<void(SettingsReader&)>& read) {
+  const toml::node* node = m_state->Find(key);
+  if (node == nullptr) return;
+  if (!node->is_array_of_tables()) {
+    m_state->Fault(node, key + " is not a list of tables");
+    return;
+  }
+  for (const toml::node& element : *node->as_array()) {
+    auto state = std::make_unique<State>();
+    state->table = element.as_table();
+    SettingsReader reader(std::move(state));
+    read(reader);
+    for (SettingsFault& fault : reader.Finish()) {
+      if (fault.line == 0) fault.line = element.source().begin.line;
+      m_state->faults.push_back({fault.line, "[[" + key + "]] " + fault.text});
+    }
+  }
+}
+
+void SettingsReader::AddFault(const std::string& key, const std::string& text) {
+  m_state->Fault(m_state->Find(key), text);
+}
+
+std::vector<SettingsFault> SettingsReader::Finish() {
+  // A file that does not parse has nothing but its syntax fault to tell.
+  if (m_state->syntax_fault) return {m_state->faults.front()};
+  m_state->CheckUnknown(*m_state->table, "");
+  std::ranges::stable_sort(m_state->faults, {}, &SettingsFault::line);
+  return m_state->faults;
+}
+
+bool IsHostPort(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return false;
+  std::string host = text.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  } else if (host.find(':') != std::string::npos) {
+    return false;
+  }
+  if (!g_hostname_is_ip_address(host.c_str())) return false;
+  const std::string port = text.substr(colon + 1);
+  std::uint16_t number = 0;
+  const auto [end, error] =
+      std::from_chars(port.data(), port.data() + port.size(), number);
+  return error == std::errc() && end == port.data() + port.size();
+}
+
+}  // namespace chicoryvale
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -37,10 +37,10 @@
 PY
 )
   [ -e "$stamps/$key" ] && return 0
-  if clang-tidy --quiet -p "$build" "$1" 2>"$stamps/$$.err"; then
+  if clang-tidy --quiet -p "$build" "$1" >"$stamps/$$.out" 2>"$stamps/$$.err"; then
     touch "$stamps/$key"
   else
-    cat "$stamps/$$.err" >&2
+    cat "$stamps/$$.out" >&2
     echo "lint failed: $1" >&2
     return 1
   fi
