Apply configuration changes deterministically

Cause: the control group needs one state machine whose answers are equal on every replica of the log, and a resent change must get its first answer.

--- /dev/null
+++ b/src/config/change_rules.cc
@@ -0,0 +1,255 @@
+#include "config/change_rules.h"
+
+#include <algorithm>
+#include <cassert>
+#include <charconv>
+#include <utility>
+#include <variant>
+
+#include "config/schema_rules.h"
+
+namespace chicoryvale {
+namespace {
+
+using Fault = std::optional<std::string>;
+
+bool HasReplica(const ServiceConfig& service, const Address& address) {
+  return std::ranges::any_of(service.shards, [&](const ShardConfig& shard) {
+    return std::ranges::find(shard.replicas, address,
+                             &ReplicaConfig::address) != shard.replicas.end();
+  });
+}
+
+std::vector<std::string> SortedAddresses(const ShardConfig& shard) {
+  std::vector<std::string> addresses;
+  std::ranges::transform(
+      shard.replicas, std::back_inserter(addresses),
+      [](const ReplicaConfig& replica) { return replica.address.host_port; });
+  std::ranges::sort(addresses);
+  return addresses;
+}
+
+/// The shard map is which addresses serve which shard; zones and drain marks
+/// do not belong to it.
+bool SameShardMap(const std::vector<ShardConfig>& left,
+                  const std::vector<ShardConfig>& right) {
+  return std::ranges::equal(left, right, {}, SortedAddresses, SortedAddresses);
+}
+
+Fault FindLimitsFault(const ReplicaLimits& limits) {
+  if (limits.slots == 0) return "limits: slots must be at least 1";
+  if (limits.connections == 0) return "limits: connections must be at least 1";
+  return std::nullopt;
+}
+
+Fault FindShardFault(const ShardConfig& shard, std::size_t index) {
+  const std::string where = "shard " + std::to_string(index) + ": ";
+  if (shard.replicas.empty()) return where + "has no replica";
+  if (shard.replicas.size() > kMaxReplicasPerShard) {
+    return where + "has more than " + std::to_string(kMaxReplicasPerShard) +
+           " replicas";
+  }
+  for (const ReplicaConfig& replica : shard.replicas) {
+    if (!IsHostPort(replica.address.host_port)) {
+      return where + "replica address \"" + replica.address.host_port +
+             "\" is not host:port";
+    }
+  }
+  const std::vector<std::string> addresses = SortedAddresses(shard);
+  const auto twice = std::ranges::adjacent_find(addresses);
+  if (twice == addresses.end()) return std::nullopt;
+  return where + "replica " + *twice + " is listed twice";
+}
+
+/// Finds the fault of one kind of payload. `m_service` is null for a service
+/// that has no placement yet.
+class FaultFinder {
+ public:
+  FaultFinder(const ClusterConfig& config, const Change& change,
+              const SchemaRules* rules)
+      : m_config(config),
+        m_change(change),
+        m_rules(rules),
+        m_service(FindService(config, change.service)) {}
+
+  Fault operator()(const ApplySchema& payload) const {
+    if (!m_change.service.empty()) return "a schema names no service";
+    if (payload.schema_text.empty()) return "the schema is empty";
+    if (payload.schema_text.size() > kMaxSchemaBytes) {
+      return "the schema has more than " + std::to_string(kMaxSchemaBytes) +
+             " bytes";
+    }
+    if (m_rules == nullptr) return std::nullopt;
+    return m_rules->CheckSchema(m_config, payload.schema_text);
+  }
+
+  Fault operator()(const SetPlacement& payload) const {
+    if (m_change.service.empty() ||
+        m_change.service.size() > kMaxServiceNameBytes) {
+      return "the service name is empty or longer than " +
+             std::to_string(kMaxServiceNameBytes) + " bytes";
+    }
+    if (m_service == nullptr && m_config.services.size() >= kMaxServices) {
+      return "there are " + std::to_string(kMaxServices) + " services already";
+    }
+    if (payload.limits) {
+      if (Fault fault = FindLimitsFault(*payload.limits)) return fault;
+    }
+    if (Fault fault = FindShardsFault(payload)) return fault;
+    if (Fault fault = FindPlacedIndexFault(payload)) return fault;
+    if (m_rules == nullptr) return std::nullopt;
+    return m_rules->CheckPlacement(m_config, m_change.service,
+                                   payload.shards.size());
+  }
+
+  Fault operator()(const DrainReplica& payload) const {
+    if (m_service == nullptr) return NoService();
+    if (HasReplica(*m_service, payload.address)) return std::nullopt;
+    return "service " + m_change.service + " has no replica at " +
+           payload.address.host_port;
+  }
+
+  Fault operator()(const SetLimits& payload) const {
+    if (m_service == nullptr) return NoService();
+    return FindLimitsFault(payload.limits);
+  }
+
+  Fault operator()(const PublishIndex& payload) const {
+    if (m_service == nullptr) return NoService();
+    return FindIndexFault(payload.index_version);
+  }
+
+  Fault operator()(const Quarantine& payload) const {
+    if (m_service == nullptr) return NoService();
+    const auto& marked = m_service->quarantined;
+    const bool known =
+        std::ranges::find(marked, payload.fingerprint) != marked.end();
+    if (payload.release && !known) {
+      return "fingerprint " + std::to_string(payload.fingerprint) +
+             " is not quarantined";
+    }
+    if (!payload.release && !known && marked.size() >= kMaxQuarantined) {
+      return "service " + m_change.service + " has " +
+             std::to_string(kMaxQuarantined) + " quarantined fingerprints";
+    }
+    return std::nullopt;
+  }
+
+ private:
+  [[nodiscard]] std::string NoService() const {
+    return "service \"" + m_change.service + "\" has no placement";
+  }
+
+  [[nodiscard]] static Fault FindShardsFault(const SetPlacement& payload) {
+    if (payload.shards.empty()) return "the placement has no shard";
+    if (payload.shards.size() > kMaxShards) {
+      return "the placement has more than " + std::to_string(kMaxShards) +
+             " shards";
+    }
+    for (std::size_t i = 0; i < payload.shards.size(); ++i) {
+      if (Fault fault = FindShardFault(payload.shards[i], i)) return fault;
+    }
+    return std::nullopt;
+  }
+
+  [[nodiscard]] Fault FindPlacedIndexFault(const SetPlacement& payload) const {
+    if (payload.index_version == 0 || m_service == nullptr) return std::nullopt;
+    if (!SameShardMap(payload.shards, m_service->shards)) return std::nullopt;
+    return FindIndexFault(payload.index_version);
+  }
+
+  [[nodiscard]] Fault FindIndexFault(std::uint64_t version) const {
+    if (version >= m_service->index_version) return std::nullopt;
+    return "index version " + std::to_string(version) +
+           " is below the published " +
+           std::to_string(m_service->index_version);
+  }
+
+  const ClusterConfig& m_config;
+  const Change& m_change;
+  const SchemaRules* m_rules;
+  const ServiceConfig* m_service;
+};
+
+/// Applies one kind of payload.
+class PayloadApplier {
+ public:
+  PayloadApplier(const Change& change, ClusterConfig* config)
+      : m_change(change), m_config(config) {}
+
+  void operator()(const ApplySchema& payload) const {
+    m_config->schema_text = payload.schema_text;
+  }
+
+  void operator()(const SetPlacement& payload) const {
+    ServiceConfig& service = FindOrAddService();
+    if (!SameShardMap(payload.shards, service.shards)) ++service.map_epoch;
+    service.shards = payload.shards;
+    if (payload.limits) service.limits = *payload.limits;
+    if (payload.index_version != 0) {
+      service.index_version = payload.index_version;
+    }
+  }
+
+  void operator()(const DrainReplica& payload) const {
+    for (ShardConfig& shard : FindOrAddService().shards) {
+      const auto replica = std::ranges::find(shard.replicas, payload.address,
+                                             &ReplicaConfig::address);
+      if (replica != shard.replicas.end()) replica->draining = payload.draining;
+    }
+  }
+
+  void operator()(const SetLimits& payload) const {
+    FindOrAddService().limits = payload.limits;
+  }
+
+  void operator()(const PublishIndex& payload) const {
+    FindOrAddService().index_version = payload.index_version;
+  }
+
+  void operator()(const Quarantine& payload) const {
+    auto& marked = FindOrAddService().quarantined;
+    std::erase(marked, payload.fingerprint);
+    if (!payload.release) marked.push_back(payload.fingerprint);
+  }
+
+ private:
+  [[nodiscard]] ServiceConfig& FindOrAddService() const {
+    auto& services = m_config->services;
+    const auto found =
+        std::ranges::find(services, m_change.service, &ServiceConfig::name);
+    if (found != services.end()) return *found;
+    ServiceConfig& added = services.emplace_back();
+    added.name = m_change.service;
+    return added;
+  }
+
+  const Change& m_change;
+  ClusterConfig* m_config;
+};
+
+}  // namespace
+
+bool IsHostPort(const std::string& host_port) {
+  constexpr std::uint32_t kMaxPort = 65535;
+  const std::size_t colon = host_port.rfind(':');
+  if (colon == std::string::npos || colon == 0) return false;
+  const char* begin = host_port.data() + colon + 1;
+  const char* end = host_port.data() + host_port.size();
+  std::uint32_t port = 0;
+  const auto [rest, error] = std::from_chars(begin, end, port);
+  return error == std::errc{} && rest == end && port >= 1 && port <= kMaxPort;
+}
+
+std::optional<std::string> FindFault(const ClusterConfig& config,
+                                     const Change& change,
+                                     const SchemaRules* rules) {
+  return std::visit(FaultFinder(config, change, rules), change.payload);
+}
+
+void ApplyPayload(const Change& change, ClusterConfig* config) {
+  assert(config != nullptr);
+  std::visit(PayloadApplier(change, config), change.payload);
+}
+
+}  // namespace chicoryvale
