Add the upstream gate: replica choice, queue, leaving replicas

Cause: the query engine needs one place that chooses a replica for each attempt and bounds what each replica gets from this process.

Change: UpstreamGate implements ports/replica_gate.h. ReplicaPicker takes the better of two random replicas by latency, own requests in flight, a claimed load that fades with age and own answers, slow start and zone. LeaveTracker decides which replicas leave from operators, drain headers, failed probes and the platform's list; its signals merge by a stamp per replica and source. Configurations are applied in place.

Ruled out: refusing while all replicas of a shard are paused after failures; a shard with two replicas would lose coverage for the whole pause, so one trial at a time is let through.

--- a/src/ports/replica_gate.h
+++ b/src/ports/replica_gate.h
@@ -28,6 +28,9 @@
   std::vector<Address> avoid;
   /// The attempt is worthless after this time.
   TimePoint deadline{};
+  /// Hash of the caller's request (service, method, body), equal for resends
+  /// through any entry; 0 if the attempt takes no part in crash quarantine.
+  std::uint64_t fingerprint = 0;
 };
 
 /// The replica that an attempt goes to.
@@ -35,6 +38,9 @@
   Address replica;
   /// The attempt has to open a new connection.
   bool fresh_connection = false;
+  /// Without a byte of the answer after this time, the connection may be
+  /// silent: another attempt is worth its cost. Zero if nothing is known yet.
+  Duration progress_bound{};
 };
 
 /// Identifies a request for a replica; 0 is never used.
@@ -48,9 +54,9 @@
   virtual ~ReplicaGate() = default;
 
   /// Asks for a replica. Calls `callback` exactly once, perhaps from within
-  /// this call: with a choice once a place is free, or with kOverloaded or
-  /// kUpstreamUnavailable. After a choice the caller owes one Finish or
-  /// Abandon with the same ticket.
+  /// this call: with a choice once a place is free, or with kOverloaded,
+  /// kUpstreamUnavailable or kQuarantined; refused attempts did not run. After
+  /// a choice the caller owes one Finish or Abandon with the same ticket.
   void Request(const AttemptSpec& spec, GateTicket ticket, Callback callback) {
     OnRequest(spec, ticket, std::move(callback));
   }
--- /dev/null
+++ b/src/upstream/concurrency_limit.h
@@ -0,0 +1,69 @@
+#ifndef CHICORYVALE_SRC_UPSTREAM_CONCURRENCY_LIMIT_H_
+#define CHICORYVALE_SRC_UPSTREAM_CONCURRENCY_LIMIT_H_
+
+#include <cstdint>
+
+#include "base/time.h"
+
+namespace chicoryvale {
+
+/// Settings of a ConcurrencyLimit.
+struct ConcurrencyLimitSettings {
+  double initial = 2.0;
+  double minimum = 1.0;
+  double maximum = 64.0;
+  /// The limit grows while the median latency is below this multiple of the
+  /// latency without queueing.
+  double grow_below = 1.5;
+  /// The limit shrinks while the median is above this multiple.
+  double shrink_above = 3.0;
+  /// Factor applied to the limit when the replica sheds load.
+  double shed_factor = 0.7;
+};
+
+/// Adaptive bound on the requests that this process keeps in flight at one
+/// replica. Grows by one per round of answers while latency shows no queueing,
+/// shrinks while it does, and is cut when the replica sheds. Source of the
+/// scheme: Brakmo and Peterson, TCP Vegas, 1995; the median is tracked as in
+/// Ma, Muthukrishnan and Sandler, Frugal Streaming, 2013, so that single
+/// stragglers do not move it. Not thread safe.
+class ConcurrencyLimit {
+ public:
+  explicit ConcurrencyLimit(const ConcurrencyLimitSettings& settings);
+
+  /// Returns the number of requests that may be in flight, at least 1.
+  [[nodiscard]] std::uint32_t Limit() const {
+    return static_cast<std::uint32_t>(m_limit);
+  }
+
+  /// Reports an answer that took `latency`, with `in_flight` requests at its
+  /// end, itself included.
+  void OnAnswer(Duration latency, std::uint32_t in_flight);
+
+  /// Reports that the replica refused a request for its load at `now`.
+  void OnShed(TimePoint now);
+
+  /// Bounds the limit by `maximum` from now on; at least the minimum stays.
+  void SetMaximum(double maximum);
+
+  /// Returns the median latency; zero before the first answer.
+  [[nodiscard]] Duration Median() const {
+    return Duration(static_cast<std::int64_t>(m_median_us));
+  }
+
+ private:
+  void UpdateMedian(double latency_us);
+  void UpdateBase();
+  void Clamp();
+
+  ConcurrencyLimitSettings m_settings;
+  double m_limit;
+  double m_median_us = 0.0;
+  double m_base_us = 0.0;
+  TimePoint m_last_cut{};
+  bool m_was_cut = false;
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_UPSTREAM_CONCURRENCY_LIMIT_H_
--- /dev/null
+++ b/src/upstream/latency_estimate.h
@@ -0,0 +1,34 @@
+#ifndef CHICORYVALE_SRC_UPSTREAM_LATENCY_ESTIMATE_H_
+#define CHICORYVALE_SRC_UPSTREAM_LATENCY_ESTIMATE_H_
+
+#include "base/time.h"
+
+namespace chicoryvale {
+
+/// Average of latencies that weighs a sample by the time since the last one
+/// and rises faster than it falls. Source: the peak EWMA of Twitter's Finagle,
+/// with each rise bounded so that one straggler does not shun a replica. Not
+/// thread safe.
+class LatencyEstimate {
+ public:
+  /// Adds a sample taken at `now`.
+  void Add(Duration latency, TimePoint now);
+
+  /// Adds the age of an attempt that ended unanswered at `now`: a lower bound
+  /// of its latency, ignored if below the estimate.
+  void AddLowerBound(Duration age, TimePoint now);
+
+  /// Returns the estimate in microseconds; 0 before the first sample.
+  [[nodiscard]] double Micros() const { return m_micros; }
+
+  /// Forgets all samples.
+  void Reset() { m_micros = 0.0; }
+
+ private:
+  double m_micros = 0.0;
+  TimePoint m_last{};
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_UPSTREAM_LATENCY_ESTIMATE_H_
--- /dev/null
+++ b/src/upstream/leave_tracker.cc
@@ -0,0 +1,138 @@
+#include "upstream/leave_tracker.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace chicoryvale {
+namespace {
+
+constexpr std::size_t Index(LeaveSource source) {
+  return static_cast<std::size_t>(source);
+}
+
+bool Precedes(const LeaveSignal& a, const LeaveSignal& b) {
+  return std::tie(a.stamp, a.leaving) < std::tie(b.stamp, b.leaving);
+}
+
+}  // namespace
+
+LeaveTracker::Record* LeaveTracker::RecordOf(const Address& replica) {
+  const auto [it, inserted] = m_records.try_emplace(replica.host_port);
+  if (inserted) {
+    for (std::size_t i = 0; i < kLeaveSources; ++i) {
+      it->second.signals[i].replica = replica;
+      it->second.signals[i].source = static_cast<LeaveSource>(i);
+    }
+  }
+  return &it->second;
+}
+
+bool LeaveTracker::IsLeaving(const Record& record, TimePoint now) const {
+  return record.operator_draining || DrainHolds(record, now) ||
+         ProbesHold(record, now) || PlatformHolds(record, now);
+}
+
+bool LeaveTracker::DrainHolds(const Record& record, TimePoint now) const {
+  constexpr std::size_t kIndex = Index(LeaveSource::kDrainHeader);
+  if (!record.signals[kIndex].leaving) return false;
+  if (record.platform_leaving) return true;
+  return now - record.heard_at[kIndex] < m_settings.drain_memory;
+}
+
+bool LeaveTracker::ProbesHold(const Record& record, TimePoint now) const {
+  constexpr std::size_t kIndex = Index(LeaveSource::kFailedProbes);
+  if (!record.signals[kIndex].leaving) return false;
+  const TimePoint heard = record.heard_at[kIndex];
+  if (record.serving_as_of && *record.serving_as_of >= heard) return false;
+  return now - heard < m_settings.probe_memory;
+}
+
+bool LeaveTracker::PlatformHolds(const Record& record, TimePoint now) const {
+  if (!record.platform_leaving) return false;
+  const TimePoint since = record.platform_since;
+  if (record.serving_as_of && *record.serving_as_of >= since) return false;
+  return now - since >= m_settings.platform_grace;
+}
+
+void LeaveTracker::OnAnswer(Record* record, bool draining, TimePoint sent,
+                            TimePoint now) {
+  record->connect_failures = 0;
+  if (draining) {
+    Observe(record, LeaveSource::kDrainHeader, true, now);
+    return;
+  }
+  // An answer to a request that was sent before the last sign is older than it.
+  constexpr std::size_t kDrain = Index(LeaveSource::kDrainHeader);
+  if (record->signals[kDrain].leaving) {
+    if (sent < record->heard_at[kDrain]) return;
+    Observe(record, LeaveSource::kDrainHeader, false, now);
+  }
+  constexpr std::size_t kProbes = Index(LeaveSource::kFailedProbes);
+  if (record->signals[kProbes].leaving && sent >= record->heard_at[kProbes]) {
+    Observe(record, LeaveSource::kFailedProbes, false, now);
+  }
+  if (!record->serving_as_of || *record->serving_as_of < sent) {
+    record->serving_as_of = sent;
+  }
+}
+
+void LeaveTracker::OnConnectFailure(Record* record, TimePoint now) {
+  ++record->connect_failures;
+  if (record->connect_failures < m_settings.probe_failures) return;
+  Observe(record, LeaveSource::kFailedProbes, true, now);
+}
+
+void LeaveTracker::OnPlatformList(const std::vector<PlatformEntry>& list,
+                                  TimePoint now) {
+  std::unordered_map<std::string, bool> leaving;
+  for (const PlatformEntry& entry : list) {
+    leaving[entry.replica.host_port] = entry.leaving;
+  }
+  for (auto& [host_port, record] : m_records) {
+    const auto found = leaving.find(host_port);
+    const bool listed = found != leaving.end() && found->second;
+    if (listed == record.platform_leaving) continue;
+    record.platform_leaving = listed;
+    record.platform_since = now;
+  }
+}
+
+bool LeaveTracker::Merge(const LeaveSignal& signal, TimePoint now) {
+  const auto found = m_records.find(signal.replica.host_port);
+  if (found == m_records.end()) return false;
+  const std::size_t index = Index(signal.source);
+  if (index >= kLeaveSources) return false;
+  LeaveSignal& known = found->second.signals[index];
+  if (!Precedes(known, signal)) return false;
+  known = signal;
+  found->second.heard_at[index] = now;
+  m_changes.push_back(signal);
+  return true;
+}
+
+std::vector<LeaveSignal> LeaveTracker::Signals() const {
+  std::vector<LeaveSignal> signals;
+  for (const auto& [host_port, record] : m_records) {
+    std::ranges::copy_if(record.signals, std::back_inserter(signals),
+                         [](const LeaveSignal& s) { return s.stamp > 0; });
+  }
+  return signals;
+}
+
+std::vector<LeaveSignal> LeaveTracker::TakeChanges() {
+  return std::exchange(m_changes, {});
+}
+
+void LeaveTracker::Observe(Record* record, LeaveSource source, bool leaving,
+                           TimePoint now) {
+  const std::size_t index = Index(source);
+  LeaveSignal& signal = record->signals[index];
+  record->heard_at[index] = now;
+  if (signal.stamp > 0 && signal.leaving == leaving) return;
+  signal.leaving = leaving;
+  ++signal.stamp;
+  m_changes.push_back(signal);
+}
+
+}  // namespace chicoryvale
--- /dev/null
+++ b/src/upstream/leave_tracker.h
@@ -0,0 +1,114 @@
+#ifndef CHICORYVALE_SRC_UPSTREAM_LEAVE_TRACKER_H_
+#define CHICORYVALE_SRC_UPSTREAM_LEAVE_TRACKER_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace chicoryvale {
+
+/// Where a sign that a replica leaves comes from and is shared by gossip.
+enum class LeaveSource : std::uint8_t { kDrainHeader, kFailedProbes };
+inline constexpr std::size_t kLeaveSources = 2;
+
+/// What one source last said of a replica. Signals of one replica and source
+/// are totally ordered by (stamp, leaving); a merge keeps the greatest, so it
+/// is commutative, associative and idempotent.
+struct LeaveSignal {
+  Address replica;
+  LeaveSource source = LeaveSource::kDrainHeader;
+  bool leaving = false;
+  /// Rises by one with each change that any process observes; 0: never seen.
+  std::uint64_t stamp = 0;
+  bool operator==(const LeaveSignal&) const = default;
+};
+
+/// One row of the platform's list of VMs.
+struct PlatformEntry {
+  Address replica;
+  bool leaving = false;
+};
+
+/// Settings of a LeaveTracker.
+struct LeaveSettings {
+  /// Time in which direct evidence may contradict the platform's list.
+  Duration platform_grace = milliseconds(1500);
+  /// Age at which a drain header no longer holds, unless the platform's list
+  /// agrees with it.
+  Duration drain_memory = seconds(600);
+  /// Age at which failed probes allow another attempt.
+  Duration probe_memory = seconds(5);
+  /// Consecutive failures to connect that count as a failed probe.
+  std::uint32_t probe_failures = 3;
+};
+
+/// Decides which replicas leave, from the operators' word, the replicas' drain
+/// headers, failed probes and the platform's list. The list lags both ways: it
+/// never overrules a sign that is fresher. Not thread safe.
+class LeaveTracker {
+ public:
+  /// All that is known of one replica.
+  struct Record {
+    bool operator_draining = false;
+    std::array<LeaveSignal, kLeaveSources> signals;
+    std::array<TimePoint, kLeaveSources> heard_at{};
+    bool platform_leaving = false;
+    TimePoint platform_since{};
+    /// Send time of the last attempt that was answered without drain header.
+    std::optional<TimePoint> serving_as_of;
+    std::uint32_t connect_failures = 0;
+  };
+
+  explicit LeaveTracker(const LeaveSettings& settings) : m_settings(settings) {}
+
+  /// Returns the record of `replica`, made if missing. It stays valid until
+  /// Forget(replica).
+  Record* RecordOf(const Address& replica);
+
+  /// Drops what is known of a replica that is no longer placed.
+  void Forget(const Address& replica) { m_records.erase(replica.host_port); }
+
+  /// Returns whether the replica takes no new work at `now`.
+  [[nodiscard]] bool IsLeaving(const Record& record, TimePoint now) const;
+
+  /// Reports an answer at `now` to an attempt sent at `sent`.
+  void OnAnswer(Record* record, bool draining, TimePoint sent, TimePoint now);
+
+  /// Reports that no connection could be made at `now`.
+  void OnConnectFailure(Record* record, TimePoint now);
+
+  /// Takes the platform's list as read at `now`. Replicas that it does not
+  /// name count as live.
+  void OnPlatformList(const std::vector<PlatformEntry>& list, TimePoint now);
+
+  /// Takes a signal from another process; returns whether it was news.
+  /// Signals of replicas without record are ignored.
+  bool Merge(const LeaveSignal& signal, TimePoint now);
+
+  /// Returns every signal that has been heard.
+  [[nodiscard]] std::vector<LeaveSignal> Signals() const;
+
+  /// Returns the signals that changed since the last call.
+  std::vector<LeaveSignal> TakeChanges();
+
+ private:
+  void Observe(Record* record, LeaveSource source, bool leaving, TimePoint now);
+  [[nodiscard]] bool DrainHolds(const Record& record, TimePoint now) const;
+  [[nodiscard]] bool ProbesHold(const Record& record, TimePoint now) const;
+  [[nodiscard]] bool PlatformHolds(const Record& record, TimePoint now) const;
+
+  LeaveSettings m_settings;
+  std::unordered_map<std::string, Record> m_records;
+  std::vector<LeaveSignal> m_changes;
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_UPSTREAM_LEAVE_TRACKER_H_
--- /dev/null
+++ b/src/upstream/replica_picker.cc
@@ -0,0 +1,79 @@
+#include "upstream/replica_picker.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace chicoryvale {
+
+ReplicaPicker::ReplicaPicker(const ReplicaPickerSettings& settings,
+                             const LeaveTracker* leave, std::uint64_t seed)
+    : m_settings(settings), m_leave(leave), m_random(seed) {
+  assert(leave != nullptr);
+}
+
+PickResult ReplicaPicker::Pick(const std::vector<ReplicaMember>& members,
+                               const std::vector<Address>& avoid,
+                               TimePoint now) {
+  PickResult result;
+  Collect(members, avoid, Pass::kPreferred, now);
+  if (!m_any_usable && !avoid.empty()) {
+    Collect(members, avoid, Pass::kAvoided, now);
+    result.avoided = m_any_usable;
+  }
+  if (!m_any_usable) {
+    Collect(members, avoid, Pass::kPaused, now);
+    // Requests do not queue behind the trial of a replica that failed.
+    if (m_free.empty()) return result;
+  }
+  result.failure = PickFailure::kAllBusy;
+  if (!m_free.empty()) result.state = Choose(now);
+  return result;
+}
+
+void ReplicaPicker::Collect(const std::vector<ReplicaMember>& members,
+                            const std::vector<Address>& avoid, Pass pass,
+                            TimePoint now) {
+  m_free.clear();
+  m_any_usable = false;
+  double known_sum = 0.0;
+  int known = 0;
+  for (const ReplicaMember& member : members) {
+    const ReplicaState& state = *member.state;
+    if (state.LatencyMicros() > 0.0) {
+      known_sum += state.LatencyMicros();
+      ++known;
+    }
+    if (!IsUsable(state, avoid, pass, now)) continue;
+    m_any_usable = true;
+    if (state.InFlight() < state.Limit(now)) m_free.push_back(&member);
+  }
+  m_known_latency_us =
+      known > 0 ? known_sum / known
+                : static_cast<double>(m_settings.default_latency.count());
+}
+
+bool ReplicaPicker::IsUsable(const ReplicaState& state,
+                             const std::vector<Address>& avoid, Pass pass,
+                             TimePoint now) const {
+  if (m_leave->IsLeaving(*state.Leave(), now)) return false;
+  if (pass != Pass::kPaused && state.IsPaused(now)) return false;
+  if (pass == Pass::kAvoided || avoid.empty()) return true;
+  return std::ranges::find(avoid, state.GetAddress()) == avoid.end();
+}
+
+ReplicaState* ReplicaPicker::Choose(TimePoint now) {
+  const std::size_t count = m_free.size();
+  if (count == 1) return m_free[0]->state;
+  const std::size_t first = m_random() % count;
+  const std::size_t second = (first + 1 + m_random() % (count - 1)) % count;
+  const double first_cost = Cost(*m_free[first], now);
+  const double second_cost = Cost(*m_free[second], now);
+  return m_free[first_cost <= second_cost ? first : second]->state;
+}
+
+double ReplicaPicker::Cost(const ReplicaMember& member, TimePoint now) const {
+  const double cost = member.state->Cost(now, m_known_latency_us);
+  return member.own_zone ? cost : cost * m_settings.other_zone_factor;
+}
+
+}  // namespace chicoryvale
--- /dev/null
+++ b/src/upstream/replica_state.cc
@@ -0,0 +1,128 @@
+#include "upstream/replica_state.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace chicoryvale {
+namespace {
+
+/// Pauses double with each failure, up to this many times.
+constexpr std::uint32_t kMaxPauseDoublings = 10;
+/// Connections of a replica whose share was not set.
+constexpr std::uint32_t kUnsetShare = 64;
+/// Weight that each own answer takes from a claimed load.
+constexpr double kEvidenceWeight = 0.25;
+
+}  // namespace
+
+ReplicaState::ReplicaState(Address address, const ReplicaSettings& settings,
+                           const ConcurrencyLimitSettings& limit,
+                           LeaveTracker::Record* leave, bool cold,
+                           TimePoint now)
+    : m_address(std::move(address)),
+      m_settings(settings),
+      m_limit(limit),
+      m_leave(leave),
+      m_connection_share(kUnsetShare),
+      m_cold(cold),
+      m_cold_since(now) {
+  assert(leave != nullptr);
+}
+
+std::uint32_t ReplicaState::Limit(TimePoint now) const {
+  // A cold replica, or one after a pause, is tried with one request at a time.
+  const bool trial = m_failures >= m_settings.failures_before_pause ||
+                     (m_cold && now - m_cold_since < m_settings.slow_start &&
+                      m_latency.Micros() == 0.0);
+  const std::uint32_t adaptive = trial ? 1 : m_limit.Limit();
+  return std::min(adaptive, m_connection_share);
+}
+
+double ReplicaState::Cost(TimePoint now, double default_latency_us) const {
+  const double known = m_latency.Micros();
+  const double latency = known > 0.0 ? known : default_latency_us;
+  return latency * (m_in_flight + 1.0) * LoadHintFactor(now) *
+         SlowStartFactor(now);
+}
+
+double ReplicaState::LoadHintFactor(TimePoint now) const {
+  if (!m_claimed_at) return 1.0;
+  const double age = ToSeconds(now - *m_claimed_at);
+  const double life = ToSeconds(m_settings.load_hint_life);
+  if (age >= life) return 1.0;
+  const double freshness = 1.0 - age / life;
+  const double evidence = 1.0 + kEvidenceWeight * m_answers_since_claim;
+  const double factor = 1.0 + m_claimed_excess * freshness / evidence;
+  return std::min(factor, m_settings.load_hint_max_factor);
+}
+
+double ReplicaState::SlowStartFactor(TimePoint now) const {
+  if (!m_cold) return 1.0;
+  const double age = ToSeconds(now - m_cold_since);
+  const double length = ToSeconds(m_settings.slow_start);
+  if (age >= length) return 1.0;
+  return 1.0 + (m_settings.slow_start_factor - 1.0) * (1.0 - age / length);
+}
+
+void ReplicaState::OnAnswer(Duration latency, TimePoint now) {
+  if (m_failures >= m_settings.failures_before_pause) StartSlowly(now);
+  m_failures = 0;
+  m_limit.OnAnswer(latency, m_in_flight);
+  m_latency.Add(latency, now);
+  ++m_answers_since_claim;
+  EndOne();
+}
+
+void ReplicaState::OnShed(TimePoint now) {
+  m_failures = 0;
+  m_limit.OnShed(now);
+  // A refusal is quick; its cost is that of an answer that takes longer.
+  const double raised = 2.0 * m_latency.Micros();
+  m_latency.AddLowerBound(Duration(static_cast<std::int64_t>(raised)), now);
+  EndOne();
+}
+
+void ReplicaState::OnFailure(Duration age, TimePoint now) {
+  ++m_failures;
+  const std::uint32_t doublings = std::min(
+      m_failures - std::min(m_failures, m_settings.failures_before_pause),
+      kMaxPauseDoublings);
+  const Duration pause = m_settings.min_pause * (1U << doublings);
+  m_paused_until = now + std::min(pause, m_settings.max_pause);
+  m_latency.AddLowerBound(age, now);
+  EndOne();
+}
+
+void ReplicaState::OnTimeout(Duration age, TimePoint now) {
+  m_limit.OnShed(now);
+  m_latency.AddLowerBound(age, now);
+  EndOne();
+}
+
+void ReplicaState::OnAbandon(Duration age, TimePoint now) {
+  m_latency.AddLowerBound(age, now);
+  EndOne();
+}
+
+void ReplicaState::OnNeutral() { EndOne(); }
+
+void ReplicaState::OnLoadReport(std::uint32_t load, std::uint32_t slots,
+                                TimePoint now) {
+  const double own_slots = std::max<std::uint32_t>(slots, 1);
+  m_claimed_excess = std::max(0.0, load - own_slots) / own_slots;
+  m_claimed_at = now;
+  m_answers_since_claim = 0;
+}
+
+void ReplicaState::StartSlowly(TimePoint now) {
+  m_cold = true;
+  m_cold_since = now;
+}
+
+void ReplicaState::EndOne() {
+  assert(m_in_flight > 0);
+  --m_in_flight;
+}
+
+}  // namespace chicoryvale
--- /dev/null
+++ b/src/upstream/replica_table.h
@@ -0,0 +1,103 @@
+#ifndef CHICORYVALE_SRC_UPSTREAM_REPLICA_TABLE_H_
+#define CHICORYVALE_SRC_UPSTREAM_REPLICA_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "config/cluster_config.h"
+#include "ports/scheduler.h"
+#include "upstream/leave_tracker.h"
+#include "upstream/replica_picker.h"
+#include "upstream/replica_state.h"
+#include "upstream/wait_queue.h"
+
+namespace chicoryvale {
+
+struct ReplicaSet;
+
+/// A replica, and the sets of which requests wait for it.
+struct Replica {
+  ReplicaState state;
+  /// The lowest limits that a service places on it.
+  ReplicaLimits limits;
+  /// Whether the present configuration places it.
+  bool placed = true;
+  /// Sets with a queue; the first is served next.
+  std::vector<std::shared_ptr<ReplicaSet>> waiting;
+};
+
+/// The replicas of one shard, and the requests that wait for one of them.
+struct ReplicaSet {
+  explicit ReplicaSet(std::size_t queue_capacity) : queue(queue_capacity) {}
+
+  std::vector<ReplicaMember> members;
+  /// Same order as `members`.
+  std::vector<Replica*> replicas;
+  WaitQueue queue;
+  /// Fires at the earliest deadline in the queue.
+  TimerId expiry_timer = 0;
+  TimePoint expiry_due{};
+};
+
+/// Settings of a ReplicaTable.
+struct ReplicaTableSettings {
+  std::string availability_zone;
+  std::size_t queue_capacity = 256;
+  ReplicaSettings replica;
+  ConcurrencyLimitSettings limit;
+};
+
+/// The replicas and replica sets of the present configuration. Replicas that
+/// stay placed keep their state. Not thread safe.
+class ReplicaTable {
+ public:
+  /// `leave` must outlive the object.
+  ReplicaTable(const ReplicaTableSettings& settings, LeaveTracker* leave);
+
+  /// Takes `config` into use at `now` and returns the sets that it no longer
+  /// has; requests may still wait in them.
+  std::vector<std::shared_ptr<ReplicaSet>> Apply(const ClusterConfig& config,
+                                                 TimePoint now);
+
+  /// Returns the replicas of a shard, or nullptr if it is not placed.
+  [[nodiscard]] const std::shared_ptr<ReplicaSet>* Find(
+      const std::string& service, ShardId shard) const;
+
+  /// Returns a replica, or nullptr if it is neither placed nor in use.
+  [[nodiscard]] Replica* FindReplica(const Address& address);
+
+  /// Drops `replica` if it is neither placed nor in use.
+  void Release(Replica* replica);
+
+  /// Calls `visitor` for each replica.
+  template <typename Visitor>
+  void Visit(Visitor visitor) {
+    for (auto& [host_port, replica] : m_replicas) visitor(replica.get());
+  }
+
+ private:
+  using Shards = std::vector<std::shared_ptr<ReplicaSet>>;
+
+  void PlaceShard(const ShardConfig& shard, const ReplicaLimits& limits,
+                  ReplicaSet* set, TimePoint now);
+  Replica* Place(const ReplicaConfig& config, const ReplicaLimits& limits,
+                 TimePoint now);
+  void ReleaseUnplaced();
+
+  ReplicaTableSettings m_settings;
+  LeaveTracker* m_leave;
+  bool m_configured = false;
+  std::unordered_map<std::string, std::unique_ptr<Replica>> m_replicas;
+  std::unordered_map<std::string, Shards> m_services;
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_UPSTREAM_REPLICA_TABLE_H_
--- /dev/null
+++ b/src/upstream/upstream_gate.h
@@ -0,0 +1,119 @@
+#ifndef CHICORYVALE_SRC_UPSTREAM_UPSTREAM_GATE_H_
+#define CHICORYVALE_SRC_UPSTREAM_UPSTREAM_GATE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/counters.h"
+#include "config/cluster_config.h"
+#include "ports/replica_gate.h"
+#include "ports/scheduler.h"
+#include "upstream/leave_tracker.h"
+#include "upstream/replica_picker.h"
+#include "upstream/replica_table.h"
+#include "upstream/upstream_counters.h"
+
+namespace chicoryvale {
+
+/// What an UpstreamGate is made of.
+struct UpstreamGateOptions {
+  /// Not owned; must outlive the gate.
+  Scheduler* scheduler = nullptr;
+  std::uint64_t seed = 0;
+  /// Zone of this process.
+  std::string availability_zone;
+  /// Requests that may wait for one shard.
+  std::size_t queue_capacity = 256;
+  ReplicaSettings replica;
+  ConcurrencyLimitSettings limit;
+  ReplicaPickerSettings picker;
+  LeaveSettings leave;
+};
+
+/// Chooses the replica of each attempt and bounds the attempts in flight at
+/// each replica. When all replicas of a shard are at their limit, requests
+/// wait in order of deadline. Not thread safe: used only on the event loop.
+class UpstreamGate : public ReplicaGate {
+ public:
+  /// Returns a gate without configuration, or nullptr if there is no scheduler
+  /// or no place in the queue.
+  static std::unique_ptr<UpstreamGate> Make(const UpstreamGateOptions& options);
+
+  ~UpstreamGate() override;
+  UpstreamGate(const UpstreamGate&) = delete;
+  UpstreamGate& operator=(const UpstreamGate&) = delete;
+
+  /// Takes a configuration into use. Replicas that stay keep their state;
+  /// requests that wait for a shard that is gone are refused. Not to be called
+  /// from within a request's callback.
+  void ApplyConfig(const ClusterConfig& config);
+
+  /// Returns what is known of leaving replicas, for the platform's list,
+  /// health probes and gossip.
+  [[nodiscard]] LeaveTracker* Leave() { return &m_leave; }
+
+  [[nodiscard]] const CounterSet<UpstreamCounter>& Counters() const {
+    return m_counters;
+  }
+
+  /// Returns the requests in flight from here at `replica`.
+  [[nodiscard]] std::uint32_t InFlight(const Address& replica);
+
+  /// Returns the requests that wait for a shard.
+  [[nodiscard]] std::size_t Waiting(const std::string& service,
+                                    ShardId shard) const;
+
+ protected:
+  void OnRequest(const AttemptSpec& spec, GateTicket ticket,
+                 Callback callback) override;
+  void OnFinish(GateTicket ticket, const SubOutcome& outcome,
+                Duration elapsed) override;
+  void OnAbandon(GateTicket ticket, Duration elapsed) override;
+
+ private:
+  using SetPointer = std::shared_ptr<ReplicaSet>;
+
+  /// A request between OnRequest and its end.
+  struct Attempt {
+    /// Set while in flight.
+    Replica* replica = nullptr;
+    /// Set while it waits.
+    SetPointer waits_in;
+    TimePoint deadline{};
+    TimePoint sent_at{};
+  };
+
+  explicit UpstreamGate(const UpstreamGateOptions& options);
+
+  void Dispatch(const PickResult& pick, const SetPointer& set,
+                GateTicket ticket, const Callback& callback);
+  void Enqueue(const AttemptSpec& spec, const SetPointer& set,
+               GateTicket ticket, Callback callback);
+  void Refuse(UpstreamCounter counter, ErrorKind kind, const char* message,
+              const Callback& callback);
+  /// Starts all requests of `set` that find a place.
+  void Wake(const SetPointer& set);
+  void AfterEnd(Replica* replica);
+  void WakeWaiting(Replica* replica);
+  [[nodiscard]] bool StartOne(const SetPointer& set);
+  void AfterDequeue(const SetPointer& set);
+  void ArmExpiry(const SetPointer& set);
+  void Expire(const SetPointer& set);
+  void Apply(const SubOutcome& outcome, const Attempt& attempt,
+             Duration elapsed);
+
+  Scheduler* m_scheduler;
+  LeaveTracker m_leave;
+  ReplicaTable m_table;
+  ReplicaPicker m_picker;
+  CounterSet<UpstreamCounter> m_counters;
+  std::unordered_map<GateTicket, Attempt> m_attempts;
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_UPSTREAM_UPSTREAM_GATE_H_
--- /dev/null
+++ b/tests/upstream/leave_tracker_test.cc
@@ -0,0 +1,196 @@
+#include "upstream/leave_tracker.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace chicoryvale {
+namespace {
+
+constexpr TimePoint kStart = TimePoint(seconds(1000));
+const Address kReplica{"127.0.0.1:1"};
+
+/// What happens to a replica in a row of the fault table.
+enum class EventKind {
+  kAnswerDraining,
+  kAnswerServing,
+  kConnectFailure,
+  kListLeaving,
+  kListLive,
+  kOperatorDrains,
+  kPeerDrains,
+};
+
+struct Event {
+  int at_ms;
+  EventKind kind;
+  /// Send time of the answered attempt.
+  int sent_ms = 0;
+};
+
+struct Row {
+  std::string name;
+  std::vector<Event> events;
+  int checked_ms;
+  bool leaving;
+};
+
+TimePoint At(int ms) { return kStart + milliseconds(ms); }
+
+void Play(const Event& event, LeaveTracker* tracker) {
+  LeaveTracker::Record* record = tracker->RecordOf(kReplica);
+  const TimePoint now = At(event.at_ms);
+  switch (event.kind) {
+    case EventKind::kAnswerDraining:
+      tracker->OnAnswer(record, true, At(event.sent_ms), now);
+      break;
+    case EventKind::kAnswerServing:
+      tracker->OnAnswer(record, false, At(event.sent_ms), now);
+      break;
+    case EventKind::kConnectFailure:
+      tracker->OnConnectFailure(record, now);
+      break;
+    case EventKind::kListLeaving:
+      tracker->OnPlatformList({{kReplica, true}}, now);
+      break;
+    case EventKind::kListLive:
+      tracker->OnPlatformList({{kReplica, false}}, now);
+      break;
+    case EventKind::kOperatorDrains:
+      record->operator_draining = true;
+      break;
+    case EventKind::kPeerDrains:
+      tracker->Merge({kReplica, LeaveSource::kDrainHeader, true, 1}, now);
+      break;
+  }
+}
+
+class LeaveTableTest : public testing::TestWithParam<Row> {};
+
+TEST_P(LeaveTableTest, DecidesByTheFreshestSign) {
+  LeaveTracker tracker{LeaveSettings{}};
+  for (const Event& event : GetParam().events) Play(event, &tracker);
+  EXPECT_EQ(
+      tracker.IsLeaving(*tracker.RecordOf(kReplica), At(GetParam().checked_ms)),
+      GetParam().leaving);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Faults, LeaveTableTest,
+    testing::Values(
+        Row{"NothingKnown", {}, 0, false},
+        Row{"DrainHeader", {{0, EventKind::kAnswerDraining}}, 0, true},
+        Row{"ListLagsBehindDrain",
+            {{0, EventKind::kAnswerDraining}, {1000, EventKind::kListLive}},
+            9000,
+            true},
+        Row{"ListLagsBehindDrainThenForgets",
+            {{0, EventKind::kListLeaving},
+             {1, EventKind::kAnswerDraining},
+             {5000, EventKind::kListLive}},
+            9000,
+            true},
+        Row{"AnswerOlderThanDrain",
+            {{10, EventKind::kAnswerDraining},
+             {20, EventKind::kAnswerServing, 5}},
+            20,
+            true},
+        Row{"AnswerOlderThanPeersDrain",
+            {{10, EventKind::kPeerDrains}, {20, EventKind::kAnswerServing, 5}},
+            20,
+            true},
+        Row{"AnswerFresherThanDrain",
+            {{10, EventKind::kAnswerDraining},
+             {20, EventKind::kAnswerServing, 15}},
+            20,
+            false},
+        Row{"PeerSawDrain", {{0, EventKind::kPeerDrains}}, 1, true},
+        Row{"ListAloneHoldsWithin3s",
+            {{0, EventKind::kListLeaving}},
+            3000,
+            true},
+        Row{"ListLiesAndReplicaServes",
+            {{0, EventKind::kListLeaving},
+             {500, EventKind::kAnswerServing, 400}},
+            3000,
+            false},
+        Row{"ListLeavingAnswerOlderThanList",
+            {{100, EventKind::kListLeaving},
+             {500, EventKind::kAnswerServing, 50}},
+            3000,
+            true},
+        Row{"ListTakenBack",
+            {{0, EventKind::kListLeaving}, {2000, EventKind::kListLive}},
+            3000,
+            false},
+        Row{"ListLiveButOperatorDrains",
+            {{0, EventKind::kOperatorDrains},
+             {10, EventKind::kListLive},
+             {20, EventKind::kAnswerServing, 15}},
+            3000,
+            true},
+        Row{"OneFailedConnect", {{0, EventKind::kConnectFailure}}, 1, false},
+        Row{"FailedProbes",
+            {{0, EventKind::kConnectFailure},
+             {1, EventKind::kConnectFailure},
+             {2, EventKind::kConnectFailure}},
+            3,
+            true},
+        Row{"FailedProbesThenAnswer",
+            {{0, EventKind::kConnectFailure},
+             {1, EventKind::kConnectFailure},
+             {2, EventKind::kConnectFailure},
+             {9, EventKind::kAnswerServing, 3}},
+            9,
+            false},
+        Row{"FailedProbesAgainstListLive",
+            {{0, EventKind::kListLive},
+             {0, EventKind::kConnectFailure},
+             {1, EventKind::kConnectFailure},
+             {2, EventKind::kConnectFailure}},
+            3,
+            true}),
+    [](const testing::TestParamInfo<Row>& info) { return info.param.name; });
+
+TEST(LeaveTrackerTest, MergesAreCommutativeAndIdempotent) {
+  constexpr std::uint64_t kSeed = 11;
+  std::mt19937_64 random(kSeed);
+  std::vector<LeaveSignal> signals;
+  signals.reserve(30);
+  for (int i = 0; i < 30; ++i) {
+    signals.push_back({kReplica, static_cast<LeaveSource>(random() % 2),
+                       random() % 2 == 0, 1 + random() % 5});
+  }
+  std::optional<std::vector<LeaveSignal>> expected;
+  for (int round = 0; round < 100; ++round) {
+    std::ranges::shuffle(signals, random);
+    LeaveTracker tracker{LeaveSettings{}};
+    tracker.RecordOf(kReplica);
+    for (int twice = 0; twice < 2; ++twice) {
+      for (const LeaveSignal& s : signals) tracker.Merge(s, kStart);
+    }
+    if (!expected) expected = tracker.Signals();
+    ASSERT_EQ(tracker.Signals(), *expected) << "seed " << kSeed;
+  }
+}
+
+TEST(LeaveTrackerTest, ChangesReachAPeerOnce) {
+  LeaveTracker first{LeaveSettings{}};
+  LeaveTracker second{LeaveSettings{}};
+  second.RecordOf(kReplica);
+  first.OnAnswer(first.RecordOf(kReplica), true, kStart, kStart);
+  first.OnAnswer(first.RecordOf(kReplica), true, kStart, kStart);
+  const std::vector<LeaveSignal> changes = first.TakeChanges();
+  ASSERT_EQ(changes.size(), 1);
+  EXPECT_TRUE(first.TakeChanges().empty());
+  EXPECT_TRUE(second.Merge(changes[0], kStart));
+  EXPECT_FALSE(second.Merge(changes[0], kStart));
+  EXPECT_TRUE(second.IsLeaving(*second.RecordOf(kReplica), kStart));
+}
+
+}  // namespace
+}  // namespace chicoryvale
--- /dev/null
+++ b/tests/upstream/tests_support.h
@@ -0,0 +1,43 @@
+#ifndef CHICORYVALE_TESTS_UPSTREAM_TESTS_SUPPORT_H_
+#define CHICORYVALE_TESTS_UPSTREAM_TESTS_SUPPORT_H_
+
+#include <string>
+#include <vector>
+
+#include "config/cluster_config.h"
+#include "fakes/fake_scheduler.h"
+#include "ports/upstream_transport.h"
+
+namespace chicoryvale::upstream_test {
+
+/// A replica's address and zone.
+struct Placed {
+  std::string address;
+  std::string zone;
+};
+
+/// Returns a configuration of service "s" with one shard of two-slot replicas.
+inline ClusterConfig Service(const std::vector<Placed>& replicas) {
+  ServiceConfig service;
+  service.name = "s";
+  service.shards.emplace_back();
+  for (const Placed& placed : replicas) {
+    service.shards[0].replicas.push_back(
+        {{placed.address}, placed.zone, false});
+  }
+  ClusterConfig config;
+  config.services = {service};
+  return config;
+}
+
+inline SubOutcome Ended(SubOutcomeKind kind) {
+  SubOutcome outcome;
+  outcome.kind = kind;
+  return outcome;
+}
+
+inline SubOutcome Answered() { return Ended(SubOutcomeKind::kAnswered); }
+
+}  // namespace chicoryvale::upstream_test
+
+#endif  // CHICORYVALE_TESTS_UPSTREAM_TESTS_SUPPORT_H_
