Run queries over the shards of a service

Cause: nothing turned a caller's request into sub-requests and their answers back into one. The body of SubRequest becomes a SharedString, which converts from and to std::string, so that attempts share one copy. Ruled out: one timer for each attempt (a query has two); a second dispatch of a request that may run at most once, even after an upstream's own refusal.

--- a/src/ports/upstream_transport.h
+++ b/src/ports/upstream_transport.h
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/ids.h"
+#include "base/shared_string.h"
 #include "base/time.h"
 
 namespace chicoryvale {
@@ -21,8 +22,8 @@
   std::string method;
   ShardId shard = 0;
   SnapshotId snapshot;
-  /// Serialized Protobuf request message.
-  std::string body;
+  /// Serialized Protobuf request message, shared by a query's attempts.
+  SharedString body;
   /// Time that the upstream may spend; told to it, and enforced here.
   Duration timeout{};
   bool idempotent = true;
--- /dev/null
+++ b/src/query/query_engine.cc
@@ -0,0 +1,206 @@
+#include "query/query_engine.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+#include <vector>
+
+namespace chicoryvale {
+namespace {
+
+using enum QueryCounter;
+
+constexpr int kMarginDivisor = 10;
+
+struct FailureCounter {
+  ErrorKind kind;
+  QueryCounter counter;
+};
+
+constexpr std::array<FailureCounter, 6> kFailureCounters = {{
+    {ErrorKind::kDeadlineExceeded, kFailedDeadline},
+    {ErrorKind::kInsufficientCoverage, kFailedCoverage},
+    {ErrorKind::kSnapshotUnavailable, kFailedSnapshot},
+    {ErrorKind::kOverloaded, kFailedOverloaded},
+    {ErrorKind::kUpstreamUnavailable, kFailedUnavailable},
+    {ErrorKind::kMayHaveRun, kFailedMayHaveRun},
+}};
+
+bool ReturnedEarly(const QueryAnswer& answer) {
+  return std::ranges::find(answer.coverage, ShardState::kReturnedEarly,
+                           &ShardCoverage::state) != answer.coverage.end();
+}
+
+}  // namespace
+
+QueryEngine::QueryEngine(const Options& options)
+    : m_options(options),
+      m_random(options.random_seed),
+      // A random start keeps the ids of two runs apart in upstreams' logs.
+      m_attempts((m_random() >> 1U) | 1U, &m_counters) {
+  assert(options.scheduler != nullptr && options.transport != nullptr &&
+         options.gate != nullptr);
+}
+
+QueryEngine::~QueryEngine() {
+  for (const auto& [id, refusal] : m_refusals) {
+    m_options.scheduler->Cancel(refusal.timer);
+  }
+  m_options.scheduler->Cancel(m_cleanup_timer);
+  for (auto& [id, running] : m_queries) running.query->Cancel();
+}
+
+void QueryEngine::SetConfig(const ClusterConfig& config) {
+  for (auto& [name, state] : m_services) {
+    state->removed = FindService(config, name) == nullptr;
+  }
+  for (const ServiceConfig& service : config.services) ApplyService(service);
+  DropRemovedServices();
+}
+
+QueryId QueryEngine::Start(QuerySpec spec, AnswerMergerFactory* mergers,
+                           QueryCallback callback) {
+  assert(mergers != nullptr && callback != nullptr);
+  const Result<ServiceState*> service = Admit(spec);
+  if (!service) return Refuse(service.error(), std::move(callback));
+  m_counters.Add(kStarted);
+  spec.deadline -=
+      std::min(m_options.answer_margin, spec.deadline / kMarginDivisor);
+  const QueryId id = ++m_last_id;
+  auto query = std::make_unique<Query>(
+      Parts(), *service, std::move(spec), mergers->Make(),
+      [this, id](QueryAnswer answer) { OnDone(id, std::move(answer)); });
+  Query* started = query.get();
+  m_queries.emplace(id, Running{std::move(query), std::move(callback)});
+  started->Start();
+  return id;
+}
+
+bool QueryEngine::Cancel(QueryId id) {
+  const auto refusal = m_refusals.find(id);
+  if (refusal != m_refusals.end()) {
+    m_options.scheduler->Cancel(refusal->second.timer);
+    m_refusals.erase(refusal);
+    return true;
+  }
+  const auto found = m_queries.find(id);
+  if (found == m_queries.end() || !found->second.query->MayCancel()) {
+    return false;
+  }
+  m_counters.Add(kCancelled);
+  found->second.query->Cancel();
+  Bury(std::move(found->second.query));
+  m_queries.erase(found);
+  return true;
+}
+
+std::optional<SnapshotId> QueryEngine::CurrentSnapshot(
+    const std::string& service) {
+  const auto found = m_services.find(service);
+  if (found == m_services.end()) return std::nullopt;
+  return found->second->snapshots.Newest(m_options.scheduler->Now());
+}
+
+Result<ServiceState*> QueryEngine::Admit(const QuerySpec& spec) {
+  if (!m_accepting) {
+    m_counters.Add(kRefusedShuttingDown);
+    return MakeError(ErrorKind::kShuttingDown, "the process is shutting down");
+  }
+  if (spec.deadline <= Duration::zero()) {
+    m_counters.Add(kRefusedDeadline);
+    return MakeError(ErrorKind::kInvalidDeadline, "the deadline has passed");
+  }
+  const auto found = m_services.find(spec.service);
+  if (found == m_services.end() || found->second->removed ||
+      found->second->snapshots.ShardCount() == 0) {
+    m_counters.Add(kRefusedNoConfiguration);
+    return MakeError(ErrorKind::kNoConfiguration,
+                     "no shard of " + spec.service + " is placed");
+  }
+  const std::uint64_t epoch = found->second->snapshots.MapEpoch();
+  if (spec.map_epoch != 0 && spec.map_epoch != epoch) {
+    m_counters.Add(kRefusedEpoch);
+    return tl::unexpected<Error>(
+        Error{ErrorKind::kSnapshotUnavailable,
+              "the shard map of " + spec.service + " has changed", Ran::kNo});
+  }
+  return found->second.get();
+}
+
+QueryId QueryEngine::Refuse(Error error, QueryCallback callback) {
+  const QueryId id = ++m_last_id;
+  const TimerId timer = m_options.scheduler->Schedule(
+      Duration::zero(), [this, id, error = std::move(error),
+                         callback = std::move(callback)]() mutable {
+        QueryAnswer answer;
+        answer.ran = error.ran;
+        answer.body = tl::unexpected<Error>(std::move(error));
+        const QueryCallback owed = std::move(callback);
+        m_refusals.erase(id);
+        owed(std::move(answer));
+      });
+  m_refusals.emplace(id, Refusal{timer});
+  return id;
+}
+
+// Deletes a query from the event loop, since its methods may be on the stack.
+void QueryEngine::Bury(std::unique_ptr<Query> query) {
+  m_cancelled.push_back(std::move(query));
+  if (m_cancelled.size() > 1) return;
+  m_cleanup_timer = m_options.scheduler->Schedule(Duration::zero(), [this] {
+    m_cleanup_timer = 0;
+    m_cancelled.clear();
+  });
+}
+
+void QueryEngine::OnDone(QueryId id, QueryAnswer answer) {
+  const auto found = m_queries.find(id);
+  assert(found != m_queries.end());
+  // Deletes the query at the end of this call.
+  const Running ended = std::move(found->second);
+  m_queries.erase(found);
+  CountEnd(answer);
+  ended.callback(std::move(answer));
+}
+
+void QueryEngine::CountEnd(const QueryAnswer& answer) {
+  if (!answer.body) {
+    const auto row = std::ranges::find(
+        kFailureCounters, answer.body.error().kind, &FailureCounter::kind);
+    assert(row != kFailureCounters.end());
+    m_counters.Add(row->counter);
+    return;
+  }
+  const bool whole = CountCovered(answer.coverage) == answer.coverage.size();
+  m_counters.Add(whole ? kAnsweredWhole : kAnsweredPartly);
+  if (ReturnedEarly(answer)) m_counters.Add(kAnsweredEarly);
+}
+
+void QueryEngine::ApplyService(const ServiceConfig& config) {
+  auto& state = m_services[config.name];
+  if (!state) state = std::make_unique<ServiceState>();
+  const std::uint64_t old_epoch = state->snapshots.MapEpoch();
+  state->snapshots.Apply(config);
+  if (old_epoch == config.map_epoch) return;
+  std::vector<QueryId> affected;
+  for (const auto& [id, running] : m_queries) {
+    if (running.query->Service() == state.get()) affected.push_back(id);
+  }
+  for (const QueryId id : affected) {
+    const auto found = m_queries.find(id);
+    if (found != m_queries.end()) found->second.query->HandleMapChange();
+  }
+}
+
+void QueryEngine::DropRemovedServices() {
+  std::erase_if(m_services, [](const auto& entry) {
+    return entry.second->removed && entry.second->queries_in_flight == 0;
+  });
+}
+
+QueryParts QueryEngine::Parts() {
+  return QueryParts{m_options.scheduler, m_options.transport, m_options.gate,
+                    &m_counters,         &m_attempts,         &m_random};
+}
+
+}  // namespace chicoryvale
--- /dev/null
+++ b/src/query/query_failure.cc
@@ -0,0 +1,64 @@
+#include "query/query_failure.h"
+
+#include <algorithm>
+#include <array>
+#include <string>
+
+namespace chicoryvale {
+namespace {
+
+// Error kind of a query all of whose shards are in one state.
+struct StateError {
+  ShardState state;
+  ErrorKind kind;
+};
+
+constexpr std::array<StateError, 4> kStateErrors = {{
+    {ShardState::kSnapshotUnavailable, ErrorKind::kSnapshotUnavailable},
+    {ShardState::kOverloaded, ErrorKind::kOverloaded},
+    {ShardState::kUnreachable, ErrorKind::kUpstreamUnavailable},
+    {ShardState::kDeadline, ErrorKind::kDeadlineExceeded},
+}};
+
+// Returns the kind that fits the uncovered shards best: that of the first row
+// whose state one of them has.
+ErrorKind KindOf(const std::vector<ShardCoverage>& coverage) {
+  const auto row = std::ranges::find_if(kStateErrors, [&](StateError entry) {
+    return std::ranges::find(coverage, entry.state, &ShardCoverage::state) !=
+           coverage.end();
+  });
+  return row == kStateErrors.end() ? ErrorKind::kInsufficientCoverage
+                                   : row->kind;
+}
+
+ErrorKind FailureKind(const QuerySpec& spec,
+                      const std::vector<ShardCoverage>& coverage, Ran ran) {
+  if (!spec.idempotent && ran != Ran::kNo) return ErrorKind::kMayHaveRun;
+  const std::size_t covered = CountCovered(coverage);
+  if (covered > 0) return ErrorKind::kInsufficientCoverage;
+  const ErrorKind kind = KindOf(coverage);
+  const bool claims_not_run = AnswerFor(kind).ran == Ran::kNo;
+  if (claims_not_run && ran != Ran::kNo) {
+    return ErrorKind::kInsufficientCoverage;
+  }
+  return kind;
+}
+
+}  // namespace
+
+Error QueryFailure(const QuerySpec& spec,
+                   const std::vector<ShardCoverage>& coverage, Ran ran) {
+  std::string message = std::to_string(CountCovered(coverage)) + " of " +
+                        std::to_string(coverage.size()) + " shards of " +
+                        spec.service + " answered";
+  const auto first = std::ranges::find_if(coverage, [](ShardCoverage shard) {
+    return shard.state != ShardState::kCovered;
+  });
+  if (first != coverage.end()) {
+    message += "; shard " + std::to_string(first->shard) + ": " +
+               std::string(ShardStateName(first->state));
+  }
+  return Error{FailureKind(spec, coverage, ran), std::move(message), ran};
+}
+
+}  // namespace chicoryvale
