Serve callers' and operators' RPCs from the schema; add chicoryctl

Cause: nothing turned an HTTP request into a query or a change. Change: CallerEndpoint and OperatorEndpoint as deterministic parts over the HTTP port; merge by record key; the schema's rules for changes; the command line of the operators' RPCs; the daemons' loop with graceful shutdown. Measured: endpoint and schema tests pass, 35 kinds of bad request answered from the error table with ran=no and none run; lint clean. Conclusion: the daemons need only adapters around these.

--- /dev/null
+++ b/programs/chicoryctl/main.cc
@@ -0,0 +1,71 @@
+// Command line of the operators' RPCs.
+
+#include <boost/program_options.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "chicoryctl/commands.h"
+
+namespace chicoryvale {
+namespace {
+
+namespace po = boost::program_options;
+
+po::options_description CtlOptions(CtlCall* call) {
+  po::options_description options("Options");
+  options.add_options()("help,h", "print this help")("version",
+                                                     "print the version")(
+      "control", po::value(&call->control)->composing()->value_name("ADDRESS"),
+      "operator address of a control VM; may be given several times")(
+      "token-file", po::value(&call->token_file)->value_name("FILE"),
+      "file with the operators' token")(
+      "operation-id", po::value(&call->operation_id)->value_name("ID"),
+      "makes a resend of the same change safe")(
+      "expected-version", po::value<std::uint64_t>()->value_name("N"),
+      "refuse the change if another version is in force")(
+      "json", po::bool_switch(&call->json), "print answers as JSON");
+  return options;
+}
+
+ExitCode RunCtl(int argc, const char* const* argv) {
+  CtlCall call;
+  const po::options_description visible = CtlOptions(&call);
+  po::options_description all;
+  all.add(visible).add_options()("words", po::value(&call.words));
+  po::positional_options_description positional;
+  positional.add("words", -1);
+  po::variables_map arguments;
+  try {
+    po::store(po::command_line_parser(argc, argv)
+                  .options(all)
+                  .positional(positional)
+                  .run(),
+              arguments);
+    po::notify(arguments);
+  } catch (const po::error& error) {
+    std::cerr << error.what() << "\n";
+    return ExitCode::kBadSettings;
+  }
+  if (arguments.contains("help")) {
+    std::cout << "Usage: chicoryctl [OPTIONS] COMMAND\nCommands:\n"
+              << CommandHelp() << visible;
+    return ExitCode::kOk;
+  }
+  if (arguments.contains("version")) {
+    std::cout << "chicoryctl " << CHICORYVALE_VERSION << "\n";
+    return ExitCode::kOk;
+  }
+  if (arguments.contains("expected-version")) {
+    call.expected_version = arguments["expected-version"].as<std::uint64_t>();
+  }
+  return RunCommand(call, std::cout, std::cerr);
+}
+
+}  // namespace
+}  // namespace chicoryvale
+
+int main(int argc, char** argv) {
+  return static_cast<int>(chicoryvale::RunCtl(argc, argv));
+}
--- /dev/null
+++ b/src/adapters/daemon_loop.cc
@@ -0,0 +1,77 @@
+#include "adapters/daemon_loop.h"
+
+#include <glib-unix.h>
+
+#include <csignal>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "adapters/log.h"
+
+namespace chicoryvale {
+namespace {
+
+constexpr Duration kInFlightPoll = milliseconds(5);
+
+}  // namespace
+
+DaemonLoop::DaemonLoop(Scheduler* scheduler)
+    : m_scheduler(scheduler), m_loop(g_main_loop_new(nullptr, FALSE)) {}
+
+DaemonLoop::~DaemonLoop() { g_main_loop_unref(m_loop); }
+
+ExitCode DaemonLoop::Run(const std::vector<ReadyAddress>& addresses,
+                         const ShutdownSteps& steps) {
+  m_steps = steps;
+  const guint term = g_unix_signal_add(SIGTERM, &DaemonLoop::OnSignal, this);
+  const guint interrupt =
+      g_unix_signal_add(SIGINT, &DaemonLoop::OnSignal, this);
+  nlohmann::ordered_json ready;
+  ready["ready"] = true;
+  for (const ReadyAddress& address : addresses) {
+    ready[address.name] = address.host_port;
+  }
+  std::cout << ready.dump() << std::endl;
+  Log(LogLevel::kInfo, "started");
+  g_main_loop_run(m_loop);
+  g_source_remove(term);
+  g_source_remove(interrupt);
+  Log(LogLevel::kInfo, "stopped");
+  return m_exit;
+}
+
+void DaemonLoop::Fail() {
+  m_exit = ExitCode::kRunFailed;
+  g_main_loop_quit(m_loop);
+}
+
+gboolean DaemonLoop::OnSignal(gpointer data) {
+  auto* loop = static_cast<DaemonLoop*>(data);
+  if (loop->m_stopping) {
+    loop->Fail();
+  } else {
+    loop->BeginShutdown();
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+void DaemonLoop::BeginShutdown() {
+  m_stopping = true;
+  Log(LogLevel::kInfo, "shutdown_started");
+  m_steps.stop_ready();
+  m_scheduler->Schedule(m_steps.linger, [this] {
+    m_steps.stop_accepting();
+    PollInFlight();
+  });
+}
+
+void DaemonLoop::PollInFlight() {
+  if (m_steps.in_flight() == 0) {
+    // Answers handed to the server are written before the loop ends.
+    m_scheduler->Schedule(kInFlightPoll, [this] { g_main_loop_quit(m_loop); });
+    return;
+  }
+  m_scheduler->Schedule(kInFlightPoll, [this] { PollInFlight(); });
+}
+
+}  // namespace chicoryvale
--- /dev/null
+++ b/src/endpoint/error_response.h
@@ -0,0 +1,26 @@
+#ifndef CHICORYVALE_SRC_ENDPOINT_ERROR_RESPONSE_H_
+#define CHICORYVALE_SRC_ENDPOINT_ERROR_RESPONSE_H_
+
+#include <optional>
+#include <string>
+
+#include "chicoryvale/error.h"
+#include "ports/http.h"
+
+namespace chicoryvale {
+
+/// Coverage of a query that failed, for its error answer.
+struct CoverageSummary {
+  std::uint32_t covered = 0;
+  std::uint32_t asked = 0;
+};
+
+/// Returns the one JSON shape of failures: `kind`, `message`, `ran`,
+/// `retryable` and, for a query, `coverage`. Thread safe.
+HttpResponse ErrorResponse(
+    const Error& error,
+    const std::optional<CoverageSummary>& coverage = std::nullopt);
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_ENDPOINT_ERROR_RESPONSE_H_
--- /dev/null
+++ b/src/ports/control_group.h
@@ -0,0 +1,76 @@
+#ifndef CHICORYVALE_SRC_PORTS_CONTROL_GROUP_H_
+#define CHICORYVALE_SRC_PORTS_CONTROL_GROUP_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "chicoryvale/error.h"
+#include "config/change.h"
+#include "config/cluster_config.h"
+
+namespace chicoryvale {
+
+/// What one process knows of another one's configuration.
+struct NodeKnowledge {
+  Address address;
+  std::string role;
+  std::string availability_zone;
+  std::uint64_t version = 0;
+  bool reachable = false;
+  Duration age{};
+};
+
+/// What a control VM knows of its group and of the rollout.
+struct ControlStatus {
+  std::uint64_t term = 0;
+  Address leader;
+  std::vector<NodeKnowledge> nodes;
+};
+
+/// Port: the replicated control group, as operators' RPCs see it.
+/// Not thread safe.
+class ControlGroup {
+ public:
+  using ChangeCallback = std::function<void(Result<ChangeResult>)>;
+  using ConfigCallback = std::function<void(Result<ClusterConfig>)>;
+  using MemberCallback = std::function<void(Result<std::uint64_t>)>;
+  virtual ~ControlGroup() = default;
+
+  /// Proposes `change`; calls `callback` once, when it is committed and
+  /// applied, or with kNotLeader, kNoQuorum or kStorageFailed.
+  void Propose(const Change& change, ChangeCallback callback) {
+    OnPropose(change, std::move(callback));
+  }
+
+  /// Calls `callback` once with the newest committed configuration, confirmed
+  /// by a quorum after this call, or with kNotLeader or kNoQuorum.
+  void ReadConfig(ConfigCallback callback) {
+    OnReadConfig(std::move(callback));
+  }
+
+  /// Changes one member of the group; either address may be empty. Calls
+  /// `callback` once, with the configuration version then in force.
+  void ChangeMember(const Address& remove, const Address& add,
+                    MemberCallback callback) {
+    OnChangeMember(remove, add, std::move(callback));
+  }
+
+  /// Returns what this VM knows now; it may be out of date.
+  [[nodiscard]] ControlStatus Status() const { return OnStatus(); }
+
+ protected:
+  virtual void OnPropose(const Change& change, ChangeCallback callback) = 0;
+  virtual void OnReadConfig(ConfigCallback callback) = 0;
+  virtual void OnChangeMember(const Address& remove, const Address& add,
+                              MemberCallback callback) = 0;
+  [[nodiscard]] virtual ControlStatus OnStatus() const = 0;
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_PORTS_CONTROL_GROUP_H_
