Add the membership: failure detector, leases, gossip

Cause: entries share the replicas' connection limits, leave signals and configuration, and have to know who is alive, cut off or gone. Change: SWIM probes with Lifeguard's health factor, confirmations and negative answers; suspicion, incarnations, piggybacked news bounded by the datagram; pages of the member list compared with a random peer; dead members are asked now and then, so that cut parts meet again. A lease by a quorum of the zone's lease group: the share of a member is free only when it left or the quorum saw its grants run out, which its holder notices first. MemberView and PeerGossip are the ports for the other parts. With the settle time at 0, the granter time at 1 s, or without the wait for unseen holders, the lease tests fail.

--- /dev/null
+++ b/src/membership/membership.cc
@@ -0,0 +1,288 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace chicoryvale {
+namespace {
+
+bool ValidSelf(const MemberInfo& self) {
+  const auto valid = [](const std::string& name) {
+    return !name.empty() && name.size() <= kMaxMemberNameBytes;
+  };
+  return valid(self.id) && valid(self.address.host_port) &&
+         valid(self.availability_zone);
+}
+
+}  // namespace
+
+Result<std::unique_ptr<Membership>> Membership::Make(
+    MembershipOptions options) {
+  if (!ValidSelf(options.self)) {
+    return MakeError(ErrorKind::kMalformedRequest,
+                     "a member needs an id, an address and a zone of 1 to 64 "
+                     "bytes each");
+  }
+  if (options.scheduler == nullptr || options.transport == nullptr ||
+      options.lease.groups_per_zone == 0) {
+    return MakeError(ErrorKind::kMalformedRequest,
+                     "a member needs a scheduler, a transport and at least "
+                     "one lease group in each zone");
+  }
+  return std::unique_ptr<Membership>(new Membership(std::move(options)));
+}
+
+Membership::Membership(MembershipOptions options)
+    : m_options(std::move(options)),
+      m_scheduler(m_options.scheduler),
+      m_random(m_options.random_seed),
+      m_self{m_options.self, MemberState::kAlive, m_options.incarnation},
+      m_table(m_self.info.id),
+      m_items(m_options.max_items_per_kind),
+      m_detector(m_options.detector, m_scheduler, this),
+      m_lease(m_options.lease, m_self.info.id, m_options.incarnation,
+              m_scheduler, this) {}
+
+Membership::~Membership() {
+  m_options.transport->SetReceiver(
+      [](const Address&, const std::string&) {});  // NOLINT
+  for (const TimerId timer :
+       {m_join_timer, m_sync_timer, m_gossip_timer, m_notify_timer}) {
+    m_scheduler->Cancel(timer);
+  }
+}
+
+void Membership::Start() {
+  m_options.transport->SetReceiver(
+      [this](const Address& from, const std::string& bytes) {
+        OnDatagram(from, bytes);
+      });
+  Announce(MemberState::kAlive);
+  // Members that start together do not probe in step.
+  std::uniform_int_distribution<Duration::rep> delay(
+      0, m_options.detector.probe_period.count());
+  m_detector.Start(Duration(delay(m_random)));
+  if (m_self.info.role == MemberRole::kEntry) m_lease.Start();
+  m_sync_timer =
+      m_scheduler->Schedule(m_options.sync_period + Duration(delay(m_random)),
+                            [this] { SyncTick(); });
+  JoinTick();
+}
+
+void Membership::Leave() {
+  m_leaving = true;
+  Announce(MemberState::kLeft);
+}
+
+void Membership::Retire(const std::string& id) {
+  if (id != m_self.info.id) ApplyState(id, MemberState::kLeft);
+}
+
+const Member* Membership::Find(const std::string& id) const {
+  const MemberTable::Record* record = m_table.Find(id);
+  return record == nullptr ? nullptr : &record->member;
+}
+
+std::vector<Member> Membership::OnMembers() const {
+  std::vector<Member> members;
+  members.reserve(m_table.records().size());
+  for (const auto& [id, record] : m_table.records()) {
+    members.push_back(record.member);
+  }
+  return members;
+}
+
+const MemberInfo& Membership::OnSelf() const { return m_self.info; }
+
+bool Membership::OnOwnLeaseHeld() const { return !m_leaving && m_lease.Held(); }
+
+void Membership::OnAddListener(Listener listener) {
+  m_listeners.push_back(std::move(listener));
+}
+
+void Membership::OnSetOwnDigest(const ConfigDigest& digest) {
+  m_digest = digest;
+  m_digest_sends = MaxSends();
+  NoteNews();
+}
+
+void Membership::OnSetDigestListener(DigestListener listener) {
+  m_digest_listener = std::move(listener);
+}
+
+void Membership::OnPublish(const GossipItem& item) { ApplyItem(item); }
+
+void Membership::OnAddItemListener(ItemListener listener) {
+  m_item_listeners.push_back(std::move(listener));
+}
+
+std::vector<GossipItem> Membership::OnItems(GossipKind kind) const {
+  return m_items.Items(kind);
+}
+
+std::vector<MemberInfo> Membership::OnRandomPeers(std::size_t count) {
+  std::vector<MemberInfo> peers;
+  const std::vector<Member> members =
+      m_table.RandomLive(count, &m_random, [](const Member&) { return true; });
+  peers.reserve(members.size());
+  for (const Member& member : members) peers.push_back(member.info);
+  return peers;
+}
+
+std::optional<Member> Membership::NextProbeTarget() {
+  if (m_probe_round.empty()) {
+    m_probe_round = m_table.live();
+    std::ranges::shuffle(m_probe_round, m_random);
+  }
+  while (!m_probe_round.empty()) {
+    const MemberTable::Record* record = m_table.Find(m_probe_round.back());
+    m_probe_round.pop_back();
+    if (record != nullptr && record->live_index != MemberTable::kNotLive) {
+      return record->member;
+    }
+  }
+  return std::nullopt;
+}
+
+std::vector<Member> Membership::Helpers(std::size_t count,
+                                        const std::string& except) {
+  return m_table.RandomLive(count, &m_random, [&except](const Member& member) {
+    return member.info.id != except && member.state == MemberState::kAlive;
+  });
+}
+
+std::size_t Membership::GroupSize() const { return m_table.live().size() + 1; }
+
+void Membership::OnProbeFailed(const Member& target) {
+  m_counters.Add(MembershipCounter::kProbesFailed);
+  const MemberTable::Record* record = m_table.Find(target.info.id);
+  if (record == nullptr || record->member.incarnation != target.incarnation) {
+    return;
+  }
+  Member suspect = record->member;
+  if (suspect.state > MemberState::kSuspect) return;
+  suspect.state = MemberState::kSuspect;
+  Apply({suspect, m_self.info.id});
+}
+
+void Membership::OnSuspicionEnded(const std::string& id) {
+  m_counters.Add(MembershipCounter::kDeclaredDead);
+  ApplyState(id, MemberState::kDead);
+}
+
+std::uint32_t Membership::LeaseGroupOf(const std::string& id) const {
+  return static_cast<std::uint32_t>(HashBytes(id) %
+                                    m_options.lease.groups_per_zone);
+}
+
+std::vector<Member> Membership::LeaseGroup() const {
+  const std::uint32_t own_group = LeaseGroupOf(m_self.info.id);
+  std::vector<Member> group;
+  for (const auto& [id, record] : m_table.records()) {
+    const Member& member = record.member;
+    if (id != m_self.info.id && HoldsShare(member.state) &&
+        member.info.role == MemberRole::kEntry &&
+        member.info.availability_zone == m_self.info.availability_zone &&
+        LeaseGroupOf(id) == own_group) {
+      group.push_back(member);
+    }
+  }
+  return group;
+}
+
+bool Membership::AllHoldersSeen() const {
+  return std::ranges::none_of(m_table.records(), [](const auto& entry) {
+    return entry.second.member.state == MemberState::kDead;
+  });
+}
+
+void Membership::OnLeaseExpired(const std::string& id) {
+  m_counters.Add(MembershipCounter::kLeasesExpired);
+  ApplyState(id, MemberState::kLeaseExpired);
+}
+
+void Membership::OnOwnLeaseChanged() {
+  if (!m_lease.Held()) m_counters.Add(MembershipCounter::kOwnLeaseLost);
+  NotifyListeners();
+}
+
+void Membership::ApplyState(const std::string& id, MemberState state) {
+  const MemberTable::Record* record = m_table.Find(id);
+  if (record == nullptr) return;
+  Member member = record->member;
+  member.state = state;
+  Apply({member, ""});
+}
+
+void Membership::Apply(const MemberUpdate& update) {
+  const std::string& id = update.member.info.id;
+  if (id == m_self.info.id) return ApplyToSelf(update.member);
+  const MemberTable::Outcome outcome =
+      m_table.Merge(update, m_scheduler->Now());
+  if (outcome == MemberTable::Outcome::kKnown) return;
+  if (update.member.state == MemberState::kSuspect) {
+    if (outcome == MemberTable::Outcome::kChanged) {
+      m_counters.Add(MembershipCounter::kSuspected);
+      m_detector.ClearSuspicion(id);
+    }
+    if (!m_detector.Suspect(id, update.accuser)) return;
+  } else {
+    m_detector.ClearSuspicion(id);
+  }
+  m_member_news.Push(id);
+  NoteNews();
+  if (outcome == MemberTable::Outcome::kChanged) NotifyListeners();
+}
+
+void Membership::ApplyToSelf(const Member& update) {
+  if (update.incarnation < m_self.incarnation) return;
+  if (update.info != m_self.info) {
+    m_counters.Add(MembershipCounter::kIdConflicts);
+  }
+  const bool same =
+      update.incarnation == m_self.incarnation && update.state <= m_self.state;
+  if (same && update.info == m_self.info) return;
+  m_counters.Add(MembershipCounter::kRefuted);
+  m_self.incarnation = update.incarnation + 1;
+  if (update.state == MemberState::kLeaseExpired) {
+    m_lease.Reset();
+  } else if (update.state == MemberState::kSuspect) {
+    m_detector.OnRefuted();
+  }
+  Announce(m_self.state);
+}
+
+void Membership::Announce(MemberState state) {
+  m_self.state = state;
+  m_table.Merge({m_self, ""}, m_scheduler->Now());
+  m_member_news.Push(m_self.info.id);
+  NoteNews();
+  NotifyListeners();
+}
+
+void Membership::ApplyItem(const GossipItem& item) {
+  const GossipStore::Outcome outcome = m_items.Merge(item, m_scheduler->Now());
+  if (outcome == GossipStore::Outcome::kKnown ||
+      outcome == GossipStore::Outcome::kExpired) {
+    return;
+  }
+  if (outcome == GossipStore::Outcome::kNewsAndEvicted) {
+    m_counters.Add(MembershipCounter::kItemsEvicted);
+  }
+  m_item_news.Push(GossipStore::KeyOf(item));
+  NoteNews();
+  for (const ItemListener& listener : m_item_listeners) listener(item);
+}
+
+void Membership::NotifyListeners() {
+  if (m_notify_timer != 0 || m_listeners.empty()) return;
+  m_notify_timer = m_scheduler->Schedule(Duration::zero(), [this] {
+    m_notify_timer = 0;
+    for (const Listener& listener : m_listeners) listener();
+  });
+}
+
+}  // namespace chicoryvale
