Serve a query from end to end with separate processes

Cause: the parts had no processes around them. Change: chicory-controld (one VM, state in memory for now), chicory-entryd, chicory-standin and chicoryctl over a first libsoup server and client; the main job as one script: schema and placement applied, one sketch comparison over 20 shards answered whole through each of two entries, clean stop. Ruled out: two functions called IsHostPort with different rules, in two libraries: a wrong one could be linked; one is now local to its file. Known gaps: libsoup's traps, replicated control, gossip of the configuration.

--- /dev/null
+++ b/programs/chicory-controld/control_daemon.h
@@ -0,0 +1,49 @@
+#ifndef CHICORYVALE_PROGRAMS_CHICORY_CONTROLD_CONTROL_DAEMON_H_
+#define CHICORYVALE_PROGRAMS_CHICORY_CONTROLD_CONTROL_DAEMON_H_
+
+#include <memory>
+
+#include "adapters/command_line.h"
+#include "adapters/daemon_loop.h"
+#include "adapters/glib_scheduler.h"
+#include "adapters/soup_http_server.h"
+#include "adapters/tcp_peer_transport.h"
+#include "chicory-controld/control_settings.h"
+#include "control/local_control_group.h"
+#include "endpoint/operator_endpoint.h"
+
+namespace chicoryvale {
+
+/// The process of a control VM: operators' RPCs and the control group.
+/// Not thread safe.
+class ControlDaemon {
+ public:
+  explicit ControlDaemon(ControlSettings settings);
+  ~ControlDaemon();
+  ControlDaemon(const ControlDaemon&) = delete;
+  ControlDaemon& operator=(const ControlDaemon&) = delete;
+
+  /// Starts, serves until a signal, and shuts down gracefully.
+  ExitCode Run();
+
+ private:
+  Result<void> Start();
+  Result<void> StartPeers();
+  Result<void> StartOperators();
+  Result<void> StartMetrics();
+  [[nodiscard]] HttpResponse MetricsResponse() const;
+  ShutdownSteps Shutdown();
+
+  ControlSettings m_settings;
+  GlibScheduler m_scheduler;
+  DaemonLoop m_loop{&m_scheduler};
+  std::unique_ptr<TcpPeerTransport> m_peers;
+  std::unique_ptr<LocalControlGroup> m_group;
+  std::unique_ptr<OperatorEndpoint> m_endpoint;
+  std::unique_ptr<SoupHttpServer> m_operators;
+  std::unique_ptr<SoupHttpServer> m_metrics;
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_PROGRAMS_CHICORY_CONTROLD_CONTROL_DAEMON_H_
--- /dev/null
+++ b/programs/chicory-entryd/entry_daemon.cc
@@ -0,0 +1,179 @@
+#include "chicory-entryd/entry_daemon.h"
+
+#include <algorithm>
+#include <iterator>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "adapters/log.h"
+#include "endpoint/error_response.h"
+#include "endpoint/metrics_page.h"
+
+namespace chicoryvale {
+namespace {
+
+constexpr char kReadyPath[] = "/ready";
+constexpr char kMetricsPath[] = "/metrics";
+
+std::vector<Address> ToAddresses(const std::vector<std::string>& texts) {
+  std::vector<Address> addresses;
+  std::ranges::transform(texts, std::back_inserter(addresses),
+                         [](const std::string& text) { return Address{text}; });
+  return addresses;
+}
+
+}  // namespace
+
+EntryDaemon::EntryDaemon(EntrySettings settings)
+    : m_settings(std::move(settings)) {}
+
+EntryDaemon::~EntryDaemon() = default;
+
+ExitCode EntryDaemon::Run() {
+  InitLog("chicory-entryd", m_settings.log_level);
+  if (auto started = Start(); !started) {
+    Log(LogLevel::kError, "start_failed",
+        {{"reason", started.error().message}});
+    return ExitCode::kRunFailed;
+  }
+  return m_loop.Run({{"callers", m_callers->LocalAddress().host_port},
+                     {"peers", m_peers->LocalAddress().host_port},
+                     {"metrics", m_metrics->LocalAddress().host_port}},
+                    Shutdown());
+}
+
+Result<void> EntryDaemon::Start() {
+  if (auto ok = StartPeers(); !ok) return ok;
+  if (auto ok = StartQueryPath(); !ok) return ok;
+  if (auto ok = StartCallers(); !ok) return ok;
+  if (auto ok = StartMetrics(); !ok) return ok;
+  m_puller->Start();
+  return {};
+}
+
+Result<void> EntryDaemon::StartPeers() {
+  TcpPeerOptions options;
+  options.bind = {m_settings.listen_peers};
+  options.key = m_settings.peer_key;
+  options.scheduler = &m_scheduler;
+  auto peers = TcpPeerTransport::Make(std::move(options));
+  if (!peers) return tl::unexpected(peers.error());
+  m_peers = std::move(*peers);
+  m_puller = std::make_unique<ConfigPuller>(
+      &m_scheduler, m_peers.get(), ToAddresses(m_settings.control),
+      [this](const ClusterConfig& config) {
+        ApplyConfig(config, ConfigTrust::kConfirmed);
+      });
+  return {};
+}
+
+Result<void> EntryDaemon::StartQueryPath() {
+  std::random_device device;
+  UpstreamGateOptions gate;
+  gate.scheduler = &m_scheduler;
+  gate.seed = device();
+  gate.availability_zone = m_settings.availability_zone;
+  m_gate = UpstreamGate::Make(gate);
+  m_transport = std::make_unique<SoupUpstreamTransport>(
+      SoupUpstreamTransportOptions{.scheduler = &m_scheduler});
+  QueryEngine::Options engine;
+  engine.scheduler = &m_scheduler;
+  engine.transport = m_transport.get();
+  engine.gate = m_gate.get();
+  engine.random_seed = device();
+  m_engine = std::make_unique<QueryEngine>(engine);
+  m_runner = std::make_unique<EngineRunner>(m_engine.get());
+  m_endpoint = std::make_unique<CallerEndpoint>(m_runner.get());
+  return {};
+}
+
+Result<void> EntryDaemon::StartCallers() {
+  SoupHttpServerOptions options;
+  options.bind = {m_settings.listen_callers};
+  options.max_body_bytes = m_settings.max_body_bytes;
+  options.max_connections = m_settings.max_connections;
+  auto server = SoupHttpServer::Make(options);
+  if (!server) return tl::unexpected(server.error());
+  m_callers = std::move(*server);
+  m_callers->SetHandler(
+      [this](const HttpRequest& request, HttpResponder respond) {
+        HandleCaller(request, std::move(respond));
+      });
+  return {};
+}
+
+Result<void> EntryDaemon::StartMetrics() {
+  SoupHttpServerOptions options;
+  options.bind = {m_settings.listen_metrics};
+  auto server = SoupHttpServer::Make(options);
+  if (!server) return tl::unexpected(server.error());
+  m_metrics = std::move(*server);
+  m_metrics->SetHandler(
+      [this](const HttpRequest& request, const HttpResponder& respond) {
+        HandleMetrics(request, respond);
+      });
+  return {};
+}
+
+void EntryDaemon::ApplyConfig(const ClusterConfig& config, ConfigTrust trust) {
+  if (auto ok = m_endpoint->SetConfig(config, trust); !ok) {
+    Log(LogLevel::kError, "schema_refused", {{"reason", ok.error().message}});
+    return;
+  }
+  m_gate->ApplyConfig(config);
+  m_engine->SetConfig(config);
+  m_config_version = config.version;
+  m_ready = true;
+  Log(LogLevel::kInfo, "configuration_in_force",
+      {{"version", std::to_string(config.version)}});
+}
+
+void EntryDaemon::HandleCaller(const HttpRequest& request,
+                               HttpResponder respond) {
+  if (request.path == kReadyPath) return respond(ReadinessResponse());
+  m_endpoint->Handle(request, std::move(respond));
+}
+
+void EntryDaemon::HandleMetrics(const HttpRequest& request,
+                                const HttpResponder& respond) {
+  if (request.path == kMetricsPath) return respond(MetricsResponse());
+  if (request.path == kReadyPath) return respond(ReadinessResponse());
+  respond(ErrorResponse(
+      MakeError(ErrorKind::kUnknownEndpoint, "path " + request.path).value()));
+}
+
+HttpResponse EntryDaemon::ReadinessResponse() const {
+  HttpResponse response;
+  response.status = m_ready ? 200 : 503;
+  response.body = m_ready ? R"({"ready":true})" : R"({"ready":false})";
+  return response;
+}
+
+HttpResponse EntryDaemon::MetricsResponse() const {
+  return MetricsPage()
+      .AddValue("entry", "requests", m_endpoint->Requests())
+      .AddValue("entry", "answers", m_endpoint->Answers())
+      .AddValue("entry", "in_flight", m_engine->InFlight())
+      .AddValue("entry", "config_version", m_config_version)
+      .Add("refused", m_endpoint->Errors())
+      .Add("query", m_engine->Counters())
+      .Add("upstream", m_gate->Counters())
+      .Add("peer", m_peers->counters())
+      .Response();
+}
+
+ShutdownSteps EntryDaemon::Shutdown() {
+  ShutdownSteps steps;
+  steps.stop_ready = [this] { m_ready = false; };
+  steps.linger = m_settings.linger;
+  steps.stop_accepting = [this] {
+    m_endpoint->StopAccepting();
+    m_callers->StopAccepting();
+  };
+  steps.in_flight = [this] { return m_callers->InFlight(); };
+  return steps;
+}
+
+}  // namespace chicoryvale
--- /dev/null
+++ b/programs/chicory-entryd/entry_settings.cc
@@ -0,0 +1,39 @@
+#include "chicory-entryd/entry_settings.h"
+
+#include "adapters/common_settings.h"
+#include "adapters/key_file.h"
+#include "adapters/settings_reader.h"
+
+namespace chicoryvale {
+namespace {
+
+constexpr std::int64_t kDefaultMaxBodyBytes = 1 << 20;
+constexpr IntegerRange kMaxBodyBytesRange = {1, 64 << 20};
+constexpr std::int64_t kDefaultMaxConnections = 10'000;
+constexpr IntegerRange kMaxConnectionsRange = {1, 1'000'000};
+
+}  // namespace
+
+EntrySettings ReadEntrySettings(SettingsReader& reader) {
+  EntrySettings settings;
+  settings.availability_zone = reader.RequiredString("availability_zone");
+  settings.listen_callers = reader.RequiredAddress("listen.callers");
+  settings.listen_peers = reader.RequiredAddress("listen.peers");
+  settings.listen_metrics = reader.RequiredAddress("listen.metrics");
+  settings.peer_key =
+      ReadSecretSetting(reader, "keys.peer_key_file", kMinKeyBytes);
+  settings.control = reader.Addresses("control.addresses");
+  if (settings.control.empty()) {
+    reader.AddFault("control.addresses", "control.addresses names no VM");
+  }
+  settings.seeds = reader.Addresses("membership.seeds");
+  settings.max_body_bytes = static_cast<std::uint32_t>(reader.Integer(
+      "callers.max_body_bytes", kDefaultMaxBodyBytes, kMaxBodyBytesRange));
+  settings.max_connections = static_cast<std::uint32_t>(reader.Integer(
+      "callers.max_connections", kDefaultMaxConnections, kMaxConnectionsRange));
+  settings.linger = ReadLinger(reader);
+  settings.log_level = ReadLogLevel(reader);
+  return settings;
+}
+
+}  // namespace chicoryvale
--- /dev/null
+++ b/programs/chicory-entryd/entry_settings.h
@@ -0,0 +1,39 @@
+#ifndef CHICORYVALE_PROGRAMS_CHICORY_ENTRYD_ENTRY_SETTINGS_H_
+#define CHICORYVALE_PROGRAMS_CHICORY_ENTRYD_ENTRY_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "adapters/log.h"
+#include "base/time.h"
+
+namespace chicoryvale {
+
+class SettingsReader;
+
+/// Settings of an entry VM's process.
+struct EntrySettings {
+  std::string availability_zone;
+  std::string listen_callers;
+  std::string listen_peers;
+  std::string listen_metrics;
+  std::string peer_key;
+  /// Peer addresses of the control VMs.
+  std::vector<std::string> control;
+  /// Peer addresses of other VMs, to join the membership.
+  std::vector<std::string> seeds;
+  /// Largest body of a caller's request.
+  std::uint32_t max_body_bytes = 0;
+  /// Connections of callers at a time.
+  std::uint32_t max_connections = 0;
+  Duration linger{};
+  LogLevel log_level = LogLevel::kInfo;
+};
+
+/// Reads all settings; faults go to `reader`.
+EntrySettings ReadEntrySettings(SettingsReader& reader);
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_PROGRAMS_CHICORY_ENTRYD_ENTRY_SETTINGS_H_
--- /dev/null
+++ b/programs/chicory-standin/standin_daemon.h
@@ -0,0 +1,44 @@
+#ifndef CHICORYVALE_PROGRAMS_CHICORY_STANDIN_STANDIN_DAEMON_H_
+#define CHICORYVALE_PROGRAMS_CHICORY_STANDIN_STANDIN_DAEMON_H_
+
+#include <memory>
+#include <vector>
+
+#include "adapters/command_line.h"
+#include "adapters/daemon_loop.h"
+#include "adapters/glib_scheduler.h"
+#include "adapters/soup_http_server.h"
+#include "chicory-standin/emulated_replica.h"
+#include "chicory-standin/standin_settings.h"
+
+namespace chicoryvale {
+
+/// Emulates the replicas of some services, each on a port of its own. Tells
+/// the placement of each service, as SetPlacement takes it, in the file
+/// "<service>.placement.json" of the folder it runs in. Not thread safe.
+class StandinDaemon {
+ public:
+  explicit StandinDaemon(StandinSettings settings);
+
+  /// Serves until a signal.
+  ExitCode Run();
+
+ private:
+  struct Listener {
+    std::unique_ptr<EmulatedReplica> replica;
+    std::unique_ptr<SoupHttpServer> server;
+  };
+  Result<void> Start();
+  Result<void> StartService(const ServiceBehaviour& service);
+  Result<Address> StartReplica(const ServiceBehaviour& service, ShardId shard);
+
+  StandinSettings m_settings;
+  GlibScheduler m_scheduler;
+  DaemonLoop m_loop{&m_scheduler};
+  std::shared_ptr<const Schema> m_schema;
+  std::vector<Listener> m_listeners;
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_PROGRAMS_CHICORY_STANDIN_STANDIN_DAEMON_H_
--- /dev/null
+++ b/src/adapters/common_settings.cc
@@ -0,0 +1,39 @@
+#include "adapters/common_settings.h"
+
+#include "adapters/key_file.h"
+#include "adapters/settings_reader.h"
+
+namespace chicoryvale {
+namespace {
+
+constexpr Duration kDefaultLinger = milliseconds(500);
+constexpr IntegerRange kLingerRangeMs = {0, 600'000};
+
+}  // namespace
+
+std::string ReadSecretSetting(SettingsReader& reader, const std::string& key,
+                              std::size_t min_bytes) {
+  const std::string path = reader.RequiredString(key);
+  if (path.empty()) return {};
+  auto secret = ReadSecretFile(path, min_bytes);
+  if (secret) return *secret;
+  reader.AddFault(key, key + ": " + secret.error().message);
+  return {};
+}
+
+LogLevel ReadLogLevel(SettingsReader& reader) {
+  LogLevel level = LogLevel::kInfo;
+  const std::string text = reader.String("log.level", "info");
+  if (!ParseLogLevel(text, &level)) {
+    reader.AddFault("log.level", "log.level \"" + text +
+                                     "\" is not debug, info, warning or error");
+  }
+  return level;
+}
+
+Duration ReadLinger(SettingsReader& reader) {
+  return reader.Milliseconds("shutdown.linger_ms", kDefaultLinger,
+                             kLingerRangeMs);
+}
+
+}  // namespace chicoryvale
--- a/src/config/change_rules.cc
+++ b/src/config/change_rules.cc
@@ -11,6 +11,18 @@
 namespace chicoryvale {
 namespace {
 
+// Whether `host_port` is a host, a colon and a port from 1 to 65535.
+bool IsReplicaAddress(const std::string& host_port) {
+  constexpr std::uint32_t kMaxPort = 65535;
+  const std::size_t colon = host_port.rfind(':');
+  if (colon == std::string::npos || colon == 0) return false;
+  const char* begin = host_port.data() + colon + 1;
+  const char* end = host_port.data() + host_port.size();
+  std::uint32_t port = 0;
+  const auto [rest, error] = std::from_chars(begin, end, port);
+  return error == std::errc{} && rest == end && port >= 1 && port <= kMaxPort;
+}
+
 using Fault = std::optional<std::string>;
 
 bool HasReplica(const ServiceConfig& service, const Address& address) {
@@ -50,7 +62,7 @@
            " replicas";
   }
   for (const ReplicaConfig& replica : shard.replicas) {
-    if (!IsHostPort(replica.address.host_port)) {
+    if (!IsReplicaAddress(replica.address.host_port)) {
       return where + "replica address \"" + replica.address.host_port +
              "\" is not host:port";
     }
@@ -230,17 +242,6 @@
 
 }  // namespace
 
-bool IsHostPort(const std::string& host_port) {
-  constexpr std::uint32_t kMaxPort = 65535;
-  const std::size_t colon = host_port.rfind(':');
-  if (colon == std::string::npos || colon == 0) return false;
-  const char* begin = host_port.data() + colon + 1;
-  const char* end = host_port.data() + host_port.size();
-  std::uint32_t port = 0;
-  const auto [rest, error] = std::from_chars(begin, end, port);
-  return error == std::errc{} && rest == end && port >= 1 && port <= kMaxPort;
-}
-
 std::optional<std::string> FindFault(const ClusterConfig& config,
                                      const Change& change,
                                      const SchemaRules* rules) {
--- a/src/config/change_rules.h
+++ b/src/config/change_rules.h
@@ -20,10 +20,6 @@
 inline constexpr std::size_t kMaxReplicasPerShard = 256;
 inline constexpr std::size_t kMaxQuarantined = 4096;
 
-/// Returns whether `host_port` is a host, a colon and a port from 1 to 65535.
-/// Thread safe.
-bool IsHostPort(const std::string& host_port);
-
 /// Returns why `change` may not be applied to `config`, or nothing. Depends on
 /// its arguments alone; the versions are not compared. `rules` may be null,
 /// then the schema itself is not judged. Thread safe.
