Replicate the control state in a log

Cause: an accepted change must survive crashes, lost disks and lost leaders, and no second group may arise beside the first.

--- /dev/null
+++ b/src/adapters/disk_storage.cc
@@ -0,0 +1,150 @@
+#include "adapters/disk_storage.h"
+
+#include <dirent.h>
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstddef>
+#include <cstring>
+#include <utility>
+
+namespace chicoryvale {
+namespace {
+
+constexpr mode_t kFolderMode = 0700;
+constexpr mode_t kFileMode = 0600;
+constexpr std::size_t kReadBytes = std::size_t{1} << 16;
+
+tl::unexpected<Error> Failed(const std::string& call, const std::string& name) {
+  return MakeError(ErrorKind::kStorageFailed,
+                   call + " " + name + ": " + std::strerror(errno));
+}
+
+/// Owns a file descriptor.
+class Descriptor {
+ public:
+  explicit Descriptor(int fd) : m_fd(fd) {}
+  ~Descriptor() {
+    if (m_fd >= 0) close(m_fd);
+  }
+  Descriptor(const Descriptor&) = delete;
+  Descriptor& operator=(const Descriptor&) = delete;
+  [[nodiscard]] int Get() const { return m_fd; }
+  [[nodiscard]] bool IsOpen() const { return m_fd >= 0; }
+
+ private:
+  int m_fd;
+};
+
+class DiskFile : public AppendFile {
+ public:
+  DiskFile(std::string name, int fd) : m_name(std::move(name)), m_fd(fd) {}
+
+ protected:
+  Result<void> OnAppend(std::string_view bytes) override {
+    while (!bytes.empty()) {
+      const ssize_t written = write(m_fd.Get(), bytes.data(), bytes.size());
+      if (written < 0 && errno == EINTR) continue;
+      if (written <= 0) return Failed("write", m_name);
+      bytes.remove_prefix(static_cast<std::size_t>(written));
+    }
+    return {};
+  }
+
+  Result<void> OnSync() override {
+    if (fsync(m_fd.Get()) != 0) return Failed("fsync", m_name);
+    return {};
+  }
+
+ private:
+  std::string m_name;
+  Descriptor m_fd;
+};
+
+}  // namespace
+
+Result<std::unique_ptr<DiskStorage>> DiskStorage::Make(
+    const std::string& path) {
+  if (mkdir(path.c_str(), kFolderMode) != 0 && errno != EEXIST) {
+    return Failed("mkdir", path);
+  }
+  const int folder = open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (folder < 0) return Failed("open", path);
+  if (flock(folder, LOCK_EX | LOCK_NB) != 0) {
+    const auto failure = Failed("flock", path);
+    close(folder);
+    return failure;
+  }
+  return std::unique_ptr<DiskStorage>(new DiskStorage(path, folder));
+}
+
+DiskStorage::~DiskStorage() { close(m_folder); }
+
+Result<std::vector<std::string>> DiskStorage::OnList() {
+  DIR* stream = opendir(m_path.c_str());
+  if (stream == nullptr) return Failed("opendir", m_path);
+  std::vector<std::string> names;
+  // Each DIR has one reader.
+  while (const dirent* entry = readdir(stream)) {  // NOLINT
+    const std::string name = entry->d_name;
+    if (name != "." && name != "..") names.push_back(name);
+  }
+  closedir(stream);
+  return names;
+}
+
+Result<std::string> DiskStorage::OnRead(const std::string& name) {
+  const Descriptor file(openat(m_folder, name.c_str(), O_RDONLY | O_CLOEXEC));
+  if (!file.IsOpen()) return Failed("open", name);
+  std::string content;
+  std::string part(kReadBytes, '\0');
+  while (true) {
+    const ssize_t size = read(file.Get(), part.data(), part.size());
+    if (size < 0 && errno == EINTR) continue;
+    if (size < 0) return Failed("read", name);
+    if (size == 0) return content;
+    content.append(part, 0, static_cast<std::size_t>(size));
+  }
+}
+
+Result<std::unique_ptr<AppendFile>> DiskStorage::OnOpen(
+    const std::string& name) {
+  const int fd = openat(m_folder, name.c_str(),
+                        O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, kFileMode);
+  if (fd < 0) return Failed("open", name);
+  return std::make_unique<DiskFile>(name, fd);
+}
+
+Result<void> DiskStorage::OnTruncate(const std::string& name,
+                                     std::uint64_t size) {
+  const Descriptor file(openat(m_folder, name.c_str(), O_WRONLY | O_CLOEXEC));
+  if (!file.IsOpen()) return Failed("open", name);
+  if (ftruncate(file.Get(), static_cast<off_t>(size)) != 0) {
+    return Failed("ftruncate", name);
+  }
+  if (fsync(file.Get()) != 0) return Failed("fsync", name);
+  return {};
+}
+
+Result<void> DiskStorage::OnRename(const std::string& from,
+                                   const std::string& to) {
+  if (renameat(m_folder, from.c_str(), m_folder, to.c_str()) != 0) {
+    return Failed("rename", from);
+  }
+  return {};
+}
+
+Result<void> DiskStorage::OnRemove(const std::string& name) {
+  if (unlinkat(m_folder, name.c_str(), 0) != 0) return Failed("unlink", name);
+  return {};
+}
+
+Result<void> DiskStorage::OnSyncFolder() {
+  if (fsync(m_folder) != 0) return Failed("fsync", m_path);
+  return {};
+}
+
+}  // namespace chicoryvale
--- a/src/claims/claim_table.cc
+++ b/src/claims/claim_table.cc
@@ -53,7 +53,8 @@
 bool ClaimTable::IsInvalid(const ClaimCommand& command) const {
   const std::uint64_t latest =
       command.leader_unix_ms + Milliseconds(m_options.future_skew);
-  return command.request_id.UnixMs() > latest ||
+  return command.action > ClaimAction::kRecordOutcome ||
+         command.request_id.UnixMs() > latest ||
          command.owner.entry_id.empty() ||
          command.owner.entry_id.size() > kMaxEntryIdBytes;
 }
