Keep the control state in the replicated log on disk; claims over the peers

Cause: chicory-controld kept its state in memory, so that an accepted change was lost at a restart, and no claim could be taken. Conclusion: accepted changes are on disk. Entries don't use claims yet.

--- a/programs/chicory-controld/control_daemon.cc
+++ b/programs/chicory-controld/control_daemon.cc
@@ -1,5 +1,8 @@
 #include "chicory-controld/control_daemon.h"
 
+#include <algorithm>
+#include <iterator>
+#include <random>
 #include <utility>
 
 #include "adapters/log.h"
@@ -7,6 +10,24 @@
 #include "endpoint/metrics_page.h"
 
 namespace chicoryvale {
+namespace {
+
+ReplicaOptions MakeReplicaOptions(const ControlSettings& settings,
+                                  const Address& self) {
+  ReplicaOptions options;
+  options.address = self;
+  std::ranges::transform(settings.group,
+                         std::back_inserter(options.initial_members),
+                         [](const std::string& text) { return Address{text}; });
+  if (options.initial_members.empty()) options.initial_members = {self};
+  options.may_form_group = settings.may_form_group;
+  std::random_device device;
+  constexpr int kHalfBits = 32;
+  options.seed = (std::uint64_t{device()} << kHalfBits) | device();
+  return options;
+}
+
+}  // namespace
 
 ControlDaemon::ControlDaemon(ControlSettings settings)
     : m_settings(std::move(settings)) {}
@@ -28,6 +49,7 @@
 
 Result<void> ControlDaemon::Start() {
   if (auto ok = StartPeers(); !ok) return ok;
+  if (auto ok = StartReplica(); !ok) return ok;
   if (auto ok = StartOperators(); !ok) return ok;
   return StartMetrics();
 }
@@ -40,12 +62,38 @@
   auto peers = TcpPeerTransport::Make(std::move(options));
   if (!peers) return tl::unexpected(peers.error());
   m_peers = std::move(*peers);
-  m_group = std::make_unique<LocalControlGroup>(m_peers->LocalAddress());
-  ServeConfig(m_peers.get(),
-              [this]() -> const ClusterConfig& { return m_group->Config(); });
   return {};
 }
 
+Result<void> ControlDaemon::StartReplica() {
+  auto storage = DiskStorage::Make(m_settings.data_folder);
+  if (!storage) return tl::unexpected(storage.error());
+  m_storage = std::move(*storage);
+  m_replication = std::make_unique<PeerReplicationTransport>(m_peers.get());
+  auto node =
+      ReplicaNode::Make(MakeReplicaOptions(m_settings, m_peers->LocalAddress()),
+                        {.scheduler = &m_scheduler,
+                         .storage = m_storage.get(),
+                         .transport = m_replication.get(),
+                         .state_machine = &m_state});
+  if (!node) return tl::unexpected(node.error());
+  m_node = std::move(*node);
+  m_node->SetFailureCallback(
+      [this](const Error& error) { OnStorageFailed(error); });
+  m_claims =
+      std::make_unique<ClaimService>(m_node.get(), &m_clock, m_peers.get());
+  m_group = std::make_unique<ReplicatedControlGroup>(m_node.get(), &m_state);
+  ServeConfig(m_peers.get(), [this]() -> const ClusterConfig& {
+    return m_state.Config().Config();
+  });
+  return {};
+}
+
+void ControlDaemon::OnStorageFailed(const Error& error) {
+  Log(LogLevel::kError, "storage_failed", {{"reason", error.message}});
+  m_loop.Fail();
+}
+
 Result<void> ControlDaemon::StartOperators() {
   SoupHttpServerOptions options;
   options.bind = {m_settings.listen_operators};
@@ -76,9 +124,10 @@
 
 HttpResponse ControlDaemon::MetricsResponse() const {
   return MetricsPage()
-      .AddValue("control", "config_version", m_group->Config().version)
+      .AddValue("control", "config_version", m_state.Config().Config().version)
       .Add("refused", m_endpoint->Errors())
       .Add("peer", m_peers->counters())
+      .Add("control", m_node->Counters())
       .Response();
 }
 
--- a/programs/chicory-controld/control_daemon.h
+++ b/programs/chicory-controld/control_daemon.h
@@ -5,12 +5,19 @@
 
 #include "adapters/command_line.h"
 #include "adapters/daemon_loop.h"
+#include "adapters/disk_storage.h"
 #include "adapters/glib_scheduler.h"
 #include "adapters/soup_http_server.h"
+#include "adapters/system_wall_clock.h"
 #include "adapters/tcp_peer_transport.h"
 #include "chicory-controld/control_settings.h"
-#include "control/local_control_group.h"
+#include "control/claim_service.h"
+#include "control/replicated_control_group.h"
 #include "endpoint/operator_endpoint.h"
+#include "replication/control_state_machine.h"
+#include "replication/peer_replication_transport.h"
+#include "replication/replica_node.h"
+#include "schema/schema_change_rules.h"
 
 namespace chicoryvale {
 
@@ -29,7 +36,9 @@
  private:
   Result<void> Start();
   Result<void> StartPeers();
+  Result<void> StartReplica();
   Result<void> StartOperators();
+  void OnStorageFailed(const Error& error);
   Result<void> StartMetrics();
   [[nodiscard]] HttpResponse MetricsResponse() const;
   ShutdownSteps Shutdown();
@@ -38,7 +47,14 @@
   GlibScheduler m_scheduler;
   DaemonLoop m_loop{&m_scheduler};
   std::unique_ptr<TcpPeerTransport> m_peers;
-  std::unique_ptr<LocalControlGroup> m_group;
+  std::unique_ptr<DiskStorage> m_storage;
+  SchemaChangeRules m_rules;
+  SystemWallClock m_clock;
+  ControlStateMachine m_state{&m_rules};
+  std::unique_ptr<PeerReplicationTransport> m_replication;
+  std::unique_ptr<ReplicaNode> m_node;
+  std::unique_ptr<ClaimService> m_claims;
+  std::unique_ptr<ReplicatedControlGroup> m_group;
   std::unique_ptr<OperatorEndpoint> m_endpoint;
   std::unique_ptr<SoupHttpServer> m_operators;
   std::unique_ptr<SoupHttpServer> m_metrics;
--- a/programs/chicory-controld/control_settings.cc
+++ b/programs/chicory-controld/control_settings.cc
@@ -18,6 +18,7 @@
   settings.peer_key =
       ReadSecretSetting(reader, "keys.peer_key_file", kMinKeyBytes);
   settings.group = reader.Addresses("group.members");
+  settings.may_form_group = reader.Bool("group.may_form", false);
   settings.seeds = reader.Addresses("membership.seeds");
   settings.linger = ReadLinger(reader);
   settings.log_level = ReadLogLevel(reader);
--- a/programs/chicory-controld/control_settings.h
+++ b/programs/chicory-controld/control_settings.h
@@ -23,6 +23,8 @@
   std::string peer_key;
   /// Peer addresses of the control VMs that form the group at first start.
   std::vector<std::string> group;
+  /// Whether this VM may form a new group when it has no state.
+  bool may_form_group = false;
   /// Peer addresses of entry VMs or control VMs, to join the membership.
   std::vector<std::string> seeds;
   Duration linger{};
--- /dev/null
+++ b/src/control/claim_service.h
@@ -0,0 +1,30 @@
+#ifndef CHICORYVALE_SRC_CONTROL_CLAIM_SERVICE_H_
+#define CHICORYVALE_SRC_CONTROL_CLAIM_SERVICE_H_
+
+#include <string>
+
+#include "ports/peer_transport.h"
+#include "ports/wall_clock.h"
+
+namespace chicoryvale {
+
+class ReplicaNode;
+
+/// Answers the claim commands of entry VMs on a control VM, by proposing them
+/// to the replicated log. Not thread safe.
+class ClaimService {
+ public:
+  /// The pointees must outlive the service.
+  ClaimService(ReplicaNode* node, const WallClock* clock, PeerTransport* peers);
+
+ private:
+  void Handle(const std::string& request,
+              const PeerTransport::Responder& respond);
+
+  ReplicaNode* m_node;
+  const WallClock* m_clock;
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_CONTROL_CLAIM_SERVICE_H_
--- a/src/endpoint/operator_request.cc
+++ b/src/endpoint/operator_request.cc
@@ -96,10 +96,10 @@
     return MakeError(ErrorKind::kInvalidChange,
                      "ChangeMember names no member to add or remove");
   }
-  parsed->member_change = MemberChange{message.header().operation_id(),
-                                       message.header().expected_version(),
-                                       {message.remove()},
-                                       {message.add()}};
+  parsed->member_change = GroupChange{message.header().operation_id(),
+                                      message.header().expected_version(),
+                                      {message.remove()},
+                                      {message.add()}};
   return {};
 }
 
--- a/src/endpoint/operator_request.h
+++ b/src/endpoint/operator_request.h
@@ -28,7 +28,7 @@
 };
 
 /// Replaces, adds or removes a member of the control group.
-struct MemberChange {
+struct GroupChange {
   std::string operation_id;
   std::uint64_t expected_version = 0;
   Address remove;
@@ -44,7 +44,7 @@
   /// Set for the RPCs that change the configuration.
   std::optional<Change> change;
   /// Set for kChangeMember.
-  std::optional<MemberChange> member_change;
+  std::optional<GroupChange> member_change;
 };
 
 /// Path prefix of the RPCs of the cluster.
--- a/tools/main_job.sh
+++ b/tools/main_job.sh
@@ -42,6 +42,8 @@
 [keys]
 operator_token_file = "$work/operator.token"
 peer_key_file = "$work/peer.key"
+[group]
+may_form = true
 [shutdown]
 linger_ms = 0
 T
