--- a/src/query/query_engine.cc
+++ b/src/query/query_engine.cc
@@ -60,7 +60,13 @@
 
 QueryId QueryEngine::Start(QuerySpec spec, AnswerMergerFactory* mergers,
                            QueryCallback callback) {
-  assert(mergers != nullptr && callback != nullptr);
+  assert(mergers != nullptr);
+  return Start(std::move(spec), mergers->Make(), std::move(callback));
+}
+
+QueryId QueryEngine::Start(QuerySpec spec, std::unique_ptr<AnswerMerger> merger,
+                           QueryCallback callback) {
+  assert(merger != nullptr && callback != nullptr);
   const Result<ServiceState*> service = Admit(spec);
   if (!service) return Refuse(service.error(), std::move(callback));
   m_counters.Add(kStarted);
@@ -68,7 +74,7 @@
       std::min(m_options.answer_margin, spec.deadline / kMarginDivisor);
   const QueryId id = ++m_last_id;
   auto query = std::make_unique<Query>(
-      Parts(), *service, std::move(spec), mergers->Make(),
+      Parts(), *service, std::move(spec), std::move(merger),
       [this, id](QueryAnswer answer) { OnDone(id, std::move(answer)); });
   Query* started = query.get();
   m_queries.emplace(id, Running{std::move(query), std::move(callback)});
--- a/src/query/query_engine.h
+++ b/src/query/query_engine.h
@@ -47,7 +47,8 @@
   QueryEngine& operator=(const QueryEngine&) = delete;
 
   /// Takes a newer configuration into force. Queries in flight keep the
-  /// snapshot they pinned or start again at a newer one.
+  /// snapshot they pinned or start again at a newer one. The gate is given the
+  /// configuration first, so that it knows the shards that are asked.
   void SetConfig(const ClusterConfig& config);
 
   /// Starts a query. Calls `callback` exactly once, never from within this
@@ -56,6 +57,10 @@
   QueryId Start(QuerySpec spec, AnswerMergerFactory* mergers,
                 QueryCallback callback);
 
+  /// As above, with a merger that is not null.
+  QueryId Start(QuerySpec spec, std::unique_ptr<AnswerMerger> merger,
+                QueryCallback callback);
+
   /// Abandons a query whose caller went away. Returns whether its callback
   /// will not be called: false if the query has ended, or if it was sent and
   /// may run only once, so that its outcome still counts.
--- a/src/query/shard_task.cc
+++ b/src/query/shard_task.cc
@@ -38,6 +38,13 @@
     if (!HasLive()) m_state = ShardState::kSnapshotUnavailable;
     return;
   }
+  if (!m_query->service->snapshots.Places(m_shard, choice->replica)) {
+    // The gate has another shard map than this engine, for the moment.
+    Abandon(attempt, now);
+    m_state = ShardState::kUnreachable;
+    if (!HasLive()) RetryLater();
+    return;
+  }
   Send(attempt, *std::move(choice));
 }
 
@@ -69,7 +76,7 @@
   if (outcome.kind == SubOutcomeKind::kSnapshotUnavailable) {
     OnUnavailable(ended);
   }
-  m_failed.push_back(ended.replica);
+  AvoidNext(ended.replica);
   const OutcomeMeaning& failure = MeaningOf(outcome.kind);
   OnFailure(outcome.kind, failure.retry_counter, failure.reason);
 }
@@ -227,11 +234,19 @@
   const TimePoint now = query.parts.scheduler->Now();
   const std::uint64_t version = query.pin.index_version;
   query.service->snapshots.Refuse(m_shard, ended.replica, version, now);
-  if (!query.service->snapshots.Serves(m_shard, version, now)) {
+  if (!query.service->snapshots.MayServe(m_shard, version, now)) {
     query.restart_wanted = RestartCause::kSnapshot;
   }
 }
 
+// Leaves at least one replica that is not avoided: once all have failed, only
+// the last one to do so is.
+void ShardTask::AvoidNext(const Address& replica) {
+  const auto replicas = m_query->service->snapshots.ReplicaCount(m_shard);
+  if (m_failed.size() + 1 >= replicas) m_failed.clear();
+  m_failed.push_back(replica);
+}
+
 void ShardTask::RetryLater() {
   if (++m_waits > kMaxWaits) {
     End(m_state);
--- a/src/query/shard_task.h
+++ b/src/query/shard_task.h
@@ -99,6 +99,7 @@
   void OnFailure(SubOutcomeKind kind, QueryCounter retry_counter,
                  ShardState reason);
   void OnUnavailable(const LiveAttempt& ended);
+  void AvoidNext(const Address& replica);
   void RetryLater();
   void RunRetry(TimePoint now);
   void RunHedge(TimePoint now);
--- a/src/query/snapshot_tracker.cc
+++ b/src/query/snapshot_tracker.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <utility>
 
 namespace chicoryvale {
 
@@ -24,6 +25,10 @@
   m_valid_until = TimePoint{};
 }
 
+bool SnapshotTracker::Places(ShardId shard, const Address& replica) const {
+  return Find(shard, replica) != nullptr;
+}
+
 SnapshotId SnapshotTracker::Newest(TimePoint now) {
   if (now >= m_valid_until) Recompute(now);
   return SnapshotId{m_map_epoch, m_newest};
@@ -51,20 +56,31 @@
   m_valid_until = TimePoint{};
 }
 
-bool SnapshotTracker::Serves(ShardId shard, std::uint64_t version,
-                             TimePoint now) const {
-  if (shard >= m_shards.size()) return false;
-  return std::ranges::any_of(m_shards[shard], [&](const Replica& replica) {
-    return Serves(replica, version, now);
-  });
+bool SnapshotTracker::MayServe(ShardId shard, std::uint64_t version,
+                               TimePoint now) const {
+  return Believe(shard, version, now) != Belief::kNo;
 }
 
 void SnapshotTracker::AppendUnable(ShardId shard, std::uint64_t version,
                                    TimePoint now,
                                    std::vector<Address>* replicas) const {
   if (shard >= m_shards.size()) return;
+  const std::size_t given = replicas->size();
+  const auto is_given = [&](const Address& address) {
+    const auto end = replicas->begin() + static_cast<std::ptrdiff_t>(given);
+    return std::find(replicas->begin(), end, address) != end;
+  };
+  Belief best = Belief::kNo;
   for (const Replica& replica : m_shards[shard]) {
-    if (!Serves(replica, version, now)) replicas->push_back(replica.address);
+    if (is_given(replica.address)) continue;
+    best = std::max(best, Believe(replica, version, now));
+  }
+  for (const Replica& replica : m_shards[shard]) {
+    if (is_given(replica.address)) continue;
+    const Belief belief = Believe(replica, version, now);
+    if (belief == Belief::kNo || belief < best) {
+      replicas->push_back(replica.address);
+    }
   }
 }
 
@@ -82,21 +98,40 @@
   return shard;
 }
 
-SnapshotTracker::Replica* SnapshotTracker::Find(ShardId shard,
-                                                const Address& address) {
+const SnapshotTracker::Replica* SnapshotTracker::Find(
+    ShardId shard, const Address& address) const {
   if (shard >= m_shards.size()) return nullptr;
   const auto found =
       std::ranges::find(m_shards[shard], address, &Replica::address);
   return found == m_shards[shard].end() ? nullptr : &*found;
 }
 
-bool SnapshotTracker::Serves(const Replica& replica, std::uint64_t version,
-                             TimePoint now) const {
+SnapshotTracker::Replica* SnapshotTracker::Find(ShardId shard,
+                                                const Address& address) {
+  return const_cast<Replica*>(std::as_const(*this).Find(shard, address));
+}
+
+SnapshotTracker::Belief SnapshotTracker::Believe(const Replica& replica,
+                                                 std::uint64_t version,
+                                                 TimePoint now) const {
   const bool refused = replica.refusal && replica.refusal->version == version &&
                        now < replica.refusal->until;
-  if (refused) return false;
-  return version >= replica.oldest.value_or(0) &&
-         version <= replica.newest.value_or(m_published);
+  if (refused || version < replica.oldest.value_or(0)) return Belief::kNo;
+  if (replica.newest) {
+    return version <= *replica.newest ? Belief::kYes : Belief::kMaybe;
+  }
+  return version <= m_published ? Belief::kMaybe : Belief::kNo;
+}
+
+SnapshotTracker::Belief SnapshotTracker::Believe(ShardId shard,
+                                                 std::uint64_t version,
+                                                 TimePoint now) const {
+  Belief best = Belief::kNo;
+  if (shard >= m_shards.size()) return best;
+  for (const Replica& replica : m_shards[shard]) {
+    best = std::max(best, Believe(replica, version, now));
+  }
+  return best;
 }
 
 // Versions that could be the newest one: those published and the newest of
@@ -116,19 +151,27 @@
 }
 
 void SnapshotTracker::Recompute(TimePoint now) {
-  std::size_t best_count = 0;
+  struct Score {
+    std::size_t possible = 0;
+    std::size_t known = 0;
+    // NOLINTNEXTLINE(modernize-use-nullptr): false report of clang-tidy 14.
+    auto operator<=>(const Score&) const = default;
+  };
+  Score best;
   m_newest = m_published;
+  m_valid_until = now + kRefusalTime;
   for (const std::uint64_t version : Candidates()) {
-    std::size_t count = 0;
+    Score score;
     for (ShardId shard = 0; shard < m_shards.size(); ++shard) {
-      if (Serves(shard, version, now)) ++count;
+      const Belief belief = Believe(shard, version, now);
+      if (belief != Belief::kNo) ++score.possible;
+      if (belief == Belief::kYes) ++score.known;
     }
-    if (count <= best_count) continue;
-    best_count = count;
+    if (score <= best) continue;
+    best = score;
     m_newest = version;
-    if (count == m_shards.size()) break;
+    if (score.known == m_shards.size()) break;
   }
-  m_valid_until = now + kRefusalTime;
 }
 
 }  // namespace chicoryvale
--- a/src/query/snapshot_tracker.h
+++ b/src/query/snapshot_tracker.h
@@ -24,8 +24,17 @@
   [[nodiscard]] std::uint64_t MapEpoch() const { return m_map_epoch; }
   [[nodiscard]] std::size_t ShardCount() const { return m_shards.size(); }
 
-  /// Returns the newest snapshot that at least one replica of each shard
-  /// serves; where there is none, the newest of those that most shards serve.
+  /// Returns the number of replicas of `shard`.
+  [[nodiscard]] std::size_t ReplicaCount(ShardId shard) const {
+    return shard < m_shards.size() ? m_shards[shard].size() : 0;
+  }
+
+  /// Returns whether the shard map places `replica` at `shard`.
+  [[nodiscard]] bool Places(ShardId shard, const Address& replica) const;
+
+  /// Returns the newest snapshot that at least one replica of each shard is
+  /// known to serve. Where there is none, the one that most shards may serve,
+  /// and among those the one that most are known to serve, then the newest.
   [[nodiscard]] SnapshotId Newest(TimePoint now);
 
   /// Learns the range of versions that a replica reported. Ignores replicas
@@ -38,11 +47,13 @@
   void Refuse(ShardId shard, const Address& replica, std::uint64_t version,
               TimePoint now);
 
-  /// Returns whether some replica of `shard` is believed to serve `version`.
-  [[nodiscard]] bool Serves(ShardId shard, std::uint64_t version,
-                            TimePoint now) const;
+  /// Returns whether some replica of `shard` may serve `version`. Versions
+  /// rise, so a replica may serve more than it last reported, never less.
+  [[nodiscard]] bool MayServe(ShardId shard, std::uint64_t version,
+                              TimePoint now) const;
 
-  /// Adds to `replicas` those of `shard` believed not to serve `version`.
+  /// Adds to `replicas` those of `shard` that do not serve `version`; if one of
+  /// those not given in `replicas` is known to serve it, all that are not.
   void AppendUnable(ShardId shard, std::uint64_t version, TimePoint now,
                     std::vector<Address>* replicas) const;
 
@@ -50,6 +61,9 @@
   static constexpr Duration kRefusalTime = seconds(1);
 
  private:
+  /// What is believed of a replica and a version, from worst to best.
+  enum class Belief : std::uint8_t { kNo, kMaybe, kYes };
+
   struct Refusal {
     std::uint64_t version = 0;
     TimePoint until{};
@@ -63,9 +77,13 @@
   using Shard = std::vector<Replica>;
 
   static Shard MakeShard(const ShardConfig& config, const Shard* known);
+  [[nodiscard]] const Replica* Find(ShardId shard,
+                                    const Address& address) const;
   [[nodiscard]] Replica* Find(ShardId shard, const Address& address);
-  [[nodiscard]] bool Serves(const Replica& replica, std::uint64_t version,
-                            TimePoint now) const;
+  [[nodiscard]] Belief Believe(const Replica& replica, std::uint64_t version,
+                               TimePoint now) const;
+  [[nodiscard]] Belief Believe(ShardId shard, std::uint64_t version,
+                               TimePoint now) const;
   [[nodiscard]] std::vector<std::uint64_t> Candidates() const;
   void Recompute(TimePoint now);
 
