--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -109,8 +109,8 @@
   NoteNews();
 }
 
-void Membership::OnSetDigestListener(DigestListener listener) {
-  m_digest_listener = std::move(listener);
+void Membership::OnAddDigestListener(DigestListener listener) {
+  m_digest_listeners.push_back(std::move(listener));
 }
 
 void Membership::OnPublish(const GossipItem& item) { ApplyItem(item); }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -124,7 +124,7 @@
   [[nodiscard]] bool OnOwnLeaseHeld() const override;
   void OnAddListener(Listener listener) override;
   void OnSetOwnDigest(const ConfigDigest& digest) override;
-  void OnSetDigestListener(DigestListener listener) override;
+  void OnAddDigestListener(DigestListener listener) override;
   void OnPublish(const GossipItem& item) override;
   void OnAddItemListener(ItemListener listener) override;
   [[nodiscard]] std::vector<GossipItem> OnItems(GossipKind kind) const override;
@@ -200,7 +200,7 @@
   TimerId m_gossip_timer = 0;
   TimerId m_notify_timer = 0;
   std::vector<Listener> m_listeners;
-  DigestListener m_digest_listener;
+  std::vector<DigestListener> m_digest_listeners;
   std::vector<ItemListener> m_item_listeners;
 };
 
--- a/src/membership/membership_exchange.cc
+++ b/src/membership/membership_exchange.cc
@@ -38,7 +38,9 @@
   for (const MemberUpdate& update : packet.updates) Apply(update);
   for (const GossipItem& item : packet.items) ApplyItem(item);
   Dispatch(from, packet);
-  if (m_digest_listener) m_digest_listener(packet.sender.info, packet.digest);
+  for (const DigestListener& listener : m_digest_listeners) {
+    listener(packet.sender.info, packet.digest);
+  }
 }
 
 void Membership::NoteSender(const Address& from, const Packet& packet) {
--- a/src/ports/peer_gossip.h
+++ b/src/ports/peer_gossip.h
@@ -56,9 +56,9 @@
   /// Sets the digest that each message carries and sends it to peers soon.
   void SetOwnDigest(const ConfigDigest& digest) { OnSetOwnDigest(digest); }
 
-  /// Sets the function called for the digest of each message received.
-  void SetDigestListener(DigestListener listener) {
-    OnSetDigestListener(std::move(listener));
+  /// Adds a function called for the digest of each message received.
+  void AddDigestListener(DigestListener listener) {
+    OnAddDigestListener(std::move(listener));
   }
 
   /// Merges an item and spreads it if it is news; false if it is too long.
@@ -89,7 +89,7 @@
 
  protected:
   virtual void OnSetOwnDigest(const ConfigDigest& digest) = 0;
-  virtual void OnSetDigestListener(DigestListener listener) = 0;
+  virtual void OnAddDigestListener(DigestListener listener) = 0;
   virtual void OnPublish(const GossipItem& item) = 0;
   virtual void OnAddItemListener(ItemListener listener) = 0;
   [[nodiscard]] virtual std::vector<GossipItem> OnItems(
--- a/tests/fakes/fake_network.h
+++ b/tests/fakes/fake_network.h
@@ -175,11 +175,14 @@
       const Callback call = std::exchange(*open, nullptr);
       call(MakeError(ErrorKind::kDeadlineExceeded, "no answer in time"));
     });
+    // An answer to an earlier process of this node finds nobody.
+    const std::weak_ptr<int> alive = m_alive;
     Responder respond = [network = m_network, from = m_node, to, open, timer,
+                         alive,
                          scheduler = m_scheduler](const std::string& answer) {
       network->call_bytes += answer.size();
-      network->Carry(to, from, [open, timer, scheduler, answer] {
-        if (!*open) return;
+      network->Carry(to, from, [open, timer, scheduler, alive, answer] {
+        if (alive.expired() || !*open) return;
         scheduler->Cancel(timer);
         const Callback call = std::exchange(*open, nullptr);
         call(answer);
@@ -202,6 +205,7 @@
   FakeNetwork* m_network;
   Address m_node;
   Scheduler* m_scheduler;
+  std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
 }  // namespace chicoryvale
