Quarantine requests that crash upstreams

Cause: a request that ends each upstream that runs it is sent again by its caller, through any entry; a scatter without precaution loses one upstream per shard at once.

Change: CrashQuarantine marks fingerprints with the upstreams that died while running them (CrashMark, mergeable). A request that no upstream has survived runs at one replica first, the same at every entry by rendezvous hash; the other shards wait (ParkedRequests). Marked requests are never hedged, run one at a time per service and are quarantined at the second death. Deaths of many upstreams together are put down to a common cause. Two quarantined fingerprints put a workspace's unproven requests of the service on probation. Failed probes no longer make a replica unusable when it is the only one left: in the model, shards with both replicas recently restarted were refused for seconds after they were back. The gate's outcome handling and replica sets moved to their own files.

--- /dev/null
+++ b/src/base/rendezvous.h
@@ -0,0 +1,25 @@
+#ifndef CHICORYVALE_SRC_BASE_RENDEZVOUS_H_
+#define CHICORYVALE_SRC_BASE_RENDEZVOUS_H_
+
+#include <cstdint>
+#include <string_view>
+
+#include "base/hash.h"
+
+namespace chicoryvale {
+
+/// Returns the weight of candidate `name` for `key`; the candidate with the
+/// greatest weight owns the key. Source: Thaler and Ravishankar, Using
+/// Name-Based Mappings to Increase Hit Rates, 1998; mixed by the finaliser of
+/// SplitMix64 (Steele, Lea and Flood, 2014).
+constexpr std::uint64_t RendezvousWeight(std::string_view name,
+                                         std::uint64_t key) {
+  std::uint64_t mixed = HashBytes(name) ^ (key * 0x9e3779b97f4a7c15ULL);
+  mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebULL;
+  return mixed ^ (mixed >> 31U);
+}
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_BASE_RENDEZVOUS_H_
--- a/src/upstream/leave_tracker.cc
+++ b/src/upstream/leave_tracker.cc
@@ -30,7 +30,7 @@
 
 bool LeaveTracker::IsLeaving(const Record& record, TimePoint now) const {
   return record.operator_draining || DrainHolds(record, now) ||
-         ProbesHold(record, now) || PlatformHolds(record, now);
+         PlatformHolds(record, now);
 }
 
 bool LeaveTracker::DrainHolds(const Record& record, TimePoint now) const {
@@ -40,7 +40,7 @@
   return now - record.heard_at[kIndex] < m_settings.drain_memory;
 }
 
-bool LeaveTracker::ProbesHold(const Record& record, TimePoint now) const {
+bool LeaveTracker::IsUnreachable(const Record& record, TimePoint now) const {
   constexpr std::size_t kIndex = Index(LeaveSource::kFailedProbes);
   if (!record.signals[kIndex].leaving) return false;
   const TimePoint heard = record.heard_at[kIndex];
--- a/src/upstream/leave_tracker.h
+++ b/src/upstream/leave_tracker.h
@@ -44,7 +44,7 @@
   /// agrees with it.
   Duration drain_memory = seconds(600);
   /// Age at which failed probes allow another attempt.
-  Duration probe_memory = seconds(5);
+  Duration probe_memory = seconds(1);
   /// Consecutive failures to connect that count as a failed probe.
   std::uint32_t probe_failures = 3;
 };
@@ -75,9 +75,14 @@
   /// Drops what is known of a replica that is no longer placed.
   void Forget(const Address& replica) { m_records.erase(replica.host_port); }
 
-  /// Returns whether the replica takes no new work at `now`.
+  /// Returns whether the replica leaves and takes no new work at `now`, by the
+  /// operators' word, its drain header or the platform's list.
   [[nodiscard]] bool IsLeaving(const Record& record, TimePoint now) const;
 
+  /// Returns whether failed probes keep the replica from work at `now`, unless
+  /// no other replica is left.
+  [[nodiscard]] bool IsUnreachable(const Record& record, TimePoint now) const;
+
   /// Reports an answer at `now` to an attempt sent at `sent`.
   void OnAnswer(Record* record, bool draining, TimePoint sent, TimePoint now);
 
@@ -101,7 +106,6 @@
  private:
   void Observe(Record* record, LeaveSource source, bool leaving, TimePoint now);
   [[nodiscard]] bool DrainHolds(const Record& record, TimePoint now) const;
-  [[nodiscard]] bool ProbesHold(const Record& record, TimePoint now) const;
   [[nodiscard]] bool PlatformHolds(const Record& record, TimePoint now) const;
 
   LeaveSettings m_settings;
--- /dev/null
+++ b/src/upstream/outcome_recorder.h
@@ -0,0 +1,39 @@
+#ifndef CHICORYVALE_SRC_UPSTREAM_OUTCOME_RECORDER_H_
+#define CHICORYVALE_SRC_UPSTREAM_OUTCOME_RECORDER_H_
+
+#include "base/counters.h"
+#include "base/time.h"
+#include "ports/upstream_transport.h"
+#include "upstream/crash_quarantine.h"
+#include "upstream/leave_tracker.h"
+#include "upstream/replica_set.h"
+#include "upstream/upstream_counters.h"
+
+namespace chicoryvale {
+
+/// Returns what an outcome says of crashes.
+RunEnd RunEndOf(SubOutcomeKind kind);
+
+/// Turns the outcomes of attempts into what is known of replicas: their
+/// latency and load, whether they leave, whether they live. Not thread safe.
+class OutcomeRecorder {
+ public:
+  /// All must outlive the object.
+  OutcomeRecorder(LeaveTracker* leave, CrashQuarantine* quarantine,
+                  CounterSet<UpstreamCounter>* counters);
+
+  /// Records the end at `now` of an attempt that was sent to `replica`.
+  void Record(const SubOutcome& outcome, Replica* replica, TimePoint sent_at,
+              Duration elapsed, TimePoint now);
+
+ private:
+  void NoteSurvival(Replica* replica, TimePoint sent_at, TimePoint now);
+
+  LeaveTracker* m_leave;
+  CrashQuarantine* m_quarantine;
+  CounterSet<UpstreamCounter>* m_counters;
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_UPSTREAM_OUTCOME_RECORDER_H_
--- a/src/upstream/replica_picker.cc
+++ b/src/upstream/replica_picker.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cassert>
 
+#include "base/rendezvous.h"
+
 namespace chicoryvale {
 
 ReplicaPicker::ReplicaPicker(const ReplicaPickerSettings& settings,
@@ -14,27 +16,50 @@
 PickResult ReplicaPicker::Pick(const std::vector<ReplicaMember>& members,
                                const std::vector<Address>& avoid,
                                TimePoint now) {
+  PickResult result = CollectAny(members, avoid, now);
+  if (!m_free.empty()) result.state = Choose(now);
+  return result;
+}
+
+PickResult ReplicaPicker::PickByHash(const std::vector<ReplicaMember>& members,
+                                     const std::vector<Address>& avoid,
+                                     std::uint64_t key, TimePoint now) {
+  PickResult result = CollectAny(members, avoid, now);
+  if (m_usable.empty()) return result;
+  const auto rank = [key](const ReplicaMember* member) {
+    return RendezvousWeight(member->state->GetAddress().host_port, key);
+  };
+  const ReplicaMember* first = *std::ranges::max_element(m_usable, {}, rank);
+  if (std::ranges::find(m_free, first) != m_free.end()) {
+    result.state = first->state;
+  }
+  return result;
+}
+
+PickResult ReplicaPicker::CollectAny(const std::vector<ReplicaMember>& members,
+                                     const std::vector<Address>& avoid,
+                                     TimePoint now) {
   PickResult result;
   Collect(members, avoid, Pass::kPreferred, now);
-  if (!m_any_usable && !avoid.empty()) {
+  if (m_usable.empty() && !avoid.empty()) {
     Collect(members, avoid, Pass::kAvoided, now);
-    result.avoided = m_any_usable;
+    result.avoided = !m_usable.empty();
   }
-  if (!m_any_usable) {
+  if (m_usable.empty()) {
     Collect(members, avoid, Pass::kPaused, now);
     // Requests do not queue behind the trial of a replica that failed.
-    if (m_free.empty()) return result;
+    if (m_free.empty()) m_usable.clear();
   }
-  result.failure = PickFailure::kAllBusy;
-  if (!m_free.empty()) result.state = Choose(now);
+  result.failure =
+      m_usable.empty() ? PickFailure::kNoneUsable : PickFailure::kAllBusy;
   return result;
 }
 
 void ReplicaPicker::Collect(const std::vector<ReplicaMember>& members,
                             const std::vector<Address>& avoid, Pass pass,
                             TimePoint now) {
+  m_usable.clear();
   m_free.clear();
-  m_any_usable = false;
   double known_sum = 0.0;
   int known = 0;
   for (const ReplicaMember& member : members) {
@@ -44,7 +69,7 @@
       ++known;
     }
     if (!IsUsable(state, avoid, pass, now)) continue;
-    m_any_usable = true;
+    m_usable.push_back(&member);
     if (state.InFlight() < state.Limit(now)) m_free.push_back(&member);
   }
   m_known_latency_us =
@@ -55,8 +80,10 @@
 bool ReplicaPicker::IsUsable(const ReplicaState& state,
                              const std::vector<Address>& avoid, Pass pass,
                              TimePoint now) const {
-  if (m_leave->IsLeaving(*state.Leave(), now)) return false;
-  if (pass != Pass::kPaused && state.IsPaused(now)) return false;
+  const LeaveTracker::Record& leave = *state.Leave();
+  if (m_leave->IsLeaving(leave, now)) return false;
+  const bool failed = state.IsPaused(now) || m_leave->IsUnreachable(leave, now);
+  if (pass != Pass::kPaused && failed) return false;
   if (pass == Pass::kAvoided || avoid.empty()) return true;
   return std::ranges::find(avoid, state.GetAddress()) == avoid.end();
 }
--- a/src/upstream/replica_picker.h
+++ b/src/upstream/replica_picker.h
@@ -56,10 +56,21 @@
   PickResult Pick(const std::vector<ReplicaMember>& members,
                   const std::vector<Address>& avoid, TimePoint now);
 
+  /// Picks, of the members that Pick would consider, the one that ranks highest
+  /// for `key`, the same in each process that considers the same members. It is
+  /// waited for if it has no free place. Source: Thaler and Ravishankar, Using
+  /// Name-Based Mappings to Increase Hit Rates, 1998 (rendezvous hashing).
+  PickResult PickByHash(const std::vector<ReplicaMember>& members,
+                        const std::vector<Address>& avoid, std::uint64_t key,
+                        TimePoint now);
+
  private:
   /// Which members a pass over a replica set takes.
   enum class Pass : std::uint8_t { kPreferred, kAvoided, kPaused };
 
+  /// Fills m_usable and m_free by the first pass that finds members.
+  PickResult CollectAny(const std::vector<ReplicaMember>& members,
+                        const std::vector<Address>& avoid, TimePoint now);
   void Collect(const std::vector<ReplicaMember>& members,
                const std::vector<Address>& avoid, Pass pass, TimePoint now);
   [[nodiscard]] bool IsUsable(const ReplicaState& state,
@@ -71,9 +82,10 @@
   ReplicaPickerSettings m_settings;
   const LeaveTracker* m_leave;
   std::mt19937_64 m_random;
-  /// Members with a free place in the present pick; kept to reuse its memory.
+  /// Usable members, and those with a free place, in the present pick; kept to
+  /// reuse its memory.
+  std::vector<const ReplicaMember*> m_usable;
   std::vector<const ReplicaMember*> m_free;
-  bool m_any_usable = false;
   double m_known_latency_us = 0.0;
 };
 
--- a/src/upstream/replica_table.cc
+++ b/src/upstream/replica_table.cc
@@ -83,12 +83,9 @@
   if (replica == nullptr) {
     ConcurrencyLimitSettings limit = m_settings.limit;
     limit.initial = limits.slots;
-    replica = std::make_unique<Replica>(Replica{
+    replica = std::make_unique<Replica>(
         ReplicaState(config.address, m_settings.replica, limit,
-                     m_leave->RecordOf(config.address), m_configured, now),
-        limits,
-        false,
-        {}});
+                     m_leave->RecordOf(config.address), m_configured, now));
   }
   if (replica->placed) {
     replica->limits.slots = std::min(replica->limits.slots, limits.slots);
--- a/src/upstream/replica_table.h
+++ b/src/upstream/replica_table.h
@@ -5,47 +5,18 @@
 #include <cstdint>
 #include <memory>
 #include <string>
-#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "base/ids.h"
 #include "base/time.h"
 #include "config/cluster_config.h"
-#include "ports/scheduler.h"
 #include "upstream/leave_tracker.h"
-#include "upstream/replica_picker.h"
+#include "upstream/replica_set.h"
 #include "upstream/replica_state.h"
-#include "upstream/wait_queue.h"
 
 namespace chicoryvale {
 
-struct ReplicaSet;
-
-/// A replica, and the sets of which requests wait for it.
-struct Replica {
-  ReplicaState state;
-  /// The lowest limits that a service places on it.
-  ReplicaLimits limits;
-  /// Whether the present configuration places it.
-  bool placed = true;
-  /// Sets with a queue; the first is served next.
-  std::vector<std::shared_ptr<ReplicaSet>> waiting;
-};
-
-/// The replicas of one shard, and the requests that wait for one of them.
-struct ReplicaSet {
-  explicit ReplicaSet(std::size_t queue_capacity) : queue(queue_capacity) {}
-
-  std::vector<ReplicaMember> members;
-  /// Same order as `members`.
-  std::vector<Replica*> replicas;
-  WaitQueue queue;
-  /// Fires at the earliest deadline in the queue.
-  TimerId expiry_timer = 0;
-  TimePoint expiry_due{};
-};
-
 /// Settings of a ReplicaTable.
 struct ReplicaTableSettings {
   std::string availability_zone;
--- a/src/upstream/upstream_counters.h
+++ b/src/upstream/upstream_counters.h
@@ -21,6 +21,9 @@
   kRefusedWaitTooLong,
   kRefusedExpired,
   kRefusedHedgeBusy,
+  kRefusedQuarantined,
+  kRefusedSuspect,
+  kHeldForCanary,
   kEndedAnswered,
   kEndedNotStarted,
   kEndedSnapshotUnavailable,
@@ -34,7 +37,7 @@
 
 template <>
 struct CounterNames<UpstreamCounter> {
-  static constexpr std::array<std::string_view, 19> kNames = {
+  static constexpr std::array<std::string_view, 22> kNames = {
       "upstream_chosen",
       "upstream_queued",
       "upstream_avoided_replica_used",
@@ -45,6 +48,9 @@
       "upstream_refused_wait_too_long",
       "upstream_refused_expired",
       "upstream_refused_hedge_busy",
+      "upstream_refused_quarantined",
+      "upstream_refused_suspect",
+      "upstream_held_for_canary",
       "upstream_ended_answered",
       "upstream_ended_not_started",
       "upstream_ended_snapshot_unavailable",
--- a/src/upstream/upstream_gate.cc
+++ b/src/upstream/upstream_gate.cc
@@ -4,6 +4,8 @@
 #include <cassert>
 #include <utility>
 
+#include "base/hash.h"
+
 namespace chicoryvale {
 namespace {
 
@@ -11,55 +13,22 @@
 /// the free replica does not hold up those behind it.
 constexpr std::size_t kMaxTried = 8;
 
+/// A first run of a request counts as slow after this multiple of the typical
+/// latency, but not before kMinPatience.
+constexpr int kPatienceFactor = 3;
+constexpr Duration kMinPatience = milliseconds(5);
+
 ReplicaTableSettings TableSettings(const UpstreamGateOptions& options) {
   return {options.availability_zone, options.queue_capacity, options.replica,
           options.limit};
 }
 
-/// Returns the lowest median latency among the replicas; zero if unknown.
-Duration TypicalLatency(const ReplicaSet& set) {
-  Duration typical{};
-  for (const ReplicaMember& member : set.members) {
-    const Duration median = member.state->Median();
-    if (median == Duration::zero()) continue;
-    if (typical == Duration::zero() || median < typical) typical = median;
-  }
-  return typical;
-}
-
-/// Returns the time until a request that joins the queue finds a place, from
-/// the rate at which the replicas answered so far.
-Duration ExpectedWait(const ReplicaSet& set, TimePoint now) {
-  double places_per_micro = 0.0;
-  for (const ReplicaMember& member : set.members) {
-    const auto median = static_cast<double>(member.state->Median().count());
-    if (median > 0.0) places_per_micro += member.state->Limit(now) / median;
+std::vector<std::uint64_t> QuarantinedIn(const ClusterConfig& config) {
+  std::vector<std::uint64_t> fingerprints;
+  for (const ServiceConfig& service : config.services) {
+    std::ranges::copy(service.quarantined, std::back_inserter(fingerprints));
   }
-  if (places_per_micro == 0.0) return Duration::zero();
-  const auto ahead = static_cast<double>(set.queue.Size());
-  return Duration(static_cast<std::int64_t>(ahead / places_per_micro));
-}
-
-UpstreamCounter CounterOf(SubOutcomeKind kind) {
-  switch (kind) {
-    case SubOutcomeKind::kAnswered:
-      return UpstreamCounter::kEndedAnswered;
-    case SubOutcomeKind::kNotStarted:
-      return UpstreamCounter::kEndedNotStarted;
-    case SubOutcomeKind::kSnapshotUnavailable:
-      return UpstreamCounter::kEndedSnapshotUnavailable;
-    case SubOutcomeKind::kFailed:
-      return UpstreamCounter::kEndedFailed;
-    case SubOutcomeKind::kNotConnected:
-      return UpstreamCounter::kEndedNotConnected;
-    case SubOutcomeKind::kConnectionLost:
-      return UpstreamCounter::kEndedConnectionLost;
-    case SubOutcomeKind::kTimedOut:
-      return UpstreamCounter::kEndedTimedOut;
-    case SubOutcomeKind::kMalformed:
-      return UpstreamCounter::kEndedMalformed;
-  }
-  return UpstreamCounter::kEndedFailed;
+  return fingerprints;
 }
 
 }  // namespace
@@ -76,7 +45,12 @@
     : m_scheduler(options.scheduler),
       m_leave(options.leave),
       m_table(TableSettings(options), &m_leave),
-      m_picker(options.picker, &m_leave, options.seed) {}
+      m_picker(options.picker, &m_leave, options.seed),
+      m_quarantine(options.crash),
+      m_parked(
+          options.scheduler,
+          [this](std::uint64_t fingerprint) { ResumeParked(fingerprint); }),
+      m_recorder(&m_leave, &m_quarantine, &m_counters) {}
 
 UpstreamGate::~UpstreamGate() {
   for (auto& [ticket, attempt] : m_attempts) {
@@ -88,12 +62,13 @@
 }
 
 void UpstreamGate::ApplyConfig(const ClusterConfig& config) {
+  m_quarantine.SetOperatorList(QuarantinedIn(config));
   m_table.Visit([](Replica* replica) { replica->waiting.clear(); });
   const auto dropped = m_table.Apply(config, m_scheduler->Now());
   for (const SetPointer& set : dropped) {
     while (!set->queue.IsEmpty()) {
       const WaitingRequest request = set->queue.Pop();
-      m_attempts.erase(request.ticket);
+      EndUnplaced(request.ticket);
       AfterDequeue(set);
       Refuse(UpstreamCounter::kRefusedUnknownShard,
              ErrorKind::kUpstreamUnavailable, "the shard is no longer placed",
@@ -141,18 +116,105 @@
            "the deadline has passed", callback);
     return;
   }
+  if (spec.fingerprint != 0 && !AdmitRun(spec, *set, ticket, callback)) return;
+  Place(spec, set, ticket, std::move(callback));
+}
+
+bool UpstreamGate::AdmitRun(const AttemptSpec& spec, const ReplicaSet& set,
+                            GateTicket ticket, const Callback& callback) {
+  const CrashKey key{spec.fingerprint, HashBytes(spec.workspace),
+                     HashBytes(spec.service)};
+  const Duration patience =
+      std::max(kMinPatience, kPatienceFactor * TypicalLatency(set));
+  const auto admission = m_quarantine.Admit(key, spec.shard, spec.purpose,
+                                            patience, m_scheduler->Now());
+  switch (admission.verdict) {
+    case RunVerdict::kRun:
+      m_attempts[ticket].run = admission.run;
+      return true;
+    case RunVerdict::kWait:
+      m_counters.Add(UpstreamCounter::kHeldForCanary);
+      m_attempts.try_emplace(ticket);
+      m_parked.Add({spec, ticket, callback}, admission.ask_again);
+      return false;
+    case RunVerdict::kQuarantined:
+      Refuse(UpstreamCounter::kRefusedQuarantined, ErrorKind::kQuarantined,
+             "the request crashed the upstreams that ran it", callback);
+      return false;
+    case RunVerdict::kRefusedForNow:
+      Refuse(UpstreamCounter::kRefusedSuspect, ErrorKind::kOverloaded,
+             "upstreams crashed while running such requests", callback);
+      return false;
+  }
+  return false;
+}
+
+void UpstreamGate::ResumeParked(std::uint64_t fingerprint) {
+  for (ParkedRequest& request : m_parked.Take(fingerprint)) {
+    // Abandoned requests have no entry left.
+    if (m_attempts.erase(request.ticket) == 0) continue;
+    OnRequest(request.spec, request.ticket, std::move(request.callback));
+  }
+}
+
+void UpstreamGate::ResumeReady() {
+  for (const std::uint64_t fingerprint : m_quarantine.TakeReady()) {
+    ResumeParked(fingerprint);
+  }
+}
+
+void UpstreamGate::MergeCrashMark(const CrashMark& mark) {
+  if (m_quarantine.Merge(mark, m_scheduler->Now())) ResumeReady();
+}
+
+void UpstreamGate::EndUnplaced(GateTicket ticket) {
+  const auto node = m_attempts.extract(ticket);
+  if (!node.empty()) EndRun(node.mapped(), RunEnd::kUnknown);
+}
+
+void UpstreamGate::EndRun(const Attempt& attempt, RunEnd end) {
+  if (attempt.run.record == nullptr) return;
+  static const Address kNoReplica;
+  const Address& replica = attempt.replica == nullptr
+                               ? kNoReplica
+                               : attempt.replica->state.GetAddress();
+  m_quarantine.OnEnd(attempt.run, end, replica, m_scheduler->Now());
+}
+
+void UpstreamGate::Place(const AttemptSpec& spec, const SetPointer& set,
+                         GateTicket ticket, Callback callback) {
   if (!set->queue.IsEmpty()) Wake(set);
-  const PickResult pick = m_picker.Pick(set->members, spec.avoid, now);
+  const PickResult pick = PickFor(spec, *set, ticket);
   if (pick.state != nullptr) {
     Dispatch(pick, set, ticket, callback);
-    return;
-  }
-  if (pick.failure == PickFailure::kNoneUsable) {
+  } else if (pick.failure == PickFailure::kNoneUsable) {
+    EndUnplaced(ticket);
     Refuse(UpstreamCounter::kRefusedNoReplica, ErrorKind::kUpstreamUnavailable,
            "no replica of the shard takes work", callback);
-    return;
+  } else {
+    Enqueue(spec, set, ticket, std::move(callback));
+  }
+}
+
+PickResult UpstreamGate::PickFor(const AttemptSpec& spec, const ReplicaSet& set,
+                                 GateTicket ticket) {
+  const TimePoint now = m_scheduler->Now();
+  const auto attempt = m_attempts.find(ticket);
+  if (attempt == m_attempts.end() || attempt->second.run.record == nullptr) {
+    return m_picker.Pick(set.members, spec.avoid, now);
+  }
+  const CrashQuarantine::Run& run = attempt->second.run;
+  if (!run.marked && !run.unproven) {
+    return m_picker.Pick(set.members, spec.avoid, now);
   }
-  Enqueue(spec, set, ticket, std::move(callback));
+  // A request that no upstream has survived goes to the replica that each
+  // entry would choose, so that races through many entries cost one upstream.
+  std::vector<Address> avoid = spec.avoid;
+  for (const ReplicaMember& member : set.members) {
+    const Address& address = member.state->GetAddress();
+    if (CrashQuarantine::DiedOn(*run.record, address)) avoid.push_back(address);
+  }
+  return m_picker.PickByHash(set.members, avoid, spec.fingerprint, now);
 }
 
 void UpstreamGate::Dispatch(const PickResult& pick, const SetPointer& set,
@@ -181,17 +243,20 @@
 void UpstreamGate::Enqueue(const AttemptSpec& spec, const SetPointer& set,
                            GateTicket ticket, Callback callback) {
   if (spec.purpose == AttemptPurpose::kHedge) {
+    EndUnplaced(ticket);
     Refuse(UpstreamCounter::kRefusedHedgeBusy, ErrorKind::kOverloaded,
            "no replica has a free place for a hedge", callback);
     return;
   }
   if (set->queue.IsFull()) {
+    EndUnplaced(ticket);
     Refuse(UpstreamCounter::kRefusedQueueFull, ErrorKind::kOverloaded,
            "the queue of the shard is full", callback);
     return;
   }
   const TimePoint now = m_scheduler->Now();
   if (now + ExpectedWait(*set, now) + TypicalLatency(*set) > spec.deadline) {
+    EndUnplaced(ticket);
     Refuse(UpstreamCounter::kRefusedWaitTooLong, ErrorKind::kOverloaded,
            "the wait for a replica would outlast the deadline", callback);
     return;
@@ -200,7 +265,9 @@
   if (set->queue.IsEmpty()) {
     for (Replica* replica : set->replicas) replica->waiting.push_back(set);
   }
-  m_attempts[ticket] = {nullptr, set, spec.deadline, {}};
+  Attempt& attempt = m_attempts[ticket];
+  attempt.waits_in = set;
+  attempt.deadline = spec.deadline;
   set->queue.Push({spec, ticket, now, std::move(callback)});
   ArmExpiry(set);
 }
@@ -244,8 +311,7 @@
   while (request != nullptr && tried < kMaxTried) {
     const bool late = request->spec.deadline < useful_until;
     const PickResult pick =
-        late ? PickResult{}
-             : m_picker.Pick(set->members, request->spec.avoid, now);
+        late ? PickResult{} : PickFor(request->spec, *set, request->ticket);
     if (!late && pick.state == nullptr &&
         pick.failure == PickFailure::kAllBusy) {
       ++tried;
@@ -259,7 +325,7 @@
       Dispatch(pick, set, taken.ticket, taken.callback);
       return true;
     }
-    m_attempts.erase(taken.ticket);
+    EndUnplaced(taken.ticket);
     if (late) {
       Refuse(UpstreamCounter::kRefusedExpired, ErrorKind::kOverloaded,
              "no replica was free in time", taken.callback);
@@ -300,7 +366,7 @@
   while (!set->queue.IsEmpty() && set->queue.First()->spec.deadline <= now) {
     const WaitingRequest request = set->queue.Pop();
     AfterDequeue(set);
-    m_attempts.erase(request.ticket);
+    EndUnplaced(request.ticket);
     Refuse(UpstreamCounter::kRefusedExpired, ErrorKind::kOverloaded,
            "no replica was free in time", request.callback);
   }
@@ -312,51 +378,12 @@
   const auto node = m_attempts.extract(ticket);
   assert(!node.empty() && node.mapped().replica != nullptr);
   if (node.empty()) return;
-  m_counters.Add(CounterOf(outcome.kind));
   const Attempt& attempt = node.mapped();
-  Apply(outcome, attempt, elapsed);
+  EndRun(attempt, RunEndOf(outcome.kind));
+  m_recorder.Record(outcome, attempt.replica, attempt.sent_at, elapsed,
+                    m_scheduler->Now());
   AfterEnd(attempt.replica);
-}
-
-void UpstreamGate::Apply(const SubOutcome& outcome, const Attempt& attempt,
-                         Duration elapsed) {
-  const TimePoint now = m_scheduler->Now();
-  ReplicaState& state = attempt.replica->state;
-  LeaveTracker::Record* leave = state.Leave();
-  const UpstreamReport& report = outcome.report;
-  switch (outcome.kind) {
-    case SubOutcomeKind::kAnswered:
-      state.OnAnswer(elapsed, now);
-      m_leave.OnAnswer(leave, report.draining, attempt.sent_at, now);
-      break;
-    case SubOutcomeKind::kNotStarted:
-      if (report.draining) {
-        state.OnNeutral();
-      } else {
-        state.OnShed(now);
-      }
-      m_leave.OnAnswer(leave, report.draining, attempt.sent_at, now);
-      break;
-    case SubOutcomeKind::kSnapshotUnavailable:
-      state.OnNeutral();
-      m_leave.OnAnswer(leave, report.draining, attempt.sent_at, now);
-      break;
-    case SubOutcomeKind::kNotConnected:
-      state.OnFailure(elapsed, now);
-      m_leave.OnConnectFailure(leave, now);
-      break;
-    case SubOutcomeKind::kFailed:
-    case SubOutcomeKind::kConnectionLost:
-    case SubOutcomeKind::kMalformed:
-      state.OnFailure(elapsed, now);
-      break;
-    case SubOutcomeKind::kTimedOut:
-      state.OnTimeout(elapsed, now);
-      break;
-  }
-  if (report.load) {
-    state.OnLoadReport(*report.load, attempt.replica->limits.slots, now);
-  }
+  ResumeReady();
 }
 
 void UpstreamGate::OnAbandon(GateTicket ticket, Duration elapsed) {
@@ -364,13 +391,18 @@
   if (node.empty()) return;
   m_counters.Add(UpstreamCounter::kEndedAbandoned);
   const Attempt& attempt = node.mapped();
+  EndRun(attempt, RunEnd::kUnknown);
   if (attempt.replica == nullptr) {
-    attempt.waits_in->queue.Remove(attempt.deadline, ticket);
-    AfterDequeue(attempt.waits_in);
+    if (attempt.waits_in != nullptr) {
+      attempt.waits_in->queue.Remove(attempt.deadline, ticket);
+      AfterDequeue(attempt.waits_in);
+    }
+    ResumeReady();
     return;
   }
   attempt.replica->state.OnAbandon(elapsed, m_scheduler->Now());
   AfterEnd(attempt.replica);
+  ResumeReady();
 }
 
 }  // namespace chicoryvale
--- a/src/upstream/upstream_gate.h
+++ b/src/upstream/upstream_gate.h
@@ -12,8 +12,12 @@
 #include "config/cluster_config.h"
 #include "ports/replica_gate.h"
 #include "ports/scheduler.h"
+#include "upstream/crash_quarantine.h"
 #include "upstream/leave_tracker.h"
+#include "upstream/outcome_recorder.h"
+#include "upstream/parked_requests.h"
 #include "upstream/replica_picker.h"
+#include "upstream/replica_set.h"
 #include "upstream/replica_table.h"
 #include "upstream/upstream_counters.h"
 
@@ -32,6 +36,7 @@
   ConcurrencyLimitSettings limit;
   ReplicaPickerSettings picker;
   LeaveSettings leave;
+  CrashSettings crash;
 };
 
 /// Chooses the replica of each attempt and bounds the attempts in flight at
@@ -56,6 +61,12 @@
   /// health probes and gossip.
   [[nodiscard]] LeaveTracker* Leave() { return &m_leave; }
 
+  /// Returns the marks of requests that crash upstreams, for gossip.
+  [[nodiscard]] CrashQuarantine* Quarantine() { return &m_quarantine; }
+
+  /// Takes a mark from another process.
+  void MergeCrashMark(const CrashMark& mark);
+
   [[nodiscard]] const CounterSet<UpstreamCounter>& Counters() const {
     return m_counters;
   }
@@ -85,10 +96,24 @@
     SetPointer waits_in;
     TimePoint deadline{};
     TimePoint sent_at{};
+    CrashQuarantine::Run run;
   };
 
   explicit UpstreamGate(const UpstreamGateOptions& options);
 
+  /// Asks the quarantine; returns whether the attempt may go on now.
+  bool AdmitRun(const AttemptSpec& spec, const ReplicaSet& set,
+                GateTicket ticket, const Callback& callback);
+  /// Finds a replica for an admitted attempt.
+  void Place(const AttemptSpec& spec, const SetPointer& set, GateTicket ticket,
+             Callback callback);
+  PickResult PickFor(const AttemptSpec& spec, const ReplicaSet& set,
+                     GateTicket ticket);
+  void ResumeParked(std::uint64_t fingerprint);
+  void ResumeReady();
+  /// Ends an attempt that gets no replica.
+  void EndUnplaced(GateTicket ticket);
+  void EndRun(const Attempt& attempt, RunEnd end);
   void Dispatch(const PickResult& pick, const SetPointer& set,
                 GateTicket ticket, const Callback& callback);
   void Enqueue(const AttemptSpec& spec, const SetPointer& set,
@@ -103,14 +128,15 @@
   void AfterDequeue(const SetPointer& set);
   void ArmExpiry(const SetPointer& set);
   void Expire(const SetPointer& set);
-  void Apply(const SubOutcome& outcome, const Attempt& attempt,
-             Duration elapsed);
 
   Scheduler* m_scheduler;
   LeaveTracker m_leave;
   ReplicaTable m_table;
   ReplicaPicker m_picker;
+  CrashQuarantine m_quarantine;
+  ParkedRequests m_parked;
   CounterSet<UpstreamCounter> m_counters;
+  OutcomeRecorder m_recorder;
   std::unordered_map<GateTicket, Attempt> m_attempts;
 };
 
--- /dev/null
+++ b/tests/upstream/crash_model.h
@@ -0,0 +1,311 @@
+#ifndef CHICORYVALE_TESTS_UPSTREAM_CRASH_MODEL_H_
+#define CHICORYVALE_TESTS_UPSTREAM_CRASH_MODEL_H_
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fakes/fake_scheduler.h"
+#include "fakes/queued_upstream.h"
+#include "upstream/upstream_gate.h"
+
+namespace chicoryvale::upstream_test {
+
+/// How the caller of a crashing request behaves.
+enum class CallerKind : std::uint8_t {
+  /// No request crashes.
+  kNone,
+  /// Sends the same request again after each failure, through any entry.
+  kResends,
+  /// Sends it through all entries at once, then again after each failure.
+  kRaces,
+  /// As kResends, with a body that differs each time.
+  kVaries,
+};
+
+/// Setting of a run of the model.
+struct CrashModelOptions {
+  CrashSettings crash;
+  CallerKind caller = CallerKind::kResends;
+  /// Crashes of single upstreams for other causes, per second.
+  double other_crashes_per_second = 0.0;
+  /// At 5 s, this many upstreams die together.
+  std::size_t mass_crash = 0;
+  Duration gossip_delay = milliseconds(2);
+  std::size_t entries = 16;
+  std::size_t shards = 20;
+  std::size_t replicas = 2;
+  /// Healthy queries per second, over all entries.
+  double healthy_rate = 100.0;
+  /// Share of the healthy queries that come from the crashing workspace.
+  double same_origin_share = 0.2;
+  std::size_t resends = 30;
+  Duration length = seconds(20);
+  std::uint64_t seed = 1;
+};
+
+/// What a run showed.
+struct CrashModelResult {
+  /// Upstreams lost to crashing requests, and the most lost to one.
+  std::uint64_t lost = 0;
+  std::uint64_t lost_most = 0;
+  std::uint64_t healthy = 0;
+  /// Healthy queries with a shard refused as quarantined, refused for now, or
+  /// missing for another reason.
+  std::uint64_t healthy_quarantined = 0;
+  std::uint64_t healthy_deferred = 0;
+  std::uint64_t healthy_incomplete = 0;
+  std::vector<Duration> healthy_latencies;
+};
+
+/// Entries with a gate each, replicas that crash, callers that send again.
+/// A query runs at all shards; an attempt that loses its connection is tried
+/// once more. Marks reach the other entries after a delay.
+class CrashModel {
+ public:
+  explicit CrashModel(const CrashModelOptions& options)
+      : m_options(options), m_random(options.seed) {
+    ServiceConfig service;
+    service.name = "s";
+    for (std::size_t shard = 0; shard < options.shards; ++shard) {
+      service.shards.emplace_back();
+      for (std::size_t i = 0; i < options.replicas; ++i) {
+        QueuedUpstreamOptions upstream;
+        upstream.seed = m_random();
+        const std::string address = std::to_string(m_upstreams.size());
+        service.shards.back().replicas.push_back({{address}, "a", false});
+        m_upstreams.push_back(
+            std::make_unique<QueuedUpstream>(&m_scheduler, upstream));
+      }
+    }
+    ClusterConfig config;
+    config.services = {service};
+    for (std::size_t i = 0; i < options.entries; ++i) {
+      UpstreamGateOptions gate;
+      gate.scheduler = &m_scheduler;
+      gate.seed = m_random();
+      gate.availability_zone = "a";
+      gate.crash = options.crash;
+      m_gates.push_back(UpstreamGate::Make(gate));
+      m_gates.back()->ApplyConfig(config);
+    }
+  }
+
+  CrashModelResult Run() {
+    StartHealthy();
+    ScheduleOtherCrash();
+    m_scheduler.Schedule(seconds(2), [this] { StartCaller(); });
+    m_scheduler.Schedule(seconds(5), [this] {
+      for (std::size_t i = 0; i < m_options.mass_crash; ++i) {
+        m_upstreams[i * m_upstreams.size() / m_options.mass_crash]->Crash();
+      }
+    });
+    m_scheduler.RunFor(m_options.length);
+    for (const auto& [fingerprint, lost] : m_lost_to) {
+      m_result.lost += lost;
+      m_result.lost_most = std::max(m_result.lost_most, lost);
+    }
+    return m_result;
+  }
+
+ private:
+  struct Query {
+    std::size_t entry = 0;
+    std::uint64_t fingerprint = 0;
+    bool crashes = false;
+    std::string workspace;
+    TimePoint started{};
+    std::size_t open = 0;
+    bool complete = true;
+    bool quarantined = false;
+    bool deferred = false;
+    std::function<void(const Query&)> done;
+  };
+  using QueryPointer = std::shared_ptr<Query>;
+
+  static constexpr Duration kDeadline = milliseconds(400);
+  static constexpr Duration kOneWay = milliseconds(1);
+  static constexpr std::size_t kAttempts = 2;
+
+  void StartQuery(Query query) {
+    auto shared = std::make_shared<Query>(std::move(query));
+    shared->started = m_scheduler.Now();
+    shared->open = m_options.shards;
+    // Each entry begins at the same shard, so that races meet at one upstream.
+    const std::uint64_t first = shared->fingerprint % m_options.shards;
+    for (std::uint64_t i = 0; i < m_options.shards; ++i) {
+      StartAttempt(shared, (first + i) % m_options.shards, {});
+    }
+  }
+
+  void StartAttempt(const QueryPointer& query, ShardId shard,
+                    const std::vector<Address>& avoid) {
+    AttemptSpec spec;
+    spec.service = "s";
+    spec.shard = shard;
+    spec.workspace = query->workspace;
+    spec.purpose =
+        avoid.empty() ? AttemptPurpose::kFirst : AttemptPurpose::kRetry;
+    spec.avoid = avoid;
+    spec.deadline = query->started + kDeadline;
+    spec.fingerprint = query->fingerprint;
+    UpstreamGate* gate = m_gates[query->entry].get();
+    const GateTicket ticket = gate->NewTicket();
+    gate->Request(spec, ticket, [=, this](const Result<ReplicaChoice>& choice) {
+      if (choice) {
+        Send(query, shard, avoid, ticket, choice->replica);
+      } else {
+        OnRefused(query, choice.error().kind);
+      }
+    });
+  }
+
+  void OnRefused(const QueryPointer& query, ErrorKind kind) {
+    query->complete = false;
+    query->quarantined |= kind == ErrorKind::kQuarantined;
+    query->deferred |= kind == ErrorKind::kOverloaded;
+    EndShard(query);
+  }
+
+  void Send(const QueryPointer& query, ShardId shard,
+            const std::vector<Address>& avoid, GateTicket ticket,
+            const Address& replica) {
+    const TimePoint sent = m_scheduler.Now();
+    const auto on_outcome = [=, this](const SubOutcome& outcome) {
+      m_scheduler.Schedule(kOneWay, [=, this] {
+        m_gates[query->entry]->Finish(ticket, outcome,
+                                      m_scheduler.Now() - sent);
+        Gossip(query->entry);
+        OnOutcome(query, shard, avoid, replica, outcome);
+      });
+    };
+    std::function<void()> on_crash;
+    if (query->crashes) {
+      on_crash = [this, fingerprint = query->fingerprint] {
+        ++m_lost_to[fingerprint];
+      };
+    }
+    m_scheduler.Schedule(kOneWay, [=, this] {
+      m_upstreams[std::stoul(replica.host_port)]->Submit(on_outcome, on_crash);
+    });
+  }
+
+  void OnOutcome(const QueryPointer& query, ShardId shard,
+                 std::vector<Address> avoid, const Address& replica,
+                 const SubOutcome& outcome) {
+    if (outcome.kind == SubOutcomeKind::kAnswered) {
+      EndShard(query);
+      return;
+    }
+    avoid.push_back(replica);
+    if (avoid.size() < kAttempts) {
+      StartAttempt(query, shard, avoid);
+      return;
+    }
+    query->complete = false;
+    EndShard(query);
+  }
+
+  void EndShard(const QueryPointer& query) {
+    if (--query->open == 0) query->done(*query);
+  }
+
+  void StartHealthy() {
+    std::bernoulli_distribution same_origin(m_options.same_origin_share);
+    Query query;
+    query.entry = AnyEntry();
+    query.fingerprint = ++m_last_fingerprint;
+    query.workspace = same_origin(m_random) ? "guilty" : "other";
+    query.done = [this](const Query& done) {
+      ++m_result.healthy;
+      if (done.complete) {
+        m_result.healthy_latencies.push_back(m_scheduler.Now() - done.started);
+      } else if (done.quarantined) {
+        ++m_result.healthy_quarantined;
+      } else if (done.deferred) {
+        ++m_result.healthy_deferred;
+      } else {
+        ++m_result.healthy_incomplete;
+      }
+    };
+    StartQuery(std::move(query));
+    m_scheduler.Schedule(Gap(m_options.healthy_rate),
+                         [this] { StartHealthy(); });
+  }
+
+  void StartCaller() {
+    if (m_options.caller == CallerKind::kNone) return;
+    const std::uint64_t fingerprint = ++m_last_fingerprint;
+    const std::size_t copies =
+        m_options.caller == CallerKind::kRaces ? m_gates.size() : 1;
+    for (std::size_t i = 0; i < copies; ++i) {
+      Resend(copies == 1 ? AnyEntry() : i, fingerprint, m_options.resends);
+    }
+  }
+
+  void Resend(std::size_t entry, std::uint64_t fingerprint, std::size_t left) {
+    if (left == 0) return;
+    Query query;
+    query.entry = entry;
+    query.fingerprint = fingerprint;
+    query.crashes = true;
+    query.workspace = "guilty";
+    query.done = [this, left](const Query& done) {
+      // An entry spreads its marks before it answers.
+      const Duration delay = m_options.gossip_delay + 2 * kOneWay;
+      const bool varies = m_options.caller == CallerKind::kVaries;
+      const std::uint64_t next =
+          varies ? ++m_last_fingerprint : done.fingerprint;
+      m_scheduler.Schedule(
+          delay, [this, next, left] { Resend(AnyEntry(), next, left - 1); });
+    };
+    StartQuery(std::move(query));
+  }
+
+  void ScheduleOtherCrash() {
+    if (m_options.other_crashes_per_second <= 0.0) return;
+    m_scheduler.Schedule(Gap(m_options.other_crashes_per_second), [this] {
+      m_upstreams[m_random() % m_upstreams.size()]->Crash();
+      ScheduleOtherCrash();
+    });
+  }
+
+  void Gossip(std::size_t from) {
+    for (const CrashMark& mark : m_gates[from]->Quarantine()->TakeChanges()) {
+      m_scheduler.Schedule(m_options.gossip_delay, [this, from, mark] {
+        for (std::size_t to = 0; to < m_gates.size(); ++to) {
+          if (to == from) continue;
+          m_gates[to]->MergeCrashMark(mark);
+          m_gates[to]->Quarantine()->TakeChanges();
+        }
+      });
+    }
+  }
+
+  Duration Gap(double per_second) {
+    std::exponential_distribution<double> gap(per_second);
+    return Duration(static_cast<std::int64_t>(gap(m_random) * 1e6));
+  }
+
+  std::size_t AnyEntry() { return m_random() % m_gates.size(); }
+
+  CrashModelOptions m_options;
+  std::mt19937_64 m_random;
+  FakeScheduler m_scheduler;
+  std::vector<std::unique_ptr<QueuedUpstream>> m_upstreams;
+  std::vector<std::unique_ptr<UpstreamGate>> m_gates;
+  std::uint64_t m_last_fingerprint = 1000;
+  std::map<std::uint64_t, std::uint64_t> m_lost_to;
+  CrashModelResult m_result;
+};
+
+}  // namespace chicoryvale::upstream_test
+
+#endif  // CHICORYVALE_TESTS_UPSTREAM_CRASH_MODEL_H_
--- /dev/null
+++ b/tests/upstream/crash_quarantine_test.cc
@@ -0,0 +1,235 @@
+#include "upstream/crash_quarantine.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace chicoryvale {
+namespace {
+
+constexpr TimePoint kStart = TimePoint(seconds(1000));
+constexpr Duration kPatience = milliseconds(15);
+const Address kFirst{"r1"};
+const Address kSecond{"r2"};
+const Address kThird{"r3"};
+
+CrashKey Key(std::uint64_t fingerprint, std::uint64_t workspace = 1) {
+  return {fingerprint, workspace, 7};
+}
+
+class CrashQuarantineTest : public testing::Test {
+ protected:
+  CrashQuarantine::Admission Admit(
+      const CrashKey& key, ShardId shard = 0,
+      AttemptPurpose purpose = AttemptPurpose::kFirst) {
+    return m_quarantine.Admit(key, shard, purpose, kPatience, m_now);
+  }
+
+  void End(const CrashQuarantine::Admission& admission, RunEnd end,
+           const Address& replica) {
+    ASSERT_EQ(admission.verdict, RunVerdict::kRun);
+    m_quarantine.OnEnd(admission.run, end, replica, m_now);
+  }
+
+  /// Runs the request once with the given end.
+  void Run(const CrashKey& key, RunEnd end, const Address& replica) {
+    End(Admit(key), end, replica);
+  }
+
+  TimePoint m_now = kStart;
+  CrashQuarantine m_quarantine{CrashSettings{}};
+};
+
+TEST_F(CrashQuarantineTest, OneUpstreamSurvivesBeforeManyRun) {
+  const auto canary = Admit(Key(1), 0);
+  const auto held = Admit(Key(1), 1);
+  EXPECT_EQ(held.verdict, RunVerdict::kWait);
+  EXPECT_EQ(held.ask_again, m_now + kPatience);
+  End(canary, RunEnd::kSurvived, kFirst);
+  EXPECT_EQ(m_quarantine.TakeReady(), std::vector<std::uint64_t>{1});
+  EXPECT_EQ(Admit(Key(1), 1).verdict, RunVerdict::kRun);
+  EXPECT_EQ(Admit(Key(1), 2).verdict, RunVerdict::kRun);
+}
+
+TEST_F(CrashQuarantineTest, SlowFirstRunLetsOneMoreStart) {
+  const auto canary = Admit(Key(1), 0);
+  m_now += kPatience;
+  EXPECT_EQ(Admit(Key(1), 1).verdict, RunVerdict::kRun);
+  EXPECT_EQ(Admit(Key(1), 2).verdict, RunVerdict::kWait);
+  End(canary, RunEnd::kDied, kFirst);
+  EXPECT_EQ(Admit(Key(1), 2).verdict, RunVerdict::kWait);
+}
+
+TEST_F(CrashQuarantineTest, SecondDeathQuarantines) {
+  Run(Key(1), RunEnd::kDied, kFirst);
+  EXPECT_EQ(Admit(Key(1), 0, AttemptPurpose::kHedge).verdict,
+            RunVerdict::kRefusedForNow);
+  Run(Key(1), RunEnd::kDied, kSecond);
+  EXPECT_EQ(Admit(Key(1)).verdict, RunVerdict::kQuarantined);
+  EXPECT_TRUE(m_quarantine.IsQuarantined(1));
+}
+
+TEST_F(CrashQuarantineTest, SecondDeathOfTheSameReplicaQuarantines) {
+  Run(Key(1), RunEnd::kDied, kFirst);
+  Run(Key(1), RunEnd::kDied, kFirst);
+  EXPECT_TRUE(m_quarantine.IsQuarantined(1));
+}
+
+TEST_F(CrashQuarantineTest, SurvivedRetryClears) {
+  Run(Key(1), RunEnd::kDied, kFirst);
+  Run(Key(1), RunEnd::kSurvived, kSecond);
+  Run(Key(1), RunEnd::kDied, kThird);
+  EXPECT_FALSE(m_quarantine.IsQuarantined(1));
+}
+
+TEST_F(CrashQuarantineTest, MarkedRequestsOfAServiceRunOneAtATime) {
+  Run(Key(1), RunEnd::kSurvived, kFirst);
+  Run(Key(2), RunEnd::kSurvived, kFirst);
+  const auto first = Admit(Key(1));
+  const auto second = Admit(Key(2));
+  End(first, RunEnd::kDied, kFirst);
+  End(second, RunEnd::kDied, kFirst);
+  const auto retry = Admit(Key(1));
+  ASSERT_EQ(retry.verdict, RunVerdict::kRun);
+  EXPECT_EQ(Admit(Key(2)).verdict, RunVerdict::kWait);
+  End(retry, RunEnd::kDied, kSecond);
+  EXPECT_EQ(m_quarantine.TakeReady(), std::vector<std::uint64_t>{2});
+  Run(Key(2), RunEnd::kSurvived, kThird);
+  EXPECT_TRUE(m_quarantine.IsQuarantined(1));
+  EXPECT_FALSE(m_quarantine.IsQuarantined(2));
+}
+
+TEST_F(CrashQuarantineTest, ProvenRequestIsClearedOnlyOnItsShard) {
+  Run(Key(1), RunEnd::kSurvived, kFirst);
+  const auto other_shard = Admit(Key(1), 5);
+  End(Admit(Key(1), 3), RunEnd::kDied, kFirst);
+  End(other_shard, RunEnd::kSurvived, kSecond);
+  End(Admit(Key(1), 3), RunEnd::kDied, kThird);
+  EXPECT_TRUE(m_quarantine.IsQuarantined(1));
+}
+
+TEST_F(CrashQuarantineTest, AnswerToAnOlderRequestTakesTheDeathBack) {
+  Run(Key(1), RunEnd::kDied, kFirst);
+  m_quarantine.OnReplicaSurvived(kFirst, m_now - milliseconds(1));
+  Run(Key(1), RunEnd::kDied, kSecond);
+  EXPECT_FALSE(m_quarantine.IsQuarantined(1));
+}
+
+TEST_F(CrashQuarantineTest, DeathsOfManyUpstreamsQuarantineNothing) {
+  Run(Key(1), RunEnd::kDied, kFirst);
+  Run(Key(1), RunEnd::kDied, kSecond);
+  Run(Key(2, 2), RunEnd::kDied, {"r4"});
+  Run(Key(3, 3), RunEnd::kDied, {"r5"});
+  EXPECT_EQ(Admit(Key(1)).verdict, RunVerdict::kRefusedForNow);
+  m_now += seconds(6);
+  Run(Key(1), RunEnd::kDied, kThird);
+  EXPECT_EQ(Admit(Key(1)).verdict, RunVerdict::kQuarantined);
+}
+
+TEST_F(CrashQuarantineTest, DeathsOfManyShardsAtOnceCountOnce) {
+  Run(Key(1), RunEnd::kSurvived, kFirst);
+  const auto shard_a = Admit(Key(1), 1);
+  const auto shard_b = Admit(Key(1), 2);
+  End(shard_a, RunEnd::kDied, kSecond);
+  End(shard_b, RunEnd::kDied, kThird);
+  EXPECT_FALSE(m_quarantine.IsQuarantined(1));
+  End(Admit(Key(1), 1), RunEnd::kDied, {"r4"});
+  EXPECT_TRUE(m_quarantine.IsQuarantined(1));
+}
+
+TEST_F(CrashQuarantineTest, VariantsOfOneOriginAreNoCommonCause) {
+  Run(Key(1), RunEnd::kDied, kFirst);
+  Run(Key(2), RunEnd::kDied, {"r4"});
+  Run(Key(3), RunEnd::kDied, {"r5"});
+  Run(Key(1), RunEnd::kDied, kSecond);
+  EXPECT_TRUE(m_quarantine.IsQuarantined(1));
+}
+
+TEST_F(CrashQuarantineTest, SuspiciousOriginRunsUnprovenRequestsRarely) {
+  Run(Key(9), RunEnd::kSurvived, kFirst);
+  for (const std::uint64_t fingerprint : {1, 2}) {
+    Run(Key(fingerprint), RunEnd::kDied, kFirst);
+    Run(Key(fingerprint), RunEnd::kDied, kSecond);
+  }
+  EXPECT_EQ(Admit(Key(3)).verdict, RunVerdict::kRefusedForNow);
+  m_now += seconds(1);
+  const auto probe = Admit(Key(3));
+  EXPECT_EQ(Admit(Key(4)).verdict, RunVerdict::kWait);
+  End(probe, RunEnd::kDied, kThird);
+  EXPECT_EQ(Admit(Key(3)).verdict, RunVerdict::kRefusedForNow) << "variant";
+  EXPECT_EQ(Admit(Key(4)).verdict, RunVerdict::kRefusedForNow);
+  EXPECT_EQ(Admit(Key(9)).verdict, RunVerdict::kRun) << "proven";
+  EXPECT_EQ(Admit(Key(5, 2)).verdict, RunVerdict::kRun) << "other workspace";
+}
+
+TEST_F(CrashQuarantineTest, UpstreamFoundGoneLetsMarksArriveFirst) {
+  Run(Key(1), RunEnd::kNotConnected, kFirst);
+  const auto held = Admit(Key(1));
+  EXPECT_EQ(held.verdict, RunVerdict::kWait);
+  m_now = *held.ask_again;
+  EXPECT_EQ(Admit(Key(1)).verdict, RunVerdict::kRun);
+}
+
+TEST_F(CrashQuarantineTest, OperatorsListRefuses) {
+  m_quarantine.SetOperatorList({4});
+  EXPECT_EQ(Admit(Key(4)).verdict, RunVerdict::kQuarantined);
+}
+
+TEST_F(CrashQuarantineTest, MemoryIsBounded) {
+  CrashSettings settings;
+  settings.max_records = 2;
+  CrashQuarantine quarantine(settings);
+  for (std::uint64_t i = 1; i <= 5; ++i) {
+    const auto admission =
+        quarantine.Admit(Key(i), 0, AttemptPurpose::kFirst, kPatience, kStart);
+    quarantine.OnEnd(admission.run, RunEnd::kDied, kFirst, kStart);
+  }
+  EXPECT_LE(quarantine.Marks().size(), 2);
+}
+
+TEST(CrashMarkTest, MergesAreCommutativeAndIdempotent) {
+  constexpr std::uint64_t kSeed = 5;
+  std::mt19937_64 random(kSeed);
+  std::vector<CrashMark> marks(12);
+  for (CrashMark& mark : marks) {
+    mark.key = Key(1);
+    mark.epoch = random() % 2;
+    mark.allowance = 2 + random() % 2;
+    mark.deaths = {{random() % 3, 0, static_cast<std::uint32_t>(random() % 2),
+                    random() % 2 == 0}};
+  }
+  std::optional<CrashMark> expected;
+  for (int round = 0; round < 100; ++round) {
+    std::ranges::shuffle(marks, random);
+    CrashMark merged;
+    merged.key = Key(1);
+    for (const CrashMark& mark : marks) MergeMark(mark, &merged);
+    for (const CrashMark& mark : marks) EXPECT_FALSE(MergeMark(mark, &merged));
+    if (!expected) expected = merged;
+    ASSERT_EQ(merged, *expected) << "seed " << kSeed;
+  }
+}
+
+TEST(CrashMarkTest, RacingEntriesReportOneDeathOnce) {
+  CrashQuarantine first{CrashSettings{}};
+  CrashQuarantine second{CrashSettings{}};
+  for (CrashQuarantine* entry : {&first, &second}) {
+    const auto admission =
+        entry->Admit(Key(1), 0, AttemptPurpose::kFirst, kPatience, kStart);
+    entry->OnEnd(admission.run, RunEnd::kDied, kFirst, kStart);
+  }
+  for (const CrashMark& mark : first.TakeChanges()) second.Merge(mark, kStart);
+  EXPECT_FALSE(second.IsQuarantined(1));
+  const auto admission =
+      second.Admit(Key(1), 0, AttemptPurpose::kRetry, kPatience, kStart);
+  second.OnEnd(admission.run, RunEnd::kDied, kSecond, kStart);
+  for (const CrashMark& mark : second.TakeChanges()) first.Merge(mark, kStart);
+  EXPECT_TRUE(first.IsQuarantined(1));
+}
+
+}  // namespace
+}  // namespace chicoryvale
