Read the platform's list of live and leaving VMs

Cause: the list lags both ways and may be broken; it is a hint that must not take VMs away by a fault of its own. Change: PlatformDirectory port, ParsePlatformList (one bad VM refuses the whole list), PlatformPoller over HTTP with libsoup or from a file; a list that can't be read keeps the last good one and is counted. Ruled out: skipping bad entries, which would look like VMs that are gone.

--- /dev/null
+++ b/src/adapters/platform_poller.cc
@@ -0,0 +1,149 @@
+#include "adapters/platform_poller.h"
+
+#include <fstream>
+#include <utility>
+
+#include "adapters/platform_list.h"
+
+namespace chicoryvale {
+
+/// One HTTP request that runs. It outlives the poller until libsoup is done.
+struct PlatformPoller::Fetch {
+  explicit Fetch(PlatformPoller* owner)
+      : poller(owner),
+        cancellable(g_cancellable_new()),
+        body(kMaxPlatformListBytes + 1) {}
+
+  /// nullptr once the poller has no interest any more.
+  PlatformPoller* poller;
+  GObjectPtr<GCancellable> cancellable;
+  std::vector<char> body;
+};
+
+Result<std::unique_ptr<PlatformPoller>> PlatformPoller::Make(
+    PlatformPollerOptions options) {
+  if (options.source.empty() || options.scheduler == nullptr ||
+      options.period <= Duration::zero()) {
+    return MakeError(
+        ErrorKind::kMalformedRequest,
+        "the platform's list needs a source, a scheduler and a period");
+  }
+  return std::unique_ptr<PlatformPoller>(
+      new PlatformPoller(std::move(options)));
+}
+
+PlatformPoller::PlatformPoller(PlatformPollerOptions options)
+    : m_options(std::move(options)), m_session(soup_session_new()) {
+  m_timer = m_options.scheduler->Schedule(Duration::zero(), [this] { Poll(); });
+}
+
+PlatformPoller::~PlatformPoller() {
+  m_options.scheduler->Cancel(m_timer);
+  DropFetch();
+}
+
+void PlatformPoller::OnSetListener(Listener listener) {
+  m_listener = std::move(listener);
+}
+
+const std::vector<PlatformVm>& PlatformPoller::OnVms() const { return m_vms; }
+
+void PlatformPoller::Poll() {
+  m_timer = m_options.scheduler->Schedule(m_options.period, [this] { Poll(); });
+  m_counters.Add(PlatformCounter::kReads);
+  const std::string& source = m_options.source;
+  if (source.starts_with("http://") || source.starts_with("https://")) {
+    RequestHttp();
+  } else {
+    ReadFile();
+  }
+}
+
+void PlatformPoller::ReadFile() {
+  std::ifstream file(m_options.source, std::ios::binary);
+  if (!file) return FailRead();
+  std::string text(kMaxPlatformListBytes + 1, '\0');
+  file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  if (file.bad()) return FailRead();
+  text.resize(static_cast<std::size_t>(file.gcount()));
+  HandleText(text);
+}
+
+void PlatformPoller::DropFetch() {
+  if (m_fetch == nullptr) return;
+  m_fetch->poller = nullptr;
+  g_cancellable_cancel(m_fetch->cancellable.get());
+  m_fetch.reset();
+}
+
+void PlatformPoller::RequestHttp() {
+  if (m_fetch != nullptr) {
+    // The request before had a whole period.
+    DropFetch();
+    FailRead();
+  }
+  const GObjectPtr<SoupMessage> message(
+      soup_message_new("GET", m_options.source.c_str()));
+  if (message == nullptr) return FailRead();
+  soup_session_set_timeout(
+      m_session.get(),
+      static_cast<guint>(
+          std::chrono::ceil<seconds>(m_options.timeout).count()));
+  m_fetch = std::make_shared<Fetch>(this);
+  soup_session_send_async(m_session.get(), message.get(), G_PRIORITY_DEFAULT,
+                          m_fetch->cancellable.get(), &OnResponse,
+                          new std::shared_ptr<Fetch>(m_fetch));
+}
+
+void PlatformPoller::OnResponse(GObject* source, GAsyncResult* result,
+                                gpointer data) {
+  std::unique_ptr<std::shared_ptr<Fetch>> held(
+      static_cast<std::shared_ptr<Fetch>*>(data));
+  Fetch& fetch = **held;
+  GError* error = nullptr;
+  auto* session = SOUP_SESSION(source);
+  const GObjectPtr<GInputStream> body(
+      soup_session_send_finish(session, result, &error));
+  const GErrorPtr owned(error);
+  if (fetch.poller == nullptr) return;
+  SoupMessage* message = soup_session_get_async_result_message(session, result);
+  if (body == nullptr || soup_message_get_status(message) != SOUP_STATUS_OK) {
+    fetch.poller->m_fetch.reset();
+    return fetch.poller->FailRead();
+  }
+  g_input_stream_read_all_async(
+      body.get(), fetch.body.data(), fetch.body.size(), G_PRIORITY_DEFAULT,
+      fetch.cancellable.get(), &OnBody, held.release());
+}
+
+void PlatformPoller::OnBody(GObject* source, GAsyncResult* result,
+                            gpointer data) {
+  const std::unique_ptr<std::shared_ptr<Fetch>> held(
+      static_cast<std::shared_ptr<Fetch>*>(data));
+  Fetch& fetch = **held;
+  gsize size = 0;
+  GError* error = nullptr;
+  const bool ok = g_input_stream_read_all_finish(G_INPUT_STREAM(source), result,
+                                                 &size, &error);
+  const GErrorPtr owned(error);
+  if (fetch.poller == nullptr) return;
+  PlatformPoller& poller = *fetch.poller;
+  poller.m_fetch.reset();
+  if (!ok) return poller.FailRead();
+  poller.HandleText(std::string(fetch.body.data(), size));
+}
+
+void PlatformPoller::FailRead() {
+  m_counters.Add(PlatformCounter::kReadsFailed);
+}
+
+void PlatformPoller::HandleText(const std::string& text) {
+  Result<std::vector<PlatformVm>> vms = ParsePlatformList(text);
+  if (!vms) return m_counters.Add(PlatformCounter::kListsRefused);
+  if (*vms == m_vms) return;
+  m_vms = std::move(*vms);
+  m_counters.Add(PlatformCounter::kListsChanged);
+  if (m_listener) m_listener(m_vms);
+}
+
+}  // namespace chicoryvale
