Join the daemons by membership, gossip of the configuration, and claims

Cause: entries polled one control VM for the configuration, knew nothing of each other, and ran requests that may run at most once without a claim. Change: PeerStack (TCP and UDP on one port, membership, distributor) in both daemons; GateGossip carries signs of leaving replicas and crash marks, each entry's under its own key; OnceGuard and ClaimClient stand before the engine; the polling ConfigPuller is removed. Ruled out: one gossip key for each fingerprint: of two entries that lost different upstreams to one request, the later item would hide the other's.

--- a/programs/chicory-controld/control_daemon.cc
+++ b/programs/chicory-controld/control_daemon.cc
@@ -1,12 +1,10 @@
 #include "chicory-controld/control_daemon.h"
 
-#include <algorithm>
-#include <iterator>
 #include <random>
 #include <utility>
 
+#include "adapters/common_settings.h"
 #include "adapters/log.h"
-#include "config/config_puller.h"
 #include "endpoint/metrics_page.h"
 
 namespace chicoryvale {
@@ -16,9 +14,7 @@
                                   const Address& self) {
   ReplicaOptions options;
   options.address = self;
-  std::ranges::transform(settings.group,
-                         std::back_inserter(options.initial_members),
-                         [](const std::string& text) { return Address{text}; });
+  options.initial_members = ToAddresses(settings.group);
   if (options.initial_members.empty()) options.initial_members = {self};
   options.may_form_group = settings.may_form_group;
   std::random_device device;
@@ -51,15 +47,23 @@
   if (auto ok = StartPeers(); !ok) return ok;
   if (auto ok = StartReplica(); !ok) return ok;
   if (auto ok = StartOperators(); !ok) return ok;
-  return StartMetrics();
+  if (auto ok = StartMetrics(); !ok) return ok;
+  m_peers->Start();
+  return {};
 }
 
 Result<void> ControlDaemon::StartPeers() {
-  TcpPeerOptions options;
-  options.bind = {m_settings.listen_peers};
+  PeerStackOptions options;
+  options.listen = m_settings.listen_peers;
   options.key = m_settings.peer_key;
+  options.availability_zone = m_settings.availability_zone;
+  options.role = MemberRole::kControl;
+  options.controls = ToAddresses(m_settings.group);
+  options.seeds = ToAddresses(m_settings.seeds);
+  options.seeds.insert(options.seeds.end(), options.controls.begin(),
+                       options.controls.end());
   options.scheduler = &m_scheduler;
-  auto peers = TcpPeerTransport::Make(std::move(options));
+  auto peers = PeerStack::Make(options);
   if (!peers) return tl::unexpected(peers.error());
   m_peers = std::move(*peers);
   return {};
@@ -69,7 +73,10 @@
   auto storage = DiskStorage::Make(m_settings.data_folder);
   if (!storage) return tl::unexpected(storage.error());
   m_storage = std::move(*storage);
-  m_replication = std::make_unique<PeerReplicationTransport>(m_peers.get());
+  m_state.SetConfigCallback([this](const ClusterConfig& config) {
+    m_peers->Distributor()->Offer(config);
+  });
+  m_replication = std::make_unique<PeerReplicationTransport>(m_peers->Calls());
   auto node =
       ReplicaNode::Make(MakeReplicaOptions(m_settings, m_peers->LocalAddress()),
                         {.scheduler = &m_scheduler,
@@ -81,11 +88,8 @@
   m_node->SetFailureCallback(
       [this](const Error& error) { OnStorageFailed(error); });
   m_claims =
-      std::make_unique<ClaimService>(m_node.get(), &m_clock, m_peers.get());
+      std::make_unique<ClaimService>(m_node.get(), &m_clock, m_peers->Calls());
   m_group = std::make_unique<ReplicatedControlGroup>(m_node.get(), &m_state);
-  ServeConfig(m_peers.get(), [this]() -> const ClusterConfig& {
-    return m_state.Config().Config();
-  });
   return {};
 }
 
@@ -123,12 +127,12 @@
 }
 
 HttpResponse ControlDaemon::MetricsResponse() const {
-  return MetricsPage()
-      .AddValue("control", "config_version", m_state.Config().Config().version)
+  MetricsPage page;
+  page.AddValue("control", "config_version", m_state.Config().Config().version)
       .Add("refused", m_endpoint->Errors())
-      .Add("peer", m_peers->counters())
-      .Add("control", m_node->Counters())
-      .Response();
+      .Add("control", m_node->Counters());
+  m_peers->AddMetrics(&page);
+  return page.Response();
 }
 
 ShutdownSteps ControlDaemon::Shutdown() {
--- a/programs/chicory-controld/control_daemon.h
+++ b/programs/chicory-controld/control_daemon.h
@@ -7,9 +7,9 @@
 #include "adapters/daemon_loop.h"
 #include "adapters/disk_storage.h"
 #include "adapters/glib_scheduler.h"
+#include "adapters/peer_stack.h"
 #include "adapters/soup_http_server.h"
 #include "adapters/system_wall_clock.h"
-#include "adapters/tcp_peer_transport.h"
 #include "chicory-controld/control_settings.h"
 #include "control/claim_service.h"
 #include "control/replicated_control_group.h"
@@ -46,7 +46,7 @@
   ControlSettings m_settings;
   GlibScheduler m_scheduler;
   DaemonLoop m_loop{&m_scheduler};
-  std::unique_ptr<TcpPeerTransport> m_peers;
+  std::unique_ptr<PeerStack> m_peers;
   std::unique_ptr<DiskStorage> m_storage;
   SchemaChangeRules m_rules;
   SystemWallClock m_clock;
--- a/programs/chicory-entryd/entry_daemon.cc
+++ b/programs/chicory-entryd/entry_daemon.cc
@@ -1,12 +1,11 @@
 #include "chicory-entryd/entry_daemon.h"
 
-#include <algorithm>
-#include <iterator>
 #include <random>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "adapters/common_settings.h"
 #include "adapters/log.h"
 #include "endpoint/error_response.h"
 #include "endpoint/metrics_page.h"
@@ -16,13 +15,7 @@
 
 constexpr char kReadyPath[] = "/ready";
 constexpr char kMetricsPath[] = "/metrics";
-
-std::vector<Address> ToAddresses(const std::vector<std::string>& texts) {
-  std::vector<Address> addresses;
-  std::ranges::transform(texts, std::back_inserter(addresses),
-                         [](const std::string& text) { return Address{text}; });
-  return addresses;
-}
+constexpr Duration kHandoverTime = seconds(5);
 
 }  // namespace
 
@@ -46,36 +39,47 @@
 
 Result<void> EntryDaemon::Start() {
   if (auto ok = StartPeers(); !ok) return ok;
-  if (auto ok = StartQueryPath(); !ok) return ok;
+  StartQueryPath();
   if (auto ok = StartCallers(); !ok) return ok;
   if (auto ok = StartMetrics(); !ok) return ok;
-  m_puller->Start();
+  m_peers->Start();
+  m_gossip->Start();
   return {};
 }
 
 Result<void> EntryDaemon::StartPeers() {
-  TcpPeerOptions options;
-  options.bind = {m_settings.listen_peers};
+  PeerStackOptions options;
+  options.listen = m_settings.listen_peers;
   options.key = m_settings.peer_key;
+  options.availability_zone = m_settings.availability_zone;
+  options.role = MemberRole::kEntry;
+  options.controls = ToAddresses(m_settings.control);
+  options.seeds = ToAddresses(m_settings.seeds);
+  options.seeds.insert(options.seeds.end(), options.controls.begin(),
+                       options.controls.end());
   options.scheduler = &m_scheduler;
-  auto peers = TcpPeerTransport::Make(std::move(options));
+  auto peers = PeerStack::Make(options);
   if (!peers) return tl::unexpected(peers.error());
   m_peers = std::move(*peers);
-  m_puller = std::make_unique<ConfigPuller>(
-      &m_scheduler, m_peers.get(), ToAddresses(m_settings.control),
-      [this](const ClusterConfig& config) {
-        ApplyConfig(config, ConfigTrust::kConfirmed);
+  m_peers->Distributor()->SetListener(
+      [this](const ClusterConfig& config, ConfigStatus status) {
+        ApplyConfig(config, status == ConfigStatus::kConfirmed
+                                ? ConfigTrust::kConfirmed
+                                : ConfigTrust::kUnconfirmed);
       });
   return {};
 }
 
-Result<void> EntryDaemon::StartQueryPath() {
+void EntryDaemon::StartQueryPath() {
   std::random_device device;
   UpstreamGateOptions gate;
   gate.scheduler = &m_scheduler;
   gate.seed = device();
   gate.availability_zone = m_settings.availability_zone;
   m_gate = UpstreamGate::Make(gate);
+  m_gossip = std::make_unique<GateGossip>(m_gate.get(), m_peers->Members(),
+                                          &m_scheduler,
+                                          m_peers->LocalAddress().host_port);
   m_transport = std::make_unique<SoupUpstreamTransport>(
       SoupUpstreamTransportOptions{.scheduler = &m_scheduler});
   QueryEngine::Options engine;
@@ -84,9 +88,23 @@
   engine.gate = m_gate.get();
   engine.random_seed = device();
   m_engine = std::make_unique<QueryEngine>(engine);
-  m_runner = std::make_unique<EngineRunner>(m_engine.get());
+  StartClaims();
+  m_runner = std::make_unique<OnceRunner>(m_guard.get());
   m_endpoint = std::make_unique<CallerEndpoint>(m_runner.get());
-  return {};
+}
+
+void EntryDaemon::StartClaims() {
+  ClaimClientOptions claims;
+  claims.scheduler = &m_scheduler;
+  claims.peers = m_peers->Calls();
+  claims.control = ToAddresses(m_settings.control);
+  // The random part differs at each start: a claim of an earlier run is never
+  // taken for one of this run.
+  claims.entry_id = m_peers->LocalAddress().host_port + "/" +
+                    std::to_string(std::random_device()());
+  m_claims = std::make_unique<ClaimClient>(std::move(claims));
+  m_guard =
+      std::make_unique<OnceGuard>(&m_scheduler, m_engine.get(), m_claims.get());
 }
 
 Result<void> EntryDaemon::StartCallers() {
@@ -152,16 +170,19 @@
 }
 
 HttpResponse EntryDaemon::MetricsResponse() const {
-  return MetricsPage()
-      .AddValue("entry", "requests", m_endpoint->Requests())
+  MetricsPage page;
+  page.AddValue("entry", "requests", m_endpoint->Requests())
       .AddValue("entry", "answers", m_endpoint->Answers())
       .AddValue("entry", "in_flight", m_engine->InFlight())
       .AddValue("entry", "config_version", m_config_version)
       .Add("refused", m_endpoint->Errors())
       .Add("query", m_engine->Counters())
-      .Add("upstream", m_gate->Counters())
-      .Add("peer", m_peers->counters())
-      .Response();
+      .Add("once", m_guard->Counters())
+      .Add("claims", m_claims->Counters())
+      .AddValue("claims", "pending", m_claims->Pending())
+      .Add("upstream", m_gate->Counters());
+  m_peers->AddMetrics(&page);
+  return page.Response();
 }
 
 ShutdownSteps EntryDaemon::Shutdown() {
@@ -171,8 +192,16 @@
   steps.stop_accepting = [this] {
     m_endpoint->StopAccepting();
     m_callers->StopAccepting();
+    m_peers->Leave();
+    m_handover_end = m_scheduler.Now() + kHandoverTime;
+  };
+  // Claims that wait to be given back or recorded are handed over as well, as
+  // long as there may be a control group to take them.
+  steps.in_flight = [this] {
+    const bool waits = m_scheduler.Now() < m_handover_end;
+    return m_callers->InFlight() +
+           (waits ? static_cast<std::uint32_t>(m_claims->Pending()) : 0);
   };
-  steps.in_flight = [this] { return m_callers->InFlight(); };
   return steps;
 }
 
--- a/programs/chicory-entryd/entry_daemon.h
+++ b/programs/chicory-entryd/entry_daemon.h
@@ -7,14 +7,16 @@
 #include "adapters/command_line.h"
 #include "adapters/daemon_loop.h"
 #include "adapters/glib_scheduler.h"
+#include "adapters/peer_stack.h"
 #include "adapters/soup_http_server.h"
 #include "adapters/soup_upstream_transport.h"
-#include "adapters/tcp_peer_transport.h"
 #include "chicory-entryd/entry_settings.h"
-#include "config/config_puller.h"
+#include "control/claim_client.h"
 #include "endpoint/caller_endpoint.h"
-#include "query/engine_runner.h"
+#include "query/once_guard.h"
+#include "query/once_runner.h"
 #include "query/query_engine.h"
+#include "upstream/gate_gossip.h"
 #include "upstream/upstream_gate.h"
 
 namespace chicoryvale {
@@ -34,7 +36,8 @@
  private:
   Result<void> Start();
   Result<void> StartPeers();
-  Result<void> StartQueryPath();
+  void StartQueryPath();
+  void StartClaims();
   Result<void> StartCallers();
   Result<void> StartMetrics();
   void ApplyConfig(const ClusterConfig& config, ConfigTrust trust);
@@ -47,16 +50,19 @@
   EntrySettings m_settings;
   GlibScheduler m_scheduler;
   DaemonLoop m_loop{&m_scheduler};
-  std::unique_ptr<TcpPeerTransport> m_peers;
+  std::unique_ptr<PeerStack> m_peers;
   std::unique_ptr<SoupUpstreamTransport> m_transport;
   std::unique_ptr<UpstreamGate> m_gate;
   std::unique_ptr<QueryEngine> m_engine;
-  std::unique_ptr<EngineRunner> m_runner;
+  std::unique_ptr<ClaimClient> m_claims;
+  std::unique_ptr<OnceGuard> m_guard;
+  std::unique_ptr<OnceRunner> m_runner;
   std::unique_ptr<CallerEndpoint> m_endpoint;
   std::unique_ptr<SoupHttpServer> m_callers;
   std::unique_ptr<SoupHttpServer> m_metrics;
-  std::unique_ptr<ConfigPuller> m_puller;
+  std::unique_ptr<GateGossip> m_gossip;
   std::uint64_t m_config_version = 0;
+  TimePoint m_handover_end{};
   bool m_ready = false;
 };
 
--- a/src/adapters/common_settings.cc
+++ b/src/adapters/common_settings.cc
@@ -1,5 +1,8 @@
 #include "adapters/common_settings.h"
 
+#include <algorithm>
+#include <iterator>
+
 #include "adapters/key_file.h"
 #include "adapters/settings_reader.h"
 
@@ -36,4 +39,11 @@
                              kLingerRangeMs);
 }
 
+std::vector<Address> ToAddresses(const std::vector<std::string>& texts) {
+  std::vector<Address> addresses;
+  std::ranges::transform(texts, std::back_inserter(addresses),
+                         [](const std::string& text) { return Address{text}; });
+  return addresses;
+}
+
 }  // namespace chicoryvale
--- a/src/adapters/common_settings.h
+++ b/src/adapters/common_settings.h
@@ -3,8 +3,10 @@
 
 #include <cstddef>
 #include <string>
+#include <vector>
 
 #include "adapters/log.h"
+#include "base/ids.h"
 #include "base/time.h"
 
 namespace chicoryvale {
@@ -23,6 +25,9 @@
 /// refusal of new requests.
 Duration ReadLinger(SettingsReader& reader);
 
+/// Returns the addresses that `texts` name, in their order.
+std::vector<Address> ToAddresses(const std::vector<std::string>& texts);
+
 }  // namespace chicoryvale
 
 #endif  // CHICORYVALE_SRC_ADAPTERS_COMMON_SETTINGS_H_
--- /dev/null
+++ b/src/adapters/peer_stack.cc
@@ -0,0 +1,102 @@
+#include "adapters/peer_stack.h"
+
+#include <random>
+#include <utility>
+
+#include "adapters/system_wall_clock.h"
+#include "endpoint/metrics_page.h"
+
+namespace chicoryvale {
+namespace {
+
+// Ports that are free for TCP may be taken for UDP.
+constexpr int kBindAttempts = 16;
+
+std::uint64_t RandomSeed() {
+  std::random_device device;
+  constexpr int kHalfBits = 32;
+  return (std::uint64_t{device()} << kHalfBits) | device();
+}
+
+}  // namespace
+
+Result<std::unique_ptr<PeerStack>> PeerStack::Make(
+    const PeerStackOptions& options) {
+  std::unique_ptr<PeerStack> stack(new PeerStack());
+  Result<void> bound;
+  for (int attempt = 0; attempt < kBindAttempts; ++attempt) {
+    bound = stack->Bind(options);
+    if (bound) break;
+  }
+  if (!bound) return tl::unexpected(bound.error());
+  if (auto ok = stack->MakeMembership(options); !ok) {
+    return tl::unexpected(ok.error());
+  }
+  if (auto ok = stack->MakeDistributor(options); !ok) {
+    return tl::unexpected(ok.error());
+  }
+  return stack;
+}
+
+Result<void> PeerStack::Bind(const PeerStackOptions& options) {
+  TcpPeerOptions tcp;
+  tcp.bind = {options.listen};
+  tcp.key = options.key;
+  tcp.scheduler = options.scheduler;
+  tcp.refused_peers = options.refused_peers;
+  auto calls = TcpPeerTransport::Make(std::move(tcp));
+  if (!calls) return tl::unexpected(calls.error());
+  UdpOptions udp;
+  udp.bind = (*calls)->LocalAddress();
+  udp.key = options.key;
+  udp.refused_peers = options.refused_peers;
+  auto datagrams = UdpTransport::Make(std::move(udp));
+  if (!datagrams) return tl::unexpected(datagrams.error());
+  m_tcp = std::move(*calls);
+  m_udp = std::move(*datagrams);
+  return {};
+}
+
+Result<void> PeerStack::MakeMembership(const PeerStackOptions& options) {
+  MembershipOptions membership;
+  membership.self = {LocalAddress().host_port, LocalAddress(),
+                     options.availability_zone, options.role};
+  membership.incarnation = SystemWallClock().UnixMs();
+  membership.seeds = options.seeds;
+  membership.random_seed = RandomSeed();
+  membership.scheduler = options.scheduler;
+  membership.transport = m_udp.get();
+  auto made = Membership::Make(std::move(membership));
+  if (!made) return tl::unexpected(made.error());
+  m_membership = std::move(*made);
+  return {};
+}
+
+Result<void> PeerStack::MakeDistributor(const PeerStackOptions& options) {
+  DistributorOptions distributor;
+  distributor.role = options.role;
+  distributor.recovery.controls = options.controls;
+  distributor.recovery.scheduler = options.scheduler;
+  distributor.recovery.transport = m_tcp.get();
+  distributor.recovery.gossip = m_membership.get();
+  distributor.random_seed = RandomSeed();
+  auto made = ConfigDistributor::Make(std::move(distributor));
+  if (!made) return tl::unexpected(made.error());
+  m_distributor = std::move(*made);
+  return {};
+}
+
+void PeerStack::Start() {
+  m_membership->Start();
+  m_distributor->Start();
+}
+
+void PeerStack::AddMetrics(MetricsPage* page) const {
+  page->Add("peer", m_tcp->counters())
+      .Add("datagram", m_udp->counters())
+      .Add("peers", m_membership->counters())
+      .Add("peers", m_distributor->counters())
+      .AddValue("peers", "members", m_membership->Members().size());
+}
+
+}  // namespace chicoryvale
--- /dev/null
+++ b/src/upstream/gate_gossip_codec.h
@@ -0,0 +1,39 @@
+#ifndef CHICORYVALE_SRC_UPSTREAM_GATE_GOSSIP_CODEC_H_
+#define CHICORYVALE_SRC_UPSTREAM_GATE_GOSSIP_CODEC_H_
+
+// Serialization of what gates tell one another.
+
+#include "base/codec.h"
+#include "config/cluster_config_codec.h"
+#include "upstream/crash_mark.h"
+#include "upstream/leave_tracker.h"
+
+namespace chicoryvale {
+
+template <class Archive>
+void serialize(Archive& archive,  // NOLINT(readability-identifier-naming)
+               LeaveSignal& value) {
+  archive(value.replica, value.source, value.leaving, value.stamp);
+}
+
+template <class Archive>
+void serialize(Archive& archive,  // NOLINT(readability-identifier-naming)
+               CrashKey& value) {
+  archive(value.fingerprint, value.workspace, value.service);
+}
+
+template <class Archive>
+void serialize(Archive& archive,  // NOLINT(readability-identifier-naming)
+               CrashDeath& value) {
+  archive(value.replica, value.shard, value.generation, value.proven);
+}
+
+template <class Archive>
+void serialize(Archive& archive,  // NOLINT(readability-identifier-naming)
+               CrashMark& value) {
+  archive(value.key, value.epoch, value.allowance, value.deaths);
+}
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_UPSTREAM_GATE_GOSSIP_CODEC_H_
