--- a/src/replication/replica_node.h
+++ b/src/replication/replica_node.h
@@ -73,7 +73,7 @@
   /// kNotLeader, kVersionConflict, kInvalidChange, kOverloaded (another change
   /// is under way) or kUpstreamUnavailable (the new replica does not answer). A
   /// change that has taken place is accepted again without effect.
-  void ChangeMembers(const MemberChange& change, MemberCallback callback);
+  void ChangeMembers(const GroupMemberChange& change, MemberCallback callback);
 
   [[nodiscard]] ReplicaStatus Status() const;
   [[nodiscard]] const CounterSet<ReplicationCounter>& Counters() const {
@@ -89,7 +89,7 @@
  private:
   /// A change of members that waits for the new replica to answer.
   struct WaitingChange {
-    MemberChange change;
+    GroupMemberChange change;
     MemberCallback callback;
     TimePoint deadline;
   };
@@ -161,8 +161,8 @@
   void FinishWaitingChange(NodeId node_id);
   void FailWaitingChange(const Error& error);
   [[nodiscard]] bool MayChangeMembership() const;
-  [[nodiscard]] bool IsDone(const MemberChange& change) const;
-  [[nodiscard]] Result<void> CheckChange(const MemberChange& change) const;
+  [[nodiscard]] bool IsDone(const GroupMemberChange& change) const;
+  [[nodiscard]] Result<void> CheckChange(const GroupMemberChange& change) const;
   LogIndex ProposeMembership(const GroupMembership& membership);
   void ProposeChange(const GroupMembership& membership,
                      MemberCallback callback);
--- a/src/replication/replica_node_membership.cc
+++ b/src/replication/replica_node_membership.cc
@@ -145,7 +145,7 @@
   if (next) ProposeMembership(*next);
 }
 
-bool ReplicaNode::IsDone(const MemberChange& change) const {
+bool ReplicaNode::IsDone(const GroupMemberChange& change) const {
   const GroupMembership& current = m_log->Membership();
   const GroupMember* added = FindMemberAt(current, change.add);
   const GroupMember* removed = FindMemberAt(current, change.remove);
@@ -157,16 +157,17 @@
   return add_done && remove_done;
 }
 
-Result<void> ReplicaNode::CheckChange(const MemberChange& change) const {
+Result<void> ReplicaNode::CheckChange(const GroupMemberChange& change) const {
   if (!IsLeader()) return MakeError(ErrorKind::kNotLeader, LeaderHint());
   if (m_waiting_change || !MayChangeMembership()) {
     return MakeError(ErrorKind::kOverloaded,
                      "another change of members is under way");
   }
-  if (change.expected_index != m_log->MembershipIndex()) {
+  const LogIndex current_index = m_log->MembershipIndex();
+  if (change.expected_index.value_or(current_index) != current_index) {
     return MakeError(
         ErrorKind::kVersionConflict,
-        "expected group version " + std::to_string(change.expected_index) +
+        "expected group version " + std::to_string(*change.expected_index) +
             ", current version " + std::to_string(m_log->MembershipIndex()));
   }
   const bool adds = !change.add.host_port.empty();
@@ -194,7 +195,7 @@
   return {};
 }
 
-void ReplicaNode::ChangeMembers(const MemberChange& change,
+void ReplicaNode::ChangeMembers(const GroupMemberChange& change,
                                 MemberCallback callback) {
   const bool done = MayChangeMembership() && IsDone(change);
   const Result<void> valid = done ? Result<void>() : CheckChange(change);
--- a/src/replication/replica_options.h
+++ b/src/replication/replica_options.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "base/ids.h"
@@ -44,9 +45,10 @@
 };
 
 /// A change of the group's members.
-struct MemberChange {
-  /// ReplicaStatus::membership_index that the operator saw.
-  LogIndex expected_index = 0;
+struct GroupMemberChange {
+  /// ReplicaStatus::membership_index that the operator saw; if set, the change
+  /// is refused when the members have changed since.
+  std::optional<LogIndex> expected_index;
   /// Address of the replica that joins; empty for none.
   Address add;
   /// Address of the replica that leaves; empty for none. With `add`, it leaves
