Tell operators and restarted entries the truth about versions

Cause: chicoryctl told entries' versions as last heard by chance, and an entry that restarts asked control VMs for their applied version only: an accepted change whose commit had not reached a follower could be missed. Change: the status RPC asks members that were not heard lately; control VMs answer the highest version in their log, committed or not. The daemon uses the ReplicatedControlGroup; the in-memory group is a fake of the tests now. Ruled out: the applied version of the leader alone: an entry must not need it. Conclusion: a quorum's answers bound every accepted version.

--- a/programs/chicory-controld/control_daemon.cc
+++ b/programs/chicory-controld/control_daemon.cc
@@ -1,5 +1,6 @@
 #include "chicory-controld/control_daemon.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -10,6 +11,8 @@
 namespace chicoryvale {
 namespace {
 
+constexpr Duration kRolloutFreshFor = milliseconds(50);
+
 ReplicaOptions MakeReplicaOptions(const ControlSettings& settings,
                                   const Address& self) {
   ReplicaOptions options;
@@ -66,6 +69,12 @@
   auto peers = PeerStack::Make(options);
   if (!peers) return tl::unexpected(peers.error());
   m_peers = std::move(*peers);
+  m_rollout = std::make_unique<RolloutTracker>(
+      RolloutOptions{.scheduler = &m_scheduler,
+                     .members = m_peers->Members(),
+                     .gossip = m_peers->Members(),
+                     .transport = m_peers->Calls(),
+                     .fresh_for = kRolloutFreshFor});
   return {};
 }
 
@@ -73,26 +82,43 @@
   auto storage = DiskStorage::Make(m_settings.data_folder);
   if (!storage) return tl::unexpected(storage.error());
   m_storage = std::move(*storage);
-  m_state.SetConfigCallback([this](const ClusterConfig& config) {
+  auto group = ReplicatedControlGroup::Make(
+      MakeReplicaOptions(m_settings, m_peers->LocalAddress()),
+      {.scheduler = &m_scheduler,
+       .storage = m_storage.get(),
+       .peers = m_peers->Calls(),
+       .rules = &m_rules});
+  if (!group) return tl::unexpected(group.error());
+  m_group = std::move(*group);
+  m_group->SetFailureCallback(
+      [this](const Error& error) { OnStorageFailed(error); });
+  m_group->SetNodesCallback([this] { return Nodes(); });
+  m_group->SetRefreshCallback([this](std::function<void()> done) {
+    m_rollout->Refresh(std::move(done));
+  });
+  m_group->SetConfigCallback([this](const ClusterConfig& config) {
     m_peers->Distributor()->Offer(config);
   });
-  m_replication = std::make_unique<PeerReplicationTransport>(m_peers->Calls());
-  auto node =
-      ReplicaNode::Make(MakeReplicaOptions(m_settings, m_peers->LocalAddress()),
-                        {.scheduler = &m_scheduler,
-                         .storage = m_storage.get(),
-                         .transport = m_replication.get(),
-                         .state_machine = &m_state});
-  if (!node) return tl::unexpected(node.error());
-  m_node = std::move(*node);
-  m_node->SetFailureCallback(
-      [this](const Error& error) { OnStorageFailed(error); });
+  m_peers->Distributor()->Offer(m_group->Config());
+  m_peers->Distributor()->SetKnownVersion(
+      [this] { return m_group->HighestLoggedVersion(); });
   m_claims =
-      std::make_unique<ClaimService>(m_node.get(), &m_clock, m_peers->Calls());
-  m_group = std::make_unique<ReplicatedControlGroup>(m_node.get(), &m_state);
+      std::make_unique<ClaimService>(m_group.get(), &m_clock, m_peers->Calls());
   return {};
 }
 
+std::vector<NodeKnowledge> ControlDaemon::Nodes() const {
+  std::vector<NodeKnowledge> nodes = m_rollout->Nodes();
+  const auto self = std::ranges::find(nodes, m_peers->LocalAddress(),
+                                      &NodeKnowledge::address);
+  if (self != nodes.end()) {
+    self->version = m_group->Config().version;
+    self->reachable = true;
+    self->age = Duration::zero();
+  }
+  return nodes;
+}
+
 void ControlDaemon::OnStorageFailed(const Error& error) {
   Log(LogLevel::kError, "storage_failed", {{"reason", error.message}});
   m_loop.Fail();
@@ -128,9 +154,9 @@
 
 HttpResponse ControlDaemon::MetricsResponse() const {
   MetricsPage page;
-  page.AddValue("control", "config_version", m_state.Config().Config().version)
+  page.AddValue("control", "config_version", m_group->Config().version)
       .Add("refused", m_endpoint->Errors())
-      .Add("control", m_node->Counters());
+      .Add("control", m_group->Node().Counters());
   m_peers->AddMetrics(&page);
   return page.Response();
 }
--- a/programs/chicory-controld/control_daemon.h
+++ b/programs/chicory-controld/control_daemon.h
@@ -2,6 +2,7 @@
 #define CHICORYVALE_PROGRAMS_CHICORY_CONTROLD_CONTROL_DAEMON_H_
 
 #include <memory>
+#include <vector>
 
 #include "adapters/command_line.h"
 #include "adapters/daemon_loop.h"
@@ -11,12 +12,10 @@
 #include "adapters/soup_http_server.h"
 #include "adapters/system_wall_clock.h"
 #include "chicory-controld/control_settings.h"
+#include "config/rollout_tracker.h"
 #include "control/claim_service.h"
-#include "control/replicated_control_group.h"
 #include "endpoint/operator_endpoint.h"
-#include "replication/control_state_machine.h"
-#include "replication/peer_replication_transport.h"
-#include "replication/replica_node.h"
+#include "replication/replicated_control_group.h"
 #include "schema/schema_change_rules.h"
 
 namespace chicoryvale {
@@ -38,6 +37,7 @@
   Result<void> StartPeers();
   Result<void> StartReplica();
   Result<void> StartOperators();
+  [[nodiscard]] std::vector<NodeKnowledge> Nodes() const;
   void OnStorageFailed(const Error& error);
   Result<void> StartMetrics();
   [[nodiscard]] HttpResponse MetricsResponse() const;
@@ -50,11 +50,9 @@
   std::unique_ptr<DiskStorage> m_storage;
   SchemaChangeRules m_rules;
   SystemWallClock m_clock;
-  ControlStateMachine m_state{&m_rules};
-  std::unique_ptr<PeerReplicationTransport> m_replication;
-  std::unique_ptr<ReplicaNode> m_node;
-  std::unique_ptr<ClaimService> m_claims;
+  std::unique_ptr<RolloutTracker> m_rollout;
   std::unique_ptr<ReplicatedControlGroup> m_group;
+  std::unique_ptr<ClaimService> m_claims;
   std::unique_ptr<OperatorEndpoint> m_endpoint;
   std::unique_ptr<SoupHttpServer> m_operators;
   std::unique_ptr<SoupHttpServer> m_metrics;
--- a/programs/chicoryctl/status_text.cc
+++ b/programs/chicoryctl/status_text.cc
@@ -12,6 +12,7 @@
 constexpr int kZoneWidth = 18;
 
 std::string VersionText(const v1::NodeStatus& node) {
+  if (!node.reachable() && node.version() == 0) return "unknown";
   if (!node.reachable()) {
     return "unknown, last seen at " + std::to_string(node.version()) + " " +
            std::to_string(node.age_ms()) + " ms ago";
--- a/src/control/claim_service.cc
+++ b/src/control/claim_service.cc
@@ -4,8 +4,7 @@
 
 #include "base/codec.h"
 #include "control/claim_messages.h"
-#include "replication/control_state_machine.h"
-#include "replication/replica_node.h"
+#include "replication/replicated_control_group.h"
 
 namespace chicoryvale {
 namespace {
@@ -17,27 +16,19 @@
   return reply;
 }
 
-ClaimReply ToReply(const Result<std::string>& bytes) {
-  if (!bytes) return ErrorReply(bytes.error());
-  ControlResult result;
-  if (!DecodeResult(*bytes, &result) ||
-      !std::holds_alternative<ClaimResult>(result)) {
-    return ErrorReply({ErrorKind::kInternal,
-                       "the log answered a claim with bytes that are no "
-                       "claim result",
-                       Ran::kMaybe});
-  }
+ClaimReply ToReply(Result<ClaimResult> result) {
+  if (!result) return ErrorReply(result.error());
   ClaimReply reply;
   reply.has_result = true;
-  reply.result = std::get<ClaimResult>(std::move(result));
+  reply.result = std::move(*result);
   return reply;
 }
 
 }  // namespace
 
-ClaimService::ClaimService(ReplicaNode* node, const WallClock* clock,
-                           PeerTransport* peers)
-    : m_node(node), m_clock(clock) {
+ClaimService::ClaimService(ReplicatedControlGroup* group,
+                           const WallClock* clock, PeerTransport* peers)
+    : m_group(group), m_clock(clock) {
   peers->SetHandler(PeerChannel::kClaims,
                     [this](const Address&, const std::string& request,
                            const PeerTransport::Responder& respond) {
@@ -53,10 +44,9 @@
         {ErrorKind::kMalformedRequest, "not a claim command", Ran::kNo})));
   }
   command.leader_unix_ms = m_clock->UnixMs();
-  m_node->Propose(EncodeCommand(command),
-                  [respond](const Result<std::string>& bytes) {
-                    respond(Encode(ToReply(bytes)));
-                  });
+  m_group->Claim(command, [respond](Result<ClaimResult> result) {
+    respond(Encode(ToReply(std::move(result))));
+  });
 }
 
 }  // namespace chicoryvale
--- a/src/control/claim_service.h
+++ b/src/control/claim_service.h
@@ -8,20 +8,21 @@
 
 namespace chicoryvale {
 
-class ReplicaNode;
+class ReplicatedControlGroup;
 
 /// Answers the claim commands of entry VMs on a control VM, by proposing them
 /// to the replicated log. Not thread safe.
 class ClaimService {
  public:
   /// The pointees must outlive the service.
-  ClaimService(ReplicaNode* node, const WallClock* clock, PeerTransport* peers);
+  ClaimService(ReplicatedControlGroup* group, const WallClock* clock,
+               PeerTransport* peers);
 
  private:
   void Handle(const std::string& request,
               const PeerTransport::Responder& respond);
 
-  ReplicaNode* m_node;
+  ReplicatedControlGroup* m_group;
   const WallClock* m_clock;
 };
 
--- a/src/endpoint/operator_endpoint.cc
+++ b/src/endpoint/operator_endpoint.cc
@@ -154,7 +154,9 @@
   m_group->ReadConfig([this, codec, respond = std::move(respond)](
                           const Result<ClusterConfig>& config) {
     if (!config) return Fail(config.error(), respond);
-    respond(MessageResponse(codec, ToStatus(*config, m_group->Status())));
+    m_group->RefreshNodes([this, codec, respond, config = *config] {
+      respond(MessageResponse(codec, ToStatus(config, m_group->Status())));
+    });
   });
 }
 
--- a/src/ports/control_group.h
+++ b/src/ports/control_group.h
@@ -60,6 +60,12 @@
     OnChangeMember(remove, add, std::move(callback));
   }
 
+  /// Asks the other processes for their versions, as far as they are not known
+  /// yet; calls `done` once, when each has answered or failed.
+  void RefreshNodes(std::function<void()> done) {
+    OnRefreshNodes(std::move(done));
+  }
+
   /// Returns what this VM knows now; it may be out of date.
   [[nodiscard]] ControlStatus Status() const { return OnStatus(); }
 
@@ -68,6 +74,7 @@
   virtual void OnReadConfig(ConfigCallback callback) = 0;
   virtual void OnChangeMember(const Address& remove, const Address& add,
                               MemberCallback callback) = 0;
+  virtual void OnRefreshNodes(std::function<void()> done) = 0;
   [[nodiscard]] virtual ControlStatus OnStatus() const = 0;
 };
 
--- a/src/replication/replica_node.h
+++ b/src/replication/replica_node.h
@@ -76,6 +76,11 @@
   void ChangeMembers(const GroupMemberChange& change, MemberCallback callback);
 
   [[nodiscard]] ReplicaStatus Status() const;
+
+  /// Returns how many commands in the log, committed or not, are not applied
+  /// yet and satisfy `predicate`.
+  [[nodiscard]] std::size_t CountUnapplied(
+      const std::function<bool(const std::string& command)>& predicate) const;
   [[nodiscard]] const CounterSet<ReplicationCounter>& Counters() const {
     return m_counters;
   }
--- a/src/replication/replica_node_log.cc
+++ b/src/replication/replica_node_log.cc
@@ -242,4 +242,14 @@
   m_synced_index = m_log->LastIndex();
 }
 
+std::size_t ReplicaNode::CountUnapplied(
+    const std::function<bool(const std::string& command)>& predicate) const {
+  std::size_t count = 0;
+  for (LogIndex i = m_applied_index + 1; i <= m_log->LastIndex(); ++i) {
+    const LogEntry& entry = m_log->EntryAt(i);
+    if (entry.kind == EntryKind::kCommand && predicate(entry.data)) ++count;
+  }
+  return count;
+}
+
 }  // namespace chicoryvale
--- a/src/replication/replicated_control_group.cc
+++ b/src/replication/replicated_control_group.cc
@@ -67,6 +67,15 @@
       });
 }
 
+std::uint64_t ReplicatedControlGroup::HighestLoggedVersion() const {
+  const auto is_change = [](const std::string& bytes) {
+    ControlCommand command;
+    return DecodeCommand(bytes, &command) &&
+           std::holds_alternative<Change>(command);
+  };
+  return Config().version + m_node->CountUnapplied(is_change);
+}
+
 void ReplicatedControlGroup::OnChangeMember(const Address& remove,
                                             const Address& add,
                                             MemberCallback callback) {
@@ -83,6 +92,11 @@
       });
 }
 
+void ReplicatedControlGroup::OnRefreshNodes(std::function<void()> done) {
+  if (!m_refresh) return done();
+  m_refresh(std::move(done));
+}
+
 ControlStatus ReplicatedControlGroup::OnStatus() const {
   const ReplicaStatus status = m_node->Status();
   ControlStatus answer;
--- a/src/replication/replicated_control_group.h
+++ b/src/replication/replicated_control_group.h
@@ -22,6 +22,7 @@
  public:
   using ClaimCallback = std::function<void(Result<ClaimResult> result)>;
   using NodesCallback = std::function<std::vector<NodeKnowledge>()>;
+  using RefreshCallback = std::function<void(std::function<void()> done)>;
 
   /// What the group works with; all must outlive it. `rules` may be null.
   struct Ports {
@@ -41,6 +42,10 @@
     return m_machine.Config().Config();
   }
 
+  /// Returns a version that is no lower than any whose change is in this VM's
+  /// log, committed or not. Each accepted change is in the logs of a quorum.
+  [[nodiscard]] std::uint64_t HighestLoggedVersion() const;
+
   /// Proposes `command`, whose time the caller has set from the wall clock.
   /// Calls `callback` once, as ReplicaNode::Propose does.
   void Claim(const ClaimCommand& command, ClaimCallback callback);
@@ -55,6 +60,11 @@
     m_nodes = std::move(callback);
   }
 
+  /// Sets what asks other processes for their versions and then calls `done`.
+  void SetRefreshCallback(RefreshCallback callback) {
+    m_refresh = std::move(callback);
+  }
+
   /// Sets what is called once when the storage has failed; the process must
   /// end.
   void SetFailureCallback(ReplicaNode::FailureCallback callback) {
@@ -68,6 +78,7 @@
   void OnReadConfig(ConfigCallback callback) override;
   void OnChangeMember(const Address& remove, const Address& add,
                       MemberCallback callback) override;
+  void OnRefreshNodes(std::function<void()> done) override;
   [[nodiscard]] ControlStatus OnStatus() const override;
 
  private:
@@ -82,6 +93,7 @@
   PeerReplicationTransport m_transport;
   std::unique_ptr<ReplicaNode> m_node;
   NodesCallback m_nodes;
+  RefreshCallback m_refresh;
 };
 
 }  // namespace chicoryvale
--- a/tests/endpoint/operator_endpoint_test.cc
+++ b/tests/endpoint/operator_endpoint_test.cc
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-#include "control/local_control_group.h"
+#include "fakes/local_control_group.h"
 
 namespace chicoryvale {
 namespace {
