Bound retries and hedges; answer early for tail latency

Tail latency answers early after 1.75 times the p97 of shard completion times and does not wait for the retry budget; coverage waits for it four times.

--- a/src/query/query.cc
+++ b/src/query/query.cc
@@ -141,7 +141,8 @@
   const bool wanted = m_ctx.spec.objective == QueryObjective::kTailLatency &&
                       m_ctx.spec.idempotent && m_tasks.size() > 1;
   if (!wanted || !quantile) return;
-  m_early_at = m_ctx.parts.scheduler->Now() + *quantile * kEarlyFactor;
+  m_early_at = m_ctx.parts.scheduler->Now() +
+               std::chrono::duration_cast<Duration>(*quantile * kEarlyFactor);
   OnWantSweep(m_early_at);
 }
 
--- a/src/query/query.h
+++ b/src/query/query.h
@@ -51,7 +51,7 @@
   static constexpr std::uint64_t kMinEarlyPer10000 = 9000;
   /// Early answers are given after this many times the quantile of shard
   /// completion times.
-  static constexpr int kEarlyFactor = 2;
+  static constexpr double kEarlyFactor = 1.75;
 
  protected:
   void OnChoice(std::size_t index, SubRequestId id,
--- a/src/query/query_context.h
+++ b/src/query/query_context.h
@@ -22,6 +22,7 @@
   QueryCounters* counters = nullptr;
   AttemptTable* attempts = nullptr;
   std::mt19937_64* random = nullptr;
+  bool hedging = true;
 };
 
 /// Why a query wants to start again.
--- a/src/query/query_engine.cc
+++ b/src/query/query_engine.cc
@@ -206,7 +206,8 @@
 
 QueryParts QueryEngine::Parts() {
   return QueryParts{m_options.scheduler, m_options.transport, m_options.gate,
-                    &m_counters,         &m_attempts,         &m_random};
+                    &m_counters,         &m_attempts,         &m_random,
+                    m_options.hedging};
 }
 
 }  // namespace chicoryvale
--- a/src/query/query_engine.h
+++ b/src/query/query_engine.h
@@ -37,6 +37,8 @@
     /// Time by which answers are given before the caller's deadline, at most a
     /// tenth of it.
     Duration answer_margin = milliseconds(2);
+    /// Asks a second replica of stragglers.
+    bool hedging = true;
   };
 
   explicit QueryEngine(const Options& options);
--- a/src/query/service_state.h
+++ b/src/query/service_state.h
@@ -13,7 +13,7 @@
 /// What the queries of one service share. Not thread safe.
 struct ServiceState {
   /// Extra sub-requests, retries and hedges together, for each covered shard.
-  static constexpr double kExtraLoadRatio = 0.085;
+  static constexpr double kExtraLoadRatio = 0.09;
   static constexpr double kExtraLoadCapacity = 100;
   /// Restarted queries for each one answered.
   static constexpr double kRestartRatio = 0.01;
--- a/src/query/shard_task.cc
+++ b/src/query/shard_task.cc
@@ -169,8 +169,9 @@
       [table = query.parts.attempts, id = attempt->id](SubOutcome outcome) {
         table->DeliverOutcome(id, std::move(outcome));
       });
+  if (!query.parts.hedging || m_hedged || !query.spec.idempotent) return;
   const auto delay = query.service->hedging.Delay();
-  if (!delay || m_hedged || !query.spec.idempotent) return;
+  if (!delay) return;
   m_hedge_at = now + *delay;
   m_owner->WantSweep(*m_hedge_at);
 }
@@ -239,6 +240,18 @@
   }
 }
 
+// A short burst of failures may be over soon. A longer one leaves retries
+// waiting in vain, so tail latency does not wait.
+void ShardTask::WaitForBudget() {
+  const bool waits = m_query->spec.objective == QueryObjective::kCoverage &&
+                     m_waits < kMaxBudgetWaits;
+  if (waits) {
+    RetryLater();
+  } else {
+    End(m_state);
+  }
+}
+
 // Leaves at least one replica that is not avoided: once all have failed, only
 // the last one to do so is.
 void ShardTask::AvoidNext(const Address& replica) {
@@ -275,7 +288,7 @@
   }
   if (!m_query->service->extra_load.TryTake()) {
     Counters().Add(QueryCounter::kRetryNoBudget);
-    RetryLater();
+    WaitForBudget();
     return;
   }
   Attempt(AttemptPurpose::kRetry);
--- a/src/query/shard_task.h
+++ b/src/query/shard_task.h
@@ -77,8 +77,10 @@
 
   /// Attempts sent for one shard at one snapshot.
   static constexpr std::uint32_t kMaxAttempts = 4;
-  /// Consecutive refusals of the gate, or of the budget, that are waited out.
+  /// Consecutive refusals of the gate that are waited out.
   static constexpr std::uint32_t kMaxWaits = 8;
+  /// Consecutive waits for the retry budget.
+  static constexpr std::uint32_t kMaxBudgetWaits = 4;
 
  private:
   struct LiveAttempt {
@@ -101,6 +103,7 @@
   void OnUnavailable(const LiveAttempt& ended);
   void AvoidNext(const Address& replica);
   void RetryLater();
+  void WaitForBudget();
   void RunRetry(TimePoint now);
   void RunHedge(TimePoint now);
   void End(ShardState state);
