Share the connections of replicas among the entries

Cause: the sum of all entries' connections to a replica may not pass its limit, whatever the entries see of each other.

Change: ConnectionShare: a floor per seat that is never given away, and a rest divided by the members that hold a share, used only while the own lease holds and the holders known are more than half of the seats. UpstreamGate takes the members through UpdateMembers; before its first call the whole limit is used. A share with two connections or more keeps a reserve for replacing silent ones.

Fault found in the membership, not mended here: a process that restarts while none of its seeds can be reached forms a group of one and holds a lease of its own (OwnLeaseHeld is true). The rule on half of the seats keeps the share to its floor then.

Ruled out: dividing by the members seen; floors alone (24 of 50 connections used by 12 entries).

--- /dev/null
+++ b/src/upstream/connection_share.cc
@@ -0,0 +1,39 @@
+#include "upstream/connection_share.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <vector>
+
+namespace chicoryvale {
+
+ConnectionBudget ConnectionShare::Compute(
+    const ConnectionShareSettings& settings, std::uint32_t limit,
+    std::uint32_t holders, bool lease_held) {
+  assert(settings.seats > 0 && holders > 0);
+  ConnectionBudget budget;
+  // Half of the limit is owned by the seats, one connection each at least.
+  const std::uint32_t whole = limit / settings.seats;
+  const std::uint32_t floor =
+      std::max(std::min<std::uint32_t>(whole, 1), whole / 2);
+  budget.total = floor;
+  const bool majority = 2 * holders > settings.seats;
+  if (lease_held && majority) {
+    budget.total += (limit - floor * settings.seats) / holders;
+  }
+  const auto reserved = static_cast<std::uint32_t>(
+      std::ceil(settings.reserve * static_cast<double>(budget.total)));
+  budget.usable = budget.total < 2 ? budget.total : budget.total - reserved;
+  return budget;
+}
+
+void ConnectionShare::Update(const MemberView& view) {
+  const std::vector<Member> members = view.Members();
+  const auto holders = std::ranges::count_if(members, [](const Member& member) {
+    return member.info.role == MemberRole::kEntry && HoldsShare(member.state);
+  });
+  m_holders = std::max<std::uint32_t>(1, holders);
+  m_lease_held = view.OwnLeaseHeld();
+}
+
+}  // namespace chicoryvale
--- a/src/upstream/replica_set.h
+++ b/src/upstream/replica_set.h
@@ -10,6 +10,7 @@
 #include "base/time.h"
 #include "config/cluster_config.h"
 #include "ports/scheduler.h"
+#include "upstream/connection_share.h"
 #include "upstream/replica_picker.h"
 #include "upstream/replica_state.h"
 #include "upstream/wait_queue.h"
@@ -26,6 +27,8 @@
   ReplicaState state;
   /// The lowest limits that a service places on it.
   ReplicaLimits limits;
+  /// This process's part of its connections.
+  ConnectionBudget budget;
   /// Whether the present configuration places it.
   bool placed = false;
   /// When a connection last died mid-request, until an answer follows.
--- a/src/upstream/replica_table.cc
+++ b/src/upstream/replica_table.cc
@@ -38,11 +38,26 @@
   for (auto& [name, shards] : old_services) {
     std::ranges::move(shards, std::back_inserter(dropped));
   }
+  for (auto& [host_port, replica] : m_replicas) {
+    if (replica->placed) ApplyShare(replica.get());
+  }
   m_configured = true;
   ReleaseUnplaced();
   return dropped;
 }
 
+void ReplicaTable::SetShare(const ConnectionShare& share) {
+  m_share = share;
+  for (auto& [host_port, replica] : m_replicas) ApplyShare(replica.get());
+}
+
+void ReplicaTable::ApplyShare(Replica* replica) const {
+  const std::uint32_t limit = replica->limits.connections;
+  replica->budget =
+      m_share ? m_share->BudgetFor(limit) : ConnectionBudget{limit, limit};
+  replica->state.SetConnectionShare(replica->budget.usable);
+}
+
 const std::shared_ptr<ReplicaSet>* ReplicaTable::Find(
     const std::string& service, ShardId shard) const {
   const auto found = m_services.find(service);
--- a/src/upstream/replica_table.h
+++ b/src/upstream/replica_table.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -11,6 +12,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "config/cluster_config.h"
+#include "upstream/connection_share.h"
 #include "upstream/leave_tracker.h"
 #include "upstream/replica_set.h"
 #include "upstream/replica_state.h"
@@ -37,6 +39,10 @@
   std::vector<std::shared_ptr<ReplicaSet>> Apply(const ClusterConfig& config,
                                                  TimePoint now);
 
+  /// Sets the share of connections, then and for replicas placed later. Before
+  /// the first call each replica's whole limit is used.
+  void SetShare(const ConnectionShare& share);
+
   /// Returns the replicas of a shard, or nullptr if it is not placed.
   [[nodiscard]] const std::shared_ptr<ReplicaSet>* Find(
       const std::string& service, ShardId shard) const;
@@ -60,11 +66,13 @@
                   ReplicaSet* set, TimePoint now);
   Replica* Place(const ReplicaConfig& config, const ReplicaLimits& limits,
                  TimePoint now);
+  void ApplyShare(Replica* replica) const;
   void ReleaseUnplaced();
 
   ReplicaTableSettings m_settings;
   LeaveTracker* m_leave;
   bool m_configured = false;
+  std::optional<ConnectionShare> m_share;
   std::unordered_map<std::string, std::unique_ptr<Replica>> m_replicas;
   std::unordered_map<std::string, Shards> m_services;
 };
--- a/src/upstream/upstream_gate.cc
+++ b/src/upstream/upstream_gate.cc
@@ -46,6 +46,7 @@
       m_leave(options.leave),
       m_table(TableSettings(options), &m_leave),
       m_picker(options.picker, &m_leave, options.seed),
+      m_share(options.share),
       m_quarantine(options.crash),
       m_parked(
           options.scheduler,
@@ -88,6 +89,16 @@
   for (const SetPointer& set : waiting) Wake(set);
 }
 
+void UpstreamGate::UpdateMembers(const MemberView& view) {
+  m_share.Update(view);
+  m_table.SetShare(m_share);
+}
+
+ConnectionBudget UpstreamGate::BudgetFor(const Address& replica) {
+  const Replica* found = m_table.FindReplica(replica);
+  return found == nullptr ? ConnectionBudget{} : found->budget;
+}
+
 std::uint32_t UpstreamGate::InFlight(const Address& replica) {
   const Replica* found = m_table.FindReplica(replica);
   return found == nullptr ? 0 : found->state.InFlight();
--- a/src/upstream/upstream_gate.h
+++ b/src/upstream/upstream_gate.h
@@ -10,8 +10,10 @@
 
 #include "base/counters.h"
 #include "config/cluster_config.h"
+#include "ports/member_view.h"
 #include "ports/replica_gate.h"
 #include "ports/scheduler.h"
+#include "upstream/connection_share.h"
 #include "upstream/crash_quarantine.h"
 #include "upstream/leave_tracker.h"
 #include "upstream/outcome_recorder.h"
@@ -37,6 +39,7 @@
   ReplicaPickerSettings picker;
   LeaveSettings leave;
   CrashSettings crash;
+  ConnectionShareSettings share;
 };
 
 /// Chooses the replica of each attempt and bounds the attempts in flight at
@@ -57,6 +60,13 @@
   /// from within a request's callback.
   void ApplyConfig(const ClusterConfig& config);
 
+  /// Takes the members of the group, on which this process's part of the
+  /// replicas' connections depends; to be called after each change.
+  void UpdateMembers(const MemberView& view);
+
+  /// Returns the connections that this process may have open at `replica`.
+  [[nodiscard]] ConnectionBudget BudgetFor(const Address& replica);
+
   /// Returns what is known of leaving replicas, for the platform's list,
   /// health probes and gossip.
   [[nodiscard]] LeaveTracker* Leave() { return &m_leave; }
@@ -133,6 +143,7 @@
   LeaveTracker m_leave;
   ReplicaTable m_table;
   ReplicaPicker m_picker;
+  ConnectionShare m_share;
   CrashQuarantine m_quarantine;
   ParkedRequests m_parked;
   CounterSet<UpstreamCounter> m_counters;
