Free callers' closed connections, bound bodies, survive bad HTTP

Cause: libsoup forgets a kept-alive connection whose caller closes it between two requests, and keeps its descriptor. Responders called late touched a freed server; bodies were gathered without a bound; the in-flight count was lost with an abandoned request. Change: SoupHttpServer watches each socket for its end and makes libsoup free it; limits body, connections and idle time; abort_connection; counters, shown by the entry's metrics. Ruled out: soup_server_accept_iostream (loses keep-alive), g_socket_close at hang-up (objects stay), soup_server_disconnect to stop (drops requests in flight); see docs/design/libsoup.md.

--- a/programs/chicory-entryd/entry_daemon.cc
+++ b/programs/chicory-entryd/entry_daemon.cc
@@ -180,7 +180,8 @@
       .Add("once", m_guard->Counters())
       .Add("claims", m_claims->Counters())
       .AddValue("claims", "pending", m_claims->Pending())
-      .Add("upstream", m_gate->Counters());
+      .Add("upstream", m_gate->Counters())
+      .Add("callers", m_callers->Counters());
   m_peers->AddMetrics(&page);
   return page.Response();
 }
--- a/src/adapters/soup_http_server.cc
+++ b/src/adapters/soup_http_server.cc
@@ -1,13 +1,29 @@
 #include "adapters/soup_http_server.h"
 
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cassert>
 #include <string>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 #include "adapters/socket_address.h"
 
 namespace chicoryvale {
 namespace {
 
+constexpr Duration kSweepInterval = seconds(1);
+/// A body is read and dropped up to this multiple of the limit, so that its
+/// sender gets an answer; beyond it the connection is cut.
+constexpr std::size_t kDroppedBodyFactor = 8;
+/// POLLRDHUP: the caller has closed its side. GIOCondition has no name for it.
+constexpr auto kPeerClosed = static_cast<GIOCondition>(0x2000);
+constexpr char kExchangeKey[] = "chicoryvale-exchange";
+
 // Binds a socket with a backlog of its own: GLib's default is 10.
 Result<GObjectPtr<GSocket>> Listen(const SoupHttpServerOptions& options) {
   auto address = ToSocketAddress(options.bind);
@@ -40,114 +56,438 @@
   static_cast<std::vector<HttpHeader>*>(data)->push_back({name, value});
 }
 
-HttpRequest ToRequest(SoupServerMessage* message, const char* path,
-                      std::size_t max_body_bytes) {
-  HttpRequest request;
-  request.method = soup_server_message_get_method(message);
-  request.path = path;
-  soup_message_headers_foreach(soup_server_message_get_request_headers(message),
-                               CopyHeader, &request.headers);
+std::string BodyOf(SoupServerMessage* message) {
   SoupMessageBody* body = soup_server_message_get_request_body(message);
-  const auto size = static_cast<std::size_t>(body->length);
-  if (size > max_body_bytes) {
-    request.too_large = true;
-    return request;
-  }
   GBytes* bytes = soup_message_body_flatten(body);
   gsize length = 0;
   const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &length));
-  if (length > 0) request.body.assign(data, length);
+  std::string text;
+  if (length > 0) text.assign(data, length);
   g_bytes_unref(bytes);
-  return request;
+  return text;
 }
 
-void WriteResponse(SoupServerMessage* message, const HttpResponse& response,
-                   bool close) {
-  soup_server_message_set_status(message, static_cast<guint>(response.status),
-                                 nullptr);
-  SoupMessageHeaders* headers =
-      soup_server_message_get_response_headers(message);
-  for (const HttpHeader& header : response.headers) {
-    soup_message_headers_replace(headers, header.name.c_str(),
-                                 header.value.c_str());
-  }
-  if (close) soup_message_headers_replace(headers, "Connection", "close");
-  soup_server_message_set_response(message, response.content_type.c_str(),
-                                   SOUP_MEMORY_COPY, response.body.data(),
-                                   response.body.size());
+bool HasValidLength(SoupMessageHeaders* headers) {
+  const char* text = soup_message_headers_get_list(headers, "Content-Length");
+  return text == nullptr ||
+         (*text != '\0' &&
+          std::ranges::all_of(std::string_view(text),
+                              [](char c) { return g_ascii_isdigit(c); }));
+}
+
+bool HasUnreadBytes(GSocket* socket) {
+  char byte = 0;
+  return recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+// Makes libsoup see the end of the connection at its next read.
+void ShutDown(GSocket* socket) {
+  if (!g_socket_is_closed(socket)) shutdown(g_socket_get_fd(socket), SHUT_RDWR);
 }
 
 }  // namespace
 
+/// One caller's connection.
+struct SoupHttpServer::Connection {
+  SoupHttpServer* server = nullptr;
+  GObjectPtr<GSocket> socket;
+  GSource* hang_up = nullptr;
+  /// The message that libsoup reads or answers; null between messages.
+  Exchange* current = nullptr;
+  /// Start of the wait for a request, its headers or its body.
+  TimePoint waiting_since{};
+  /// The caller has closed its side.
+  bool hung_up = false;
+  /// EndIdleConnection was called.
+  bool ended = false;
+
+  ~Connection() { StopWatching(); }
+
+  void StopWatching() {
+    if (hang_up == nullptr) return;
+    g_source_destroy(hang_up);
+    g_source_unref(hang_up);
+    hang_up = nullptr;
+  }
+};
+
+/// One request of a connection, from its first byte to the end of its answer.
+struct SoupHttpServer::Exchange {
+  SoupHttpServer* server = nullptr;
+  Connection* connection = nullptr;
+  std::size_t body_bytes = 0;
+  bool too_large = false;
+  /// The handler was called.
+  bool handled = false;
+  bool answered = false;
+  bool ended = false;
+};
+
+/// The answer that a handler owes. Unanswered when the last responder goes, it
+/// aborts the connection, so that no caller waits for good.
+class SoupHttpServer::PendingAnswer {
+ public:
+  PendingAnswer(const std::shared_ptr<SoupHttpServer*>& server,
+                SoupServerMessage* message)
+      : m_server(server),
+        m_message(static_cast<SoupServerMessage*>(g_object_ref(message))) {}
+  PendingAnswer(const PendingAnswer&) = delete;
+  PendingAnswer& operator=(const PendingAnswer&) = delete;
+  ~PendingAnswer() {
+    HttpResponse response;
+    response.abort_connection = true;
+    Send(response);
+  }
+
+  void Send(const HttpResponse& response) {
+    const auto server = m_server.lock();
+    m_server.reset();
+    if (server != nullptr) (*server)->Answer(m_message.get(), response);
+    m_message.reset();
+  }
+
+ private:
+  std::weak_ptr<SoupHttpServer*> m_server;
+  GObjectPtr<SoupServerMessage> m_message;
+};
+
+SoupHttpServer::SoupHttpServer(const SoupHttpServerOptions& options)
+    : m_options(options), m_alive(std::make_shared<SoupHttpServer*>(this)) {}
+
 Result<std::unique_ptr<SoupHttpServer>> SoupHttpServer::Make(
     const SoupHttpServerOptions& options) {
-  auto socket = Listen(options);
+  std::unique_ptr<SoupHttpServer> server(new SoupHttpServer(options));
+  auto started = server->Start();
+  if (!started) return tl::unexpected(started.error());
+  return server;
+}
+
+Result<void> SoupHttpServer::Start() {
+  auto socket = Listen(m_options);
   if (!socket) return tl::unexpected(socket.error());
-  std::unique_ptr<SoupHttpServer> server(new SoupHttpServer());
-  server->m_options = options;
-  server->m_local = LocalAddressOf(socket->get());
-  server->m_server = soup_server_new("server-header", "chicoryvale", nullptr);
-  g_signal_connect(server->m_server, "request-started",
-                   G_CALLBACK(&SoupHttpServer::OnRequestStarted), server.get());
-  soup_server_add_handler(server->m_server, nullptr, &SoupHttpServer::OnRequest,
-                          server.get(), nullptr);
+  m_address = LocalAddressOf(socket->get());
+  m_server = soup_server_new("server-header", "chicoryvale", nullptr);
+  g_signal_connect(m_server, "request-started", G_CALLBACK(&OnRequestStarted),
+                   this);
+  g_signal_connect(m_server, "request-finished", G_CALLBACK(&OnRequestFinished),
+                   this);
+  g_signal_connect(m_server, "request-aborted", G_CALLBACK(&OnRequestAborted),
+                   this);
+  soup_server_add_early_handler(m_server, nullptr, &OnHeadersRead, this,
+                                nullptr);
+  soup_server_add_handler(m_server, nullptr, &OnRequestRead, this, nullptr);
   GError* error = nullptr;
-  if (!soup_server_listen_socket(server->m_server, socket->get(),
+  if (!soup_server_listen_socket(m_server, socket->get(),
                                  static_cast<SoupServerListenOptions>(0),
                                  &error)) {
     const GErrorPtr owned(error);
     return MakeError(ErrorKind::kUpstreamUnavailable, owned->message);
   }
-  return server;
+  m_listener = std::move(*socket);
+  ScheduleSweep();
+  return {};
 }
 
 SoupHttpServer::~SoupHttpServer() {
+  m_alive.reset();
   if (m_server == nullptr) return;
+  g_signal_handlers_disconnect_by_data(m_server, this);
+  soup_server_remove_handler(m_server, nullptr);
   soup_server_disconnect(m_server);
+  for (const auto& [socket, connection] : m_connections) {
+    if (connection->current != nullptr) connection->current->server = nullptr;
+    connection->StopWatching();
+    ShutDown(socket);
+  }
   g_object_unref(m_server);
 }
 
-void SoupHttpServer::OnSetHandler(Handler handler) {
-  m_handler = std::move(handler);
+void SoupHttpServer::OnStopAccepting() {
+  if (!m_accepting) return;
+  m_accepting = false;
+  // soup_server_disconnect would drop requests in flight. An event that never
+  // happens takes the listener's place, so that its port is closed.
+  const int event = eventfd(0, EFD_CLOEXEC);
+  dup2(event, g_socket_get_fd(m_listener.get()));
+  close(event);
 }
 
-void SoupHttpServer::OnStopAccepting() { m_accepting = false; }
+void SoupHttpServer::OnRequestStarted(SoupServer* /*server*/,
+                                      SoupServerMessage* message,
+                                      gpointer self) {
+  auto* server = static_cast<SoupHttpServer*>(self);
+  GSocket* socket = soup_server_message_get_socket(message);
+  if (socket == nullptr) return;
+  const auto found = server->m_connections.find(socket);
+  Connection* connection = found == server->m_connections.end()
+                               ? server->AddConnection(socket)
+                               : found->second.get();
+  auto* exchange = new Exchange{server, connection};
+  connection->current = exchange;
+  g_object_set_data(G_OBJECT(message), kExchangeKey, exchange);
+  g_object_weak_ref(G_OBJECT(message), &OnMessageGone, exchange);
+  g_signal_connect(message, "wrote-headers", G_CALLBACK(&OnHeadersWritten),
+                   exchange);
+}
 
-void SoupHttpServer::OnRequestStarted(SoupServer*, SoupServerMessage* message,
-                                      gpointer data) {
-  g_signal_connect(message, "got-headers",
-                   G_CALLBACK(&SoupHttpServer::OnGotHeaders), data);
+SoupHttpServer::Connection* SoupHttpServer::AddConnection(GSocket* socket) {
+  auto made = std::make_unique<Connection>();
+  Connection* connection = made.get();
+  connection->server = this;
+  connection->socket.reset(static_cast<GSocket*>(g_object_ref(socket)));
+  connection->waiting_since = m_scheduler.Now();
+  m_connections.emplace(socket, std::move(made));
+  WatchForHangUp(connection);
+  m_counters.Add(HttpServerCounter::kConnections);
+  if (m_connections.size() > m_options.max_connections) {
+    m_counters.Add(HttpServerCounter::kConnectionsRefused);
+    ShutDown(socket);
+  }
+  return connection;
 }
 
-void SoupHttpServer::OnGotHeaders(SoupServerMessage* message, gpointer data) {
-  auto* self = static_cast<SoupHttpServer*>(data);
+void SoupHttpServer::OnHeadersRead(SoupServer* /*server*/,
+                                   SoupServerMessage* message,
+                                   const char* /*path*/, GHashTable* /*query*/,
+                                   gpointer self) {
+  auto* server = static_cast<SoupHttpServer*>(self);
+  auto* exchange = static_cast<Exchange*>(
+      g_object_get_data(G_OBJECT(message), kExchangeKey));
+  if (exchange == nullptr) return;
+  exchange->connection->waiting_since = server->m_scheduler.Now();
+  g_signal_connect(message, "got-chunk", G_CALLBACK(&OnBodyChunk), exchange);
   SoupMessageHeaders* headers =
       soup_server_message_get_request_headers(message);
-  const goffset length = soup_message_headers_get_content_length(headers);
-  if (length > static_cast<goffset>(self->m_options.max_body_bytes)) {
-    soup_server_message_set_status(
-        message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, nullptr);
+  if (!HasValidLength(headers)) {
+    // libsoup would take the length for zero and the body for a request.
+    soup_server_message_set_status(message, SOUP_STATUS_BAD_REQUEST, nullptr);
+    soup_message_headers_replace(
+        soup_server_message_get_response_headers(message), "Connection",
+        "close");
+    return;
   }
+  const goffset length = soup_message_headers_get_content_length(headers);
+  if (length <= static_cast<goffset>(server->m_options.max_body_bytes)) return;
+  soup_message_body_set_accumulate(
+      soup_server_message_get_request_body(message), FALSE);
+  server->RejectBody(exchange);
+}
+
+void SoupHttpServer::OnBodyChunk(SoupServerMessage* message, GBytes* chunk,
+                                 gpointer data) {
+  auto* exchange = static_cast<Exchange*>(data);
+  SoupHttpServer* server = exchange->server;
+  if (server == nullptr) return;
+  exchange->body_bytes += g_bytes_get_size(chunk);
+  const std::size_t limit = server->m_options.max_body_bytes;
+  if (exchange->body_bytes <= limit) return;
+  SoupMessageBody* body = soup_server_message_get_request_body(message);
+  soup_message_body_set_accumulate(body, FALSE);
+  soup_message_body_truncate(body);
+  server->RejectBody(exchange);
+  if (exchange->body_bytes <= limit * kDroppedBodyFactor) return;
+  server->m_counters.Add(HttpServerCounter::kBodiesCutOff);
+  ShutDown(exchange->connection->socket.get());
 }
 
-void SoupHttpServer::OnRequest(SoupServer*, SoupServerMessage* message,
-                               const char* path, GHashTable*, gpointer data) {
-  static_cast<SoupHttpServer*>(data)->Handle(message, path);
+void SoupHttpServer::RejectBody(Exchange* exchange) {
+  if (exchange->too_large) return;
+  exchange->too_large = true;
+  m_counters.Add(HttpServerCounter::kBodiesTooLarge);
 }
 
-void SoupHttpServer::Handle(SoupServerMessage* message, const char* path) {
-  const HttpRequest request =
-      ToRequest(message, path, m_options.max_body_bytes);
+void SoupHttpServer::OnRequestRead(SoupServer* /*server*/,
+                                   SoupServerMessage* message, const char* path,
+                                   GHashTable* /*query*/, gpointer self) {
+  auto* server = static_cast<SoupHttpServer*>(self);
+  auto* exchange = static_cast<Exchange*>(
+      g_object_get_data(G_OBJECT(message), kExchangeKey));
+  if (exchange == nullptr) return;
+  HttpRequest request;
+  request.method = soup_server_message_get_method(message);
+  request.path = path;
+  request.too_large = exchange->too_large;
+  soup_message_headers_foreach(soup_server_message_get_request_headers(message),
+                               CopyHeader, &request.headers);
+  if (!request.too_large) request.body = BodyOf(message);
+  exchange->handled = true;
+  ++server->m_in_flight;
+  server->m_counters.Add(HttpServerCounter::kRequests);
   soup_server_message_pause(message);
-  ++*m_in_flight;
-  std::shared_ptr<SoupServerMessage> owned(
-      static_cast<SoupServerMessage*>(g_object_ref(message)), g_object_unref);
-  m_handler(request, [this, owned,
-                      in_flight = m_in_flight](const HttpResponse& response) {
-    --*in_flight;
-    WriteResponse(owned.get(), response, !m_accepting);
-    soup_server_message_unpause(owned.get());
+  auto pending = std::make_shared<PendingAnswer>(server->m_alive, message);
+  if (!server->m_handler) return;
+  server->m_handler(
+      std::move(request),
+      [pending](const HttpResponse& response) { pending->Send(response); });
+}
+
+void SoupHttpServer::Answer(SoupServerMessage* message,
+                            const HttpResponse& response) {
+  auto* exchange = static_cast<Exchange*>(
+      g_object_get_data(G_OBJECT(message), kExchangeKey));
+  if (exchange->answered || exchange->ended) return;
+  exchange->answered = true;
+  --m_in_flight;
+  if (response.abort_connection) {
+    m_counters.Add(HttpServerCounter::kAbortedByHandler);
+    soup_server_message_set_status(message, SOUP_STATUS_INTERNAL_SERVER_ERROR,
+                                   nullptr);
+    ShutDown(exchange->connection->socket.get());
+    soup_server_message_unpause(message);
+    return;
+  }
+  soup_server_message_set_status(message, static_cast<guint>(response.status),
+                                 nullptr);
+  SoupMessageHeaders* headers =
+      soup_server_message_get_response_headers(message);
+  for (const HttpHeader& header : response.headers) {
+    soup_message_headers_replace(headers, header.name.c_str(),
+                                 header.value.c_str());
+  }
+  if (!m_accepting || exchange->too_large || exchange->connection->hung_up) {
+    soup_message_headers_replace(headers, "Connection", "close");
+  }
+  soup_server_message_set_response(message, response.content_type.c_str(),
+                                   SOUP_MEMORY_COPY, response.body.data(),
+                                   response.body.size());
+  soup_server_message_unpause(message);
+}
+
+void SoupHttpServer::OnRequestFinished(SoupServer* /*server*/,
+                                       SoupServerMessage* message,
+                                       gpointer self) {
+  static_cast<SoupHttpServer*>(self)->EndExchange(message, true);
+}
+
+void SoupHttpServer::OnRequestAborted(SoupServer* /*server*/,
+                                      SoupServerMessage* message,
+                                      gpointer self) {
+  static_cast<SoupHttpServer*>(self)->EndExchange(message, false);
+}
+
+void SoupHttpServer::EndExchange(SoupServerMessage* message, bool finished) {
+  auto* exchange = static_cast<Exchange*>(
+      g_object_get_data(G_OBJECT(message), kExchangeKey));
+  if (exchange == nullptr || exchange->ended) return;
+  exchange->ended = true;
+  if (exchange->handled && !exchange->answered) --m_in_flight;
+  if (exchange->handled) {
+    m_counters.Add(finished ? HttpServerCounter::kAnswered
+                            : HttpServerCounter::kAbandonedByCaller);
+  }
+}
+
+void SoupHttpServer::OnHeadersWritten(SoupServerMessage* /*message*/,
+                                      gpointer data) {
+  const auto* exchange = static_cast<const Exchange*>(data);
+  // libsoup refuses what it can't parse by itself.
+  if (exchange->server == nullptr || exchange->handled ||
+      exchange->connection->ended) {
+    return;
+  }
+  exchange->server->m_counters.Add(HttpServerCounter::kBrokenRequests);
+}
+
+void SoupHttpServer::OnMessageGone(gpointer data, GObject* /*message*/) {
+  const std::unique_ptr<Exchange> exchange(static_cast<Exchange*>(data));
+  SoupHttpServer* server = exchange->server;
+  if (server == nullptr) return;
+  if (exchange->handled && !exchange->answered && !exchange->ended) {
+    --server->m_in_flight;
+  }
+  Connection* connection = exchange->connection;
+  if (connection->current != exchange.get()) return;
+  connection->current = nullptr;
+  connection->waiting_since = server->m_scheduler.Now();
+  if (g_socket_is_closed(connection->socket.get())) {
+    server->m_connections.erase(connection->socket.get());
+  } else {
+    server->WatchForHangUp(connection);
+  }
+}
+
+void SoupHttpServer::WatchForHangUp(Connection* connection) {
+  if (connection->hang_up != nullptr) return;
+  // A GSocket source also fires when the socket was closed here, before its
+  // descriptor is polled. It goes before libsoup's own source: libsoup forgets
+  // an idle connection at whose end it has read, without closing it.
+  connection->hang_up =
+      g_socket_create_source(connection->socket.get(), kPeerClosed, nullptr);
+  g_source_set_priority(connection->hang_up, G_PRIORITY_HIGH);
+  g_source_set_callback(connection->hang_up, G_SOURCE_FUNC(&OnHangUp),
+                        connection, nullptr);
+  g_source_attach(connection->hang_up, g_main_context_get_thread_default());
+}
+
+gboolean SoupHttpServer::OnHangUp(GSocket* socket, GIOCondition /*condition*/,
+                                  gpointer data) {
+  auto* connection = static_cast<Connection*>(data);
+  SoupHttpServer* server = connection->server;
+  connection->StopWatching();
+  connection->hung_up = true;
+  // A message in progress ends first, and its answer closes the connection.
+  if (connection->current != nullptr) return G_SOURCE_REMOVE;
+  if (g_socket_is_closed(socket)) {
+    server->m_connections.erase(socket);
+  } else if (!HasUnreadBytes(socket)) {
+    server->m_counters.Add(HttpServerCounter::kHangUps);
+    server->EndIdleConnection(connection);
+  }
+  return G_SOURCE_REMOVE;
+}
+
+void SoupHttpServer::EndIdleConnection(Connection* connection) {
+  // libsoup ends a connection only while it has a message for it. The
+  // descriptor is exchanged for a pair that holds an empty line and its end:
+  // libsoup begins a message, finds the end and frees everything.
+  if (connection->ended) return;
+  int pair[2];
+  if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0,
+                 pair) != 0) {
+    return;  // Out of descriptors; the next sweep tries again.
+  }
+  connection->ended = true;
+  constexpr char kEmptyLine[] = {'\r', '\n'};
+  const ssize_t written = write(pair[1], kEmptyLine, sizeof kEmptyLine);
+  assert(written == sizeof kEmptyLine);
+  static_cast<void>(written);
+  close(pair[1]);
+  dup2(pair[0], g_socket_get_fd(connection->socket.get()));
+  close(pair[0]);
+}
+
+void SoupHttpServer::ScheduleSweep() {
+  m_sweep_timer = m_scheduler.Schedule(
+      std::min<Duration>(kSweepInterval, m_options.idle_timeout), [this] {
+        SweepIdleConnections();
+        ScheduleSweep();
+      });
+}
+
+void SoupHttpServer::SweepIdleConnections() {
+  const TimePoint oldest = m_scheduler.Now() - m_options.idle_timeout;
+  // libsoup did not notice the end that EndIdleConnection gave it.
+  std::erase_if(m_connections, [](const auto& entry) {
+    const Connection& connection = *entry.second;
+    const bool stuck = connection.ended && connection.current == nullptr;
+    if (stuck) g_socket_close(connection.socket.get(), nullptr);
+    return stuck;
   });
+  for (const auto& [socket, connection] : m_connections) {
+    const Exchange* current = connection->current;
+    const bool waits = current == nullptr || !current->handled;
+    if (!waits || connection->waiting_since > oldest || connection->ended) {
+      continue;
+    }
+    m_counters.Add(HttpServerCounter::kIdleClosed);
+    if (current == nullptr) {
+      connection->StopWatching();
+      EndIdleConnection(connection.get());
+    } else {
+      connection->waiting_since = m_scheduler.Now();
+      ShutDown(socket);
+    }
+  }
 }
 
 }  // namespace chicoryvale
--- a/src/adapters/soup_http_server.h
+++ b/src/adapters/soup_http_server.h
@@ -3,15 +3,49 @@
 
 #include <libsoup/soup.h>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
 
+#include "adapters/glib_scheduler.h"
+#include "adapters/socket_address.h"
+#include "base/counters.h"
+#include "base/time.h"
 #include "chicoryvale/error.h"
 #include "ports/http.h"
 
 namespace chicoryvale {
 
+/// What happened at an HTTP server.
+enum class HttpServerCounter : std::uint8_t {
+  kConnections,
+  kConnectionsRefused,
+  kHangUps,
+  kIdleClosed,
+  kRequests,
+  kAnswered,
+  kBrokenRequests,
+  kBodiesTooLarge,
+  kBodiesCutOff,
+  kAbandonedByCaller,
+  kAbortedByHandler,
+};
+
+template <>
+struct CounterNames<HttpServerCounter> {
+  static constexpr std::array<std::string_view, 11> kNames = {
+      "http_connections",       "http_connections_refused",
+      "http_hang_ups",          "http_idle_closed",
+      "http_requests",          "http_answered",
+      "http_broken_requests",   "http_bodies_too_large",
+      "http_bodies_cut_off",    "http_abandoned_by_caller",
+      "http_aborted_by_handler"};
+};
+
 /// Settings of a SoupHttpServer.
 struct SoupHttpServerOptions {
   /// IP number and port to listen on; port 0 takes a free one.
@@ -19,9 +53,15 @@
   std::size_t max_body_bytes = std::size_t{1} << 20;
   std::uint32_t max_connections = 10'000;
   int listen_backlog = 1024;
+  /// Longest time in which a connection may be idle, or take to send the
+  /// headers or the body of a request.
+  Duration idle_timeout = seconds(60);
 };
 
-/// HttpServer over libsoup on the thread-default context. Not thread safe.
+/// HttpServer over libsoup on the thread-default GMainContext. Connections
+/// are kept alive. docs/design/libsoup.md explains how connections that the
+/// caller closed are found and ended. Not thread safe: used only on the event
+/// loop. Responders may be called after the server is gone.
 class SoupHttpServer : public HttpServer {
  public:
   /// Binds and listens. kUpstreamUnavailable if the address can't be bound.
@@ -31,31 +71,73 @@
   SoupHttpServer(const SoupHttpServer&) = delete;
   SoupHttpServer& operator=(const SoupHttpServer&) = delete;
 
+  /// Returns the counters of this server.
+  [[nodiscard]] const CounterSet<HttpServerCounter>& Counters() const {
+    return m_counters;
+  }
+
+  /// Returns the number of connections that are open.
+  [[nodiscard]] std::size_t ConnectionCount() const {
+    return m_connections.size();
+  }
+
  protected:
-  void OnSetHandler(Handler handler) override;
-  [[nodiscard]] Address OnLocalAddress() const override { return m_local; }
+  void OnSetHandler(Handler handler) override {
+    m_handler = std::move(handler);
+  }
+  [[nodiscard]] Address OnLocalAddress() const override { return m_address; }
   void OnStopAccepting() override;
   [[nodiscard]] std::uint32_t OnInFlight() const override {
-    return *m_in_flight;
+    return m_in_flight;
   }
 
  private:
-  SoupHttpServer() = default;
-  static void OnGotHeaders(SoupServerMessage* message, gpointer data);
-  static void OnRequestStarted(SoupServer* server, SoupServerMessage* message,
-                               gpointer data);
-  static void OnRequest(SoupServer* server, SoupServerMessage* message,
-                        const char* path, GHashTable* query, gpointer data);
-  void Handle(SoupServerMessage* message, const char* path);
+  struct Connection;
+  struct Exchange;
+  class PendingAnswer;
+
+  explicit SoupHttpServer(const SoupHttpServerOptions& options);
+  Result<void> Start();
+
+  // Signals of libsoup.
+  static void OnRequestStarted(SoupServer*, SoupServerMessage* message,
+                               gpointer self);
+  static void OnHeadersRead(SoupServer*, SoupServerMessage* message,
+                            const char* path, GHashTable*, gpointer self);
+  static void OnBodyChunk(SoupServerMessage* message, GBytes* chunk,
+                          gpointer exchange);
+  static void OnRequestRead(SoupServer*, SoupServerMessage* message,
+                            const char* path, GHashTable*, gpointer self);
+  static void OnRequestFinished(SoupServer*, SoupServerMessage* message,
+                                gpointer self);
+  static void OnRequestAborted(SoupServer*, SoupServerMessage* message,
+                               gpointer self);
+  static void OnHeadersWritten(SoupServerMessage* message, gpointer exchange);
+  static void OnMessageGone(gpointer exchange, GObject* message);
+  static gboolean OnHangUp(GSocket* socket, GIOCondition, gpointer connection);
+
+  Connection* AddConnection(GSocket* socket);
+  void WatchForHangUp(Connection* connection);
+  void EndIdleConnection(Connection* connection);
+  void ScheduleSweep();
+  void SweepIdleConnections();
+  void RejectBody(Exchange* exchange);
+  void EndExchange(SoupServerMessage* message, bool finished);
+  void Answer(SoupServerMessage* message, const HttpResponse& response);
 
   SoupHttpServerOptions m_options;
-  SoupServer* m_server = nullptr;
-  Address m_local;
+  GlibScheduler m_scheduler;
   Handler m_handler;
+  SoupServer* m_server = nullptr;
+  GObjectPtr<GSocket> m_listener;
+  Address m_address;
   bool m_accepting = true;
-  /// Outlives the server with responders that are called late.
-  std::shared_ptr<std::uint32_t> m_in_flight =
-      std::make_shared<std::uint32_t>(0);
+  std::uint32_t m_in_flight = 0;
+  TimerId m_sweep_timer = 0;
+  CounterSet<HttpServerCounter> m_counters;
+  std::unordered_map<GSocket*, std::unique_ptr<Connection>> m_connections;
+  /// Expires with the server, so that late responders do nothing.
+  std::shared_ptr<SoupHttpServer*> m_alive;
 };
 
 }  // namespace chicoryvale
--- /dev/null
+++ b/tests/adapters/soup_http_server_test.cc
@@ -0,0 +1,229 @@
+#include "adapters/soup_http_server.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fakes/main_context.h"
+#include "fakes/raw_socket.h"
+
+namespace chicoryvale {
+namespace {
+
+constexpr char kGet[] = "GET /path HTTP/1.1\r\nHost: test\r\n\r\n";
+
+std::unique_ptr<SoupHttpServer> MakeServer(SoupHttpServerOptions options = {}) {
+  options.bind = Address{"127.0.0.1:0"};
+  auto server = SoupHttpServer::Make(options);
+  EXPECT_TRUE(server.has_value());
+  (*server)->SetHandler([](const HttpRequest&, const HttpResponder& respond) {
+    HttpResponse response;
+    response.body = "done";
+    respond(response);
+  });
+  return std::move(*server);
+}
+
+TEST(SoupHttpServerTest, KeepsAConnectionForFurtherRequests) {
+  const auto server = MakeServer();
+  RunBeside([&] {
+    RawSocket caller(server->LocalAddress());
+    for (int i = 0; i < 3; ++i) {
+      ASSERT_TRUE(caller.Send(kGet));
+      EXPECT_TRUE(caller.ReceiveUntil("done").starts_with("HTTP/1.1 200"));
+    }
+  });
+  EXPECT_EQ(server->Counters().Get(HttpServerCounter::kConnections), 1);
+  EXPECT_EQ(server->Counters().Get(HttpServerCounter::kRequests), 3);
+}
+
+TEST(SoupHttpServerTest, DescriptorsStayFlatOver25000ClosedConnections) {
+  constexpr int kConnections = 25'000;
+  constexpr int kSources = 10;
+  const auto server = MakeServer();
+  const std::size_t before = OpenDescriptors();
+  std::size_t most = 0;
+  RunBeside([&] {
+    for (int i = 0; i < kConnections; ++i) {
+      RawSocket caller(server->LocalAddress(),
+                       static_cast<std::uint8_t>(1 + i % kSources));
+      ASSERT_TRUE(caller.Send(kGet));
+      ASSERT_TRUE(caller.ReceiveUntil("done").ends_with("done"));
+      constexpr int kSampleInterval = 500;
+      constexpr std::size_t kFlat = 200;
+      if (i % kSampleInterval == 0) most = std::max(most, OpenDescriptors());
+      ASSERT_LT(most, before + kFlat) << "after " << i << " connections";
+    }
+  });
+  if (HasFatalFailure()) return;
+  IterateUntil([&] { return server->ConnectionCount() == 0; });
+  EXPECT_EQ(OpenDescriptors(), before);
+  EXPECT_EQ(server->Counters().Get(HttpServerCounter::kConnections),
+            kConnections);
+}
+
+TEST(SoupHttpServerTest, AnswersACallerThatClosedItsSideWhileItWaited) {
+  const auto server = MakeServer();
+  std::optional<HttpResponder> pending;
+  server->SetHandler([&](const HttpRequest&, HttpResponder respond) {
+    pending = std::move(respond);
+  });
+  const std::size_t before = OpenDescriptors();
+  RunBeside([&] {
+    RawSocket caller(server->LocalAddress());
+    ASSERT_TRUE(caller.Send(kGet));
+    caller.EndSending();
+    g_idle_add(
+        [](gpointer data) -> gboolean {
+          auto* responder = static_cast<std::optional<HttpResponder>*>(data);
+          if (!responder->has_value()) return G_SOURCE_CONTINUE;
+          HttpResponse response;
+          response.body = "late";
+          (**responder)(response);
+          return G_SOURCE_REMOVE;
+        },
+        &pending);
+    EXPECT_TRUE(caller.ReceiveAll().ends_with("late"));
+  });
+  IterateUntil([&] { return server->ConnectionCount() == 0; });
+  EXPECT_EQ(OpenDescriptors(), before);
+}
+
+TEST(SoupHttpServerTest, ResponderIsSafeAfterTheCallerAndTheServerAreGone) {
+  auto server = MakeServer();
+  std::vector<HttpResponder> pending;
+  server->SetHandler([&](const HttpRequest&, HttpResponder respond) {
+    pending.push_back(std::move(respond));
+  });
+  {
+    RawSocket first(server->LocalAddress());
+    RawSocket second(server->LocalAddress());
+    ASSERT_TRUE(first.Send(kGet));
+    ASSERT_TRUE(second.Send(kGet));
+    IterateUntil([&] { return pending.size() == 2; });
+    EXPECT_EQ(server->InFlight(), 2);
+  }
+  pending[0](HttpResponse{});
+  EXPECT_EQ(server->InFlight(), 1);
+  server.reset();
+  pending[1](HttpResponse{});
+}
+
+TEST(SoupHttpServerTest, AbortedConnectionEndsWithoutAnAnswer) {
+  const auto server = MakeServer();
+  server->SetHandler([](const HttpRequest&, const HttpResponder& respond) {
+    HttpResponse response;
+    response.abort_connection = true;
+    respond(response);
+  });
+  RunBeside([&] {
+    RawSocket caller(server->LocalAddress());
+    ASSERT_TRUE(caller.Send(kGet));
+    EXPECT_EQ(caller.ReceiveAll(), "");
+  });
+  IterateUntil([&] { return server->ConnectionCount() == 0; });
+  EXPECT_EQ(server->InFlight(), 0);
+}
+
+TEST(SoupHttpServerTest, HandlerThatDropsItsResponderEndsTheConnection) {
+  const auto server = MakeServer();
+  server->SetHandler([](const HttpRequest&, const HttpResponder&) {});
+  RunBeside([&] {
+    RawSocket caller(server->LocalAddress());
+    ASSERT_TRUE(caller.Send(kGet));
+    EXPECT_EQ(caller.ReceiveAll(), "");
+  });
+  EXPECT_EQ(server->InFlight(), 0);
+}
+
+TEST(SoupHttpServerTest, StoppedServerFinishesOpenConnectionsAndTakesNoNew) {
+  const auto server = MakeServer();
+  RunBeside([&] {
+    RawSocket caller(server->LocalAddress());
+    ASSERT_TRUE(caller.Send(kGet));
+    EXPECT_TRUE(caller.ReceiveUntil("done").ends_with("done"));
+  });
+  std::optional<HttpResponder> pending;
+  server->SetHandler([&](const HttpRequest&, HttpResponder respond) {
+    pending = std::move(respond);
+  });
+  RawSocket caller(server->LocalAddress());
+  ASSERT_TRUE(caller.Send(kGet));
+  IterateUntil([&] { return pending.has_value(); });
+  server->StopAccepting();
+  EXPECT_FALSE(RawSocket(server->LocalAddress()).Connected());
+  EXPECT_EQ(server->InFlight(), 1);
+  HttpResponse response;
+  response.body = "last";
+  (*pending)(response);
+  RunBeside([&] {
+    const std::string answer = caller.ReceiveAll();
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+    EXPECT_TRUE(answer.ends_with("last"));
+  });
+  EXPECT_EQ(server->InFlight(), 0);
+}
+
+TEST(SoupHttpServerTest, ConnectionsBeyondTheLimitAreClosed) {
+  SoupHttpServerOptions options;
+  options.max_connections = 2;
+  const auto server = MakeServer(options);
+  RunBeside([&] {
+    std::vector<RawSocket> callers;
+    for (int i = 0; i < 2; ++i) {
+      callers.emplace_back(server->LocalAddress());
+      ASSERT_TRUE(callers.back().Send(kGet));
+      EXPECT_TRUE(callers.back().ReceiveUntil("done").ends_with("done"));
+    }
+    EXPECT_EQ(RawSocket(server->LocalAddress()).ReceiveAll(), "");
+  });
+  EXPECT_EQ(server->Counters().Get(HttpServerCounter::kConnectionsRefused), 1);
+}
+
+TEST(SoupHttpServerTest, IdleConnectionsAreClosedInEachState) {
+  const std::vector<std::string> sent = {"", "GET /pa",
+                                         "POST /path HTTP/1.1\r\nHost: t\r\n"
+                                         "Content-Length: 5\r\n\r\nab",
+                                         kGet};
+  SoupHttpServerOptions options;
+  options.idle_timeout = milliseconds(50);
+  const auto server = MakeServer(options);
+  const std::size_t before = OpenDescriptors();
+  RunBeside([&] {
+    std::ranges::for_each(sent, [&](const std::string& text) {
+      RawSocket caller(server->LocalAddress());
+      ASSERT_TRUE(caller.Send(text));
+      caller.ReceiveAll();
+    });
+  });
+  IterateUntil([&] { return server->ConnectionCount() == 0; });
+  EXPECT_EQ(OpenDescriptors(), before);
+  EXPECT_EQ(server->Counters().Get(HttpServerCounter::kIdleClosed),
+            sent.size());
+}
+
+TEST(SoupHttpServerTest, Accepts500ConnectionsOpenedAtOnce) {
+  constexpr std::size_t kCallers = 500;
+  const auto server = MakeServer();
+  // The loop does not run meanwhile: all wait in the listen backlog.
+  std::vector<RawSocket> callers;
+  while (callers.size() < kCallers) {
+    callers.emplace_back(server->LocalAddress());
+  }
+  RunBeside([&] {
+    std::ranges::for_each(callers, [](RawSocket& caller) {
+      ASSERT_TRUE(caller.Connected());
+      ASSERT_TRUE(caller.Send(kGet));
+    });
+    std::ranges::for_each(callers, [](RawSocket& caller) {
+      EXPECT_TRUE(caller.ReceiveUntil("done").ends_with("done"));
+    });
+  });
+}
+
+}  // namespace
+}  // namespace chicoryvale
