Send crash marks to all members at once

Cause: the bound of two upstreams per fingerprint needs marks to arrive before an entry tries elsewhere (20 ms); gossip goes out every 200 ms to two members. Change: a published crash mark is sent to up to 64 members at once, three times 5 ms apart; gossip carries it on in a larger group. Ruled out: a shorter gossip period for all news: cost at each node for ever. Conclusion: at today's size marks arrive within gossip_wait.

--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -49,8 +49,8 @@
 Membership::~Membership() {
   m_options.transport->SetReceiver(
       [](const Address&, const std::string&) {});  // NOLINT
-  for (const TimerId timer :
-       {m_join_timer, m_sync_timer, m_gossip_timer, m_notify_timer}) {
+  for (const TimerId timer : {m_join_timer, m_sync_timer, m_gossip_timer,
+                              m_notify_timer, m_urgent_timer}) {
     m_scheduler->Cancel(timer);
   }
 }
@@ -113,7 +113,10 @@
   m_digest_listeners.push_back(std::move(listener));
 }
 
-void Membership::OnPublish(const GossipItem& item) { ApplyItem(item); }
+void Membership::OnPublish(const GossipItem& item) {
+  ApplyItem(item);
+  if (item.kind == GossipKind::kCrashMark) SendAtOnce(item);
+}
 
 void Membership::OnAddItemListener(ItemListener listener) {
   m_item_listeners.push_back(std::move(listener));
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -131,6 +131,12 @@
   std::vector<MemberInfo> OnRandomPeers(std::size_t count) override;
 
  private:
+  /// An item that is sent to many members without waiting for a tick.
+  struct UrgentItem {
+    GossipItem item;
+    std::uint32_t sends_left = 0;
+  };
+
   explicit Membership(MembershipOptions options);
 
   // FailureDetectorHost and LeaseHost.
@@ -161,6 +167,9 @@
   void FillNews(std::size_t used, Packet* packet);
   void NoteNews();
   void GossipTick();
+  // Sends an item to many members without waiting for a tick.
+  void SendAtOnce(const GossipItem& item);
+  void UrgentTick();
   [[nodiscard]] std::uint32_t MaxSends() const;
   void Announce(MemberState state);
 
@@ -199,6 +208,8 @@
   TimerId m_sync_timer = 0;
   TimerId m_gossip_timer = 0;
   TimerId m_notify_timer = 0;
+  std::vector<UrgentItem> m_urgent;
+  TimerId m_urgent_timer = 0;
   std::vector<Listener> m_listeners;
   std::vector<DigestListener> m_digest_listeners;
   std::vector<ItemListener> m_item_listeners;
--- a/src/membership/membership_exchange.cc
+++ b/src/membership/membership_exchange.cc
@@ -9,6 +9,14 @@
 namespace chicoryvale {
 namespace {
 
+// Members that an urgent item is sent to at once: all, in a group of today's
+// size. In a larger one these pass it on.
+constexpr std::size_t kUrgentFanout = 64;
+
+// Times that an urgent item is sent, so that a lost datagram does not hide it.
+constexpr std::uint32_t kUrgentSends = 3;
+constexpr Duration kUrgentPause = milliseconds(5);
+
 /// Bytes that gossip items may take of a packet while members' news waits.
 constexpr std::size_t kItemBytes = 500;
 
@@ -159,6 +167,31 @@
   m_digest_sends -= std::min(m_digest_sends, sent);
 }
 
+void Membership::SendAtOnce(const GossipItem& item) {
+  m_urgent.push_back({item, kUrgentSends});
+  if (m_urgent_timer == 0) UrgentTick();
+}
+
+void Membership::UrgentTick() {
+  m_urgent_timer = 0;
+  const std::vector<Member> peers = m_table.RandomLive(
+      kUrgentFanout, &m_random, [](const Member&) { return true; });
+  for (UrgentItem& urgent : m_urgent) {
+    for (const Member& peer : peers) {
+      Packet packet;
+      packet.items = {urgent.item};
+      SendTo(peer, std::move(packet));
+    }
+    --urgent.sends_left;
+  }
+  std::erase_if(m_urgent, [](const UrgentItem& urgent) {
+    return urgent.sends_left == 0;
+  });
+  if (m_urgent.empty()) return;
+  m_urgent_timer =
+      m_scheduler->Schedule(kUrgentPause, [this] { UrgentTick(); });
+}
+
 void Membership::JoinTick() {
   const bool alone = m_table.live().empty() || !m_joined;
   m_join_timer = m_scheduler->Schedule(
--- a/tests/membership/membership_test.cc
+++ b/tests/membership/membership_test.cc
@@ -175,6 +175,18 @@
   EXPECT_TRUE(first.Items(GossipKind::kCrashMark).empty());
 }
 
+TEST_P(MembershipTest, ACrashMarkReachesAllBeforeAnUpstreamIsTriedAgain) {
+  JoinAll();
+  m_group.node(0).membership->Publish(
+      {GossipKind::kCrashMark, "f", 1, "mark", 30});
+  m_group.scheduler().RunFor(milliseconds(20));
+  for (std::size_t i = 0; i < kSize; ++i) {
+    EXPECT_EQ(m_group.node(i).membership->Items(GossipKind::kCrashMark).size(),
+              1U)
+        << "member " << i;
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, MembershipTest,
                          testing::Range<std::uint64_t>(1, 9));
 
