Bound and classify upstream attempts; never send one twice

Cause: the transport took an attempt for unsent until all of its headers were written, passed a truncated answer for a whole one, gathered answers without a bound, followed redirects and answered 401 with a second request. Change: SoupUpstreamTransport tells kNotConnected only before "starting", compares the body with its Content-Length, bounds it, reads headers strictly, and fails an attempt that libsoup would restart. Ruled out: SOUP_MESSAGE_IDEMPOTENT on every request: connections would be kept for requests that may run at most once.

--- a/programs/chicory-entryd/entry_daemon.cc
+++ b/programs/chicory-entryd/entry_daemon.cc
@@ -181,7 +181,8 @@
       .Add("claims", m_claims->Counters())
       .AddValue("claims", "pending", m_claims->Pending())
       .Add("upstream", m_gate->Counters())
-      .Add("callers", m_callers->Counters());
+      .Add("callers", m_callers->Counters())
+      .Add("transport", m_transport->Counters());
   m_peers->AddMetrics(&page);
   return page.Response();
 }
--- a/src/adapters/soup_upstream_transport.cc
+++ b/src/adapters/soup_upstream_transport.cc
@@ -1,150 +1,127 @@
 #include "adapters/soup_upstream_transport.h"
 
-#include <charconv>
 #include <string>
 #include <utility>
 
-#include "ports/upstream_protocol.h"
+#include "adapters/upstream_messages.h"
 
 namespace chicoryvale {
 
 struct SoupUpstreamTransport::Exchange {
+  /// Null once the attempt has ended for its caller.
   SoupUpstreamTransport* transport = nullptr;
   SubRequestId id = 0;
   Callback callback;
   SoupMessage* message = nullptr;
   GCancellable* cancellable = nullptr;
   TimerId timer = 0;
-  bool sent_bytes = false;
-
+  TimePoint sent_at{};
+  Duration first_byte{};
+  /// Bytes of the request may have left this process.
+  bool may_have_sent = false;
+
+  Exchange() = default;
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
   ~Exchange() {
-    g_object_unref(message);
-    g_object_unref(cancellable);
+    g_clear_object(&message);
+    g_clear_object(&cancellable);
   }
 };
 
-namespace {
-
-std::uint64_t NumberHeader(SoupMessageHeaders* headers, const char* name) {
-  const char* text = soup_message_headers_get_one(headers, name);
-  return text == nullptr ? 0 : g_ascii_strtoull(text, nullptr, 10);
-}
-
-std::optional<std::uint64_t> OptionalHeader(SoupMessageHeaders* headers,
-                                            const char* name) {
-  if (soup_message_headers_get_one(headers, name) == nullptr) return {};
-  return NumberHeader(headers, name);
-}
-
-SubOutcomeKind KindOfStatus(guint status, SoupMessageHeaders* headers) {
-  if (status == SOUP_STATUS_OK) return SubOutcomeKind::kAnswered;
-  if (status == kStatusSnapshotUnavailable) {
-    return SubOutcomeKind::kSnapshotUnavailable;
-  }
-  return NumberHeader(headers, kHeaderNotStarted) == 1
-             ? SubOutcomeKind::kNotStarted
-             : SubOutcomeKind::kFailed;
-}
-
-SubOutcome ToOutcome(SoupMessage* message, GBytes* body) {
-  SoupMessageHeaders* headers = soup_message_get_response_headers(message);
-  SubOutcome outcome;
-  outcome.kind = KindOfStatus(soup_message_get_status(message), headers);
-  outcome.echoed_id = NumberHeader(headers, kHeaderSubRequestId);
-  outcome.echoed_shard =
-      static_cast<ShardId>(NumberHeader(headers, kHeaderShard));
-  outcome.echoed_snapshot = {NumberHeader(headers, kHeaderMapEpoch),
-                             NumberHeader(headers, kHeaderIndexVersion)};
-  outcome.report.draining = NumberHeader(headers, kHeaderDraining) == 1;
-  const auto load = OptionalHeader(headers, kHeaderLoad);
-  if (load) outcome.report.load = static_cast<std::uint32_t>(*load);
-  outcome.report.oldest_version = OptionalHeader(headers, kHeaderOldestVersion);
-  outcome.report.newest_version = OptionalHeader(headers, kHeaderNewestVersion);
-  gsize size = 0;
-  const auto* data = static_cast<const char*>(g_bytes_get_data(body, &size));
-  if (size > 0) outcome.body.assign(data, size);
-  return outcome;
-}
-
-void AppendNumber(SoupMessageHeaders* headers, const char* name,
-                  std::uint64_t value) {
-  soup_message_headers_append(headers, name, std::to_string(value).c_str());
-}
-
-SoupMessage* ToMessage(const SubRequest& request) {
-  const std::string url = "http://" + request.replica.host_port + "/" +
-                          request.service + "/" + request.method;
-  SoupMessage* message = soup_message_new("POST", url.c_str());
-  if (message == nullptr) return nullptr;
-  SoupMessageHeaders* headers = soup_message_get_request_headers(message);
-  AppendNumber(headers, kHeaderSubRequestId, request.id);
-  AppendNumber(headers, kHeaderShard, request.shard);
-  AppendNumber(headers, kHeaderMapEpoch, request.snapshot.map_epoch);
-  AppendNumber(headers, kHeaderIndexVersion, request.snapshot.index_version);
-  AppendNumber(headers, kHeaderTimeoutMs,
-               static_cast<std::uint64_t>(
-                   std::chrono::ceil<milliseconds>(request.timeout).count()));
-  if (!request.request_id.empty()) {
-    soup_message_headers_append(headers, kHeaderRequestId,
-                                request.request_id.c_str());
-  }
-  GBytes* bytes = g_bytes_new(request.body.data(), request.body.size());
-  soup_message_set_request_body_from_bytes(message, kProtobufContentType,
-                                           bytes);
-  g_bytes_unref(bytes);
-  if (request.idempotent) {
-    soup_message_add_flags(message, SOUP_MESSAGE_IDEMPOTENT);
-  }
-  if (request.fresh_connection) {
-    soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
-  }
-  return message;
-}
-
-}  // namespace
-
 SoupUpstreamTransport::SoupUpstreamTransport(
     const SoupUpstreamTransportOptions& options)
     : m_options(options) {}
 
 SoupUpstreamTransport::~SoupUpstreamTransport() {
-  for (const auto& [id, exchange] : m_exchanges) {
-    exchange->transport = nullptr;
-    m_options.scheduler->Cancel(exchange->timer);
-    g_cancellable_cancel(exchange->cancellable);
-  }
+  while (!m_exchanges.empty()) Abandon(m_exchanges.begin()->second);
   for (const auto& [address, session] : m_sessions) g_object_unref(session);
 }
 
 SoupSession* SoupUpstreamTransport::SessionFor(const Address& replica) {
   SoupSession*& session = m_sessions[replica.host_port];
-  if (session == nullptr) {
-    const auto limit = static_cast<int>(m_options.max_connections_per_replica);
-    session = soup_session_new_with_options(
-        "max-conns", limit, "max-conns-per-host", limit, nullptr);
-  }
+  if (session != nullptr) return session;
+  const auto limit = static_cast<int>(m_options.max_connections_per_replica);
+  session = soup_session_new_with_options("max-conns", limit,
+                                          "max-conns-per-host", limit, nullptr);
+  // No proxies; no second request after a 401; no unbounded decompression.
+  soup_session_set_proxy_resolver(session, nullptr);
+  soup_session_remove_feature_by_type(session, SOUP_TYPE_AUTH_MANAGER);
+  soup_session_remove_feature_by_type(session, SOUP_TYPE_CONTENT_DECODER);
   return session;
 }
 
 void SoupUpstreamTransport::OnSend(SubRequest request, Callback callback) {
-  auto exchange = std::make_unique<Exchange>();
+  auto* exchange = new Exchange();
   exchange->transport = this;
   exchange->id = request.id;
   exchange->callback = std::move(callback);
-  exchange->message = ToMessage(request);
+  exchange->message = MakeUpstreamMessage(request);
   exchange->cancellable = g_cancellable_new();
-  g_signal_connect(exchange->message, "wrote-headers",
-                   G_CALLBACK(+[](SoupMessage*, gpointer data) {
-                     static_cast<Exchange*>(data)->sent_bytes = true;
-                   }),
-                   exchange.get());
-  exchange->timer = m_options.scheduler->Schedule(
-      request.timeout, [this, id = request.id] { OnTimeout(id); });
-  Exchange* started = exchange.release();
-  m_exchanges.emplace(request.id, started);
-  soup_session_send_and_read_async(
-      SessionFor(request.replica), started->message, G_PRIORITY_DEFAULT,
-      started->cancellable, &SoupUpstreamTransport::OnAnswer, started);
+  exchange->sent_at = m_options.scheduler->Now();
+  m_exchanges.emplace(request.id, exchange);
+  m_counters.Add(UpstreamTransportCounter::kSent);
+  const bool valid = exchange->message != nullptr;
+  exchange->timer =
+      m_options.scheduler->Schedule(valid ? request.timeout : Duration::zero(),
+                                    [this, id = request.id] { OnTimeout(id); });
+  if (!valid) return;
+  Connect(exchange);
+  soup_session_send_and_read_async(SessionFor(request.replica),
+                                   exchange->message, G_PRIORITY_DEFAULT,
+                                   exchange->cancellable, &OnAnswer, exchange);
+}
+
+void SoupUpstreamTransport::Connect(Exchange* exchange) {
+  SoupMessage* message = exchange->message;
+  g_signal_connect(message, "starting", G_CALLBACK(&OnStarting), exchange);
+  g_signal_connect(message, "restarted", G_CALLBACK(&OnRestarted), exchange);
+  g_signal_connect(message, "got-headers", G_CALLBACK(&OnHeaders), exchange);
+  g_signal_connect(message, "network-event", G_CALLBACK(&OnNetworkEvent),
+                   exchange);
+}
+
+void SoupUpstreamTransport::OnStarting(SoupMessage* /*message*/,
+                                       gpointer data) {
+  // Comes before the first byte is written: "wrote-headers" would miss a
+  // connection that ends among the headers.
+  static_cast<Exchange*>(data)->may_have_sent = true;
+}
+
+void SoupUpstreamTransport::OnRestarted(SoupMessage* /*message*/,
+                                        gpointer data) {
+  auto* exchange = static_cast<Exchange*>(data);
+  SoupUpstreamTransport* transport = exchange->transport;
+  if (transport == nullptr) return;
+  transport->m_counters.Add(UpstreamTransportCounter::kResendsPrevented);
+  transport->Fail(exchange, SubOutcomeKind::kConnectionLost);
+}
+
+void SoupUpstreamTransport::OnHeaders(SoupMessage* message, gpointer data) {
+  auto* exchange = static_cast<Exchange*>(data);
+  SoupUpstreamTransport* transport = exchange->transport;
+  if (transport == nullptr) return;
+  exchange->first_byte =
+      transport->m_options.scheduler->Now() - exchange->sent_at;
+  SoupMessageHeaders* headers = soup_message_get_response_headers(message);
+  const goffset length = soup_message_headers_get_content_length(headers);
+  const bool bounded =
+      soup_message_headers_get_encoding(headers) ==
+          SOUP_ENCODING_CONTENT_LENGTH &&
+      length <= static_cast<goffset>(transport->m_options.max_answer_bytes);
+  if (!bounded) transport->Fail(exchange, SubOutcomeKind::kMalformed);
+}
+
+void SoupUpstreamTransport::OnNetworkEvent(SoupMessage* /*message*/,
+                                           GSocketClientEvent event,
+                                           GIOStream* /*connection*/,
+                                           gpointer data) {
+  const auto* exchange = static_cast<const Exchange*>(data);
+  if (exchange->transport == nullptr || event != G_SOCKET_CLIENT_CONNECTED) {
+    return;
+  }
+  exchange->transport->m_counters.Add(
+      UpstreamTransportCounter::kConnectionsOpened);
 }
 
 void SoupUpstreamTransport::OnAnswer(GObject* session, GAsyncResult* result,
@@ -153,40 +130,82 @@
   GError* error = nullptr;
   GBytes* body =
       soup_session_send_and_read_finish(SOUP_SESSION(session), result, &error);
+  g_signal_handlers_disconnect_by_data(exchange->message, exchange.get());
   SubOutcome outcome;
-  if (body != nullptr) {
-    outcome = ToOutcome(exchange->message, body);
-    g_bytes_unref(body);
-  } else {
-    outcome.kind = exchange->sent_bytes ? SubOutcomeKind::kConnectionLost
-                                        : SubOutcomeKind::kNotConnected;
+  if (body == nullptr) {
+    const bool unreadable =
+        g_error_matches(error, SOUP_SESSION_ERROR, SOUP_SESSION_ERROR_PARSING);
+    outcome.kind = unreadable                ? SubOutcomeKind::kMalformed
+                   : exchange->may_have_sent ? SubOutcomeKind::kConnectionLost
+                                             : SubOutcomeKind::kNotConnected;
     g_error_free(error);
+  } else if (static_cast<goffset>(g_bytes_get_size(body)) !=
+             soup_message_headers_get_content_length(
+                 soup_message_get_response_headers(exchange->message))) {
+    outcome.kind = SubOutcomeKind::kConnectionLost;
+  } else {
+    outcome = ReadUpstreamAnswer(exchange->message, body);
   }
-  if (exchange->transport == nullptr) return;
-  exchange->transport->m_exchanges.erase(exchange->id);
-  exchange->transport->m_options.scheduler->Cancel(exchange->timer);
+  g_clear_pointer(&body, g_bytes_unref);
+  SoupUpstreamTransport* transport = exchange->transport;
+  if (transport == nullptr) return;
+  outcome.first_byte = exchange->first_byte;
+  transport->m_exchanges.erase(exchange->id);
+  transport->m_options.scheduler->Cancel(exchange->timer);
+  transport->Count(outcome.kind);
   exchange->callback(std::move(outcome));
 }
 
 void SoupUpstreamTransport::OnTimeout(SubRequestId id) {
-  SubOutcome outcome;
-  outcome.kind = SubOutcomeKind::kTimedOut;
-  End(id, std::move(outcome));
+  Exchange* exchange = m_exchanges.at(id);
+  Fail(exchange, exchange->may_have_sent ? SubOutcomeKind::kTimedOut
+                                         : SubOutcomeKind::kNotConnected);
 }
 
-void SoupUpstreamTransport::OnCancel(SubRequestId id) { End(id, {}); }
-
-void SoupUpstreamTransport::End(SubRequestId id, SubOutcome outcome) {
+void SoupUpstreamTransport::OnCancel(SubRequestId id) {
   const auto found = m_exchanges.find(id);
   if (found == m_exchanges.end()) return;
-  Exchange* exchange = found->second;
-  m_exchanges.erase(found);
+  m_counters.Add(UpstreamTransportCounter::kCancelled);
+  Abandon(found->second);
+}
+
+UpstreamTransport::Callback SoupUpstreamTransport::Abandon(Exchange* exchange) {
+  m_exchanges.erase(exchange->id);
   m_options.scheduler->Cancel(exchange->timer);
-  // The exchange is deleted when libsoup reports the end of the cancellation.
   exchange->transport = nullptr;
-  const Callback callback = std::move(exchange->callback);
+  Callback callback = std::move(exchange->callback);
+  if (exchange->message == nullptr) {
+    delete exchange;
+    return callback;
+  }
+  // The exchange is deleted when libsoup reports the end of the cancellation.
   g_cancellable_cancel(exchange->cancellable);
-  if (outcome.kind == SubOutcomeKind::kTimedOut) callback(std::move(outcome));
+  return callback;
+}
+
+void SoupUpstreamTransport::Fail(Exchange* exchange, SubOutcomeKind kind) {
+  const Duration first_byte = exchange->first_byte;
+  const Callback callback = Abandon(exchange);
+  Count(kind);
+  SubOutcome outcome;
+  outcome.kind = kind;
+  outcome.first_byte = first_byte;
+  callback(std::move(outcome));
+}
+
+void SoupUpstreamTransport::Count(SubOutcomeKind kind) {
+  switch (kind) {
+    case SubOutcomeKind::kNotConnected:
+      return m_counters.Add(UpstreamTransportCounter::kNotConnected);
+    case SubOutcomeKind::kConnectionLost:
+      return m_counters.Add(UpstreamTransportCounter::kConnectionLost);
+    case SubOutcomeKind::kTimedOut:
+      return m_counters.Add(UpstreamTransportCounter::kTimedOut);
+    case SubOutcomeKind::kMalformed:
+      return m_counters.Add(UpstreamTransportCounter::kMalformed);
+    default:
+      return m_counters.Add(UpstreamTransportCounter::kAnswered);
+  }
 }
 
 }  // namespace chicoryvale
--- /dev/null
+++ b/tests/adapters/soup_upstream_transport_test.cc
@@ -0,0 +1,286 @@
+#include "adapters/soup_upstream_transport.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "adapters/glib_scheduler.h"
+#include "fakes/main_context.h"
+#include "fakes/raw_upstream.h"
+
+namespace chicoryvale {
+namespace {
+
+using Counter = UpstreamTransportCounter;
+
+constexpr char kEndOfRequest[] = "\r\n\r\nrequest";
+
+std::string Answer(const std::string& headers, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n" + headers + "\r\n" + body;
+}
+
+class SoupUpstreamTransportTest : public testing::Test {
+ protected:
+  SubRequest Request(const RawUpstream& upstream) {
+    SubRequest request;
+    request.id = ++m_last_id;
+    request.replica = upstream.LocalAddress();
+    request.service = "test.Service";
+    request.method = "Compare";
+    request.shard = 7;
+    request.snapshot = {2, 9};
+    request.body = "request";
+    request.timeout = seconds(60);
+    return request;
+  }
+
+  SubOutcome Send(const SubRequest& request) {
+    std::optional<SubOutcome> outcome;
+    m_transport.Send(request, [&](SubOutcome result) {
+      EXPECT_FALSE(outcome.has_value());
+      outcome = std::move(result);
+    });
+    EXPECT_FALSE(outcome.has_value()) << "called from within Send";
+    IterateUntil([&] { return outcome.has_value(); });
+    return *outcome;
+  }
+
+  [[nodiscard]] std::uint64_t Count(Counter counter) const {
+    return m_transport.Counters().Get(counter);
+  }
+
+  GlibScheduler m_scheduler;
+  SoupUpstreamTransport m_transport{
+      SoupUpstreamTransportOptions{.scheduler = &m_scheduler,
+                                   .max_connections_per_replica = 4,
+                                   .max_answer_bytes = 1000}};
+  SubRequestId m_last_id = 0;
+};
+
+TEST_F(SoupUpstreamTransportTest, SendsThePublishedHeadersAndReadsTheAnswer) {
+  std::string received;
+  RawUpstream upstream([&](RawSocket& connection, int) {
+    received = connection.ReceiveUntil(kEndOfRequest);
+    connection.Send(
+        Answer("X-Chicoryvale-Sub-Request-Id: 1\r\n"
+               "X-Chicoryvale-Shard: 7\r\n"
+               "X-Chicoryvale-Map-Epoch: 2\r\n"
+               "X-Chicoryvale-Index-Version: 9\r\n"
+               "X-Chicoryvale-Draining: 1\r\n"
+               "X-Chicoryvale-Load: 3\r\n",
+               "body"));
+  });
+  const SubOutcome outcome = Send(Request(upstream));
+  EXPECT_EQ(outcome.kind, SubOutcomeKind::kAnswered);
+  EXPECT_EQ(outcome.echoed_id, 1);
+  EXPECT_EQ(outcome.echoed_shard, 7);
+  EXPECT_EQ(outcome.echoed_snapshot, (SnapshotId{2, 9}));
+  EXPECT_TRUE(outcome.report.draining);
+  EXPECT_EQ(outcome.report.load, 3);
+  EXPECT_FALSE(outcome.report.newest_version.has_value());
+  EXPECT_EQ(outcome.body, "body");
+  EXPECT_TRUE(received.starts_with("POST /test.Service/Compare HTTP/1.1\r\n"));
+  for (const char* header :
+       {"X-Chicoryvale-Sub-Request-Id: 1\r\n", "X-Chicoryvale-Shard: 7\r\n",
+        "X-Chicoryvale-Map-Epoch: 2\r\n", "X-Chicoryvale-Index-Version: 9\r\n",
+        "X-Chicoryvale-Timeout-Ms: 60000\r\n",
+        "Content-Type: application/x-protobuf\r\n"}) {
+    EXPECT_NE(received.find(header), std::string::npos) << header;
+  }
+}
+
+/// Upstream that answers the first request of each connection and closes it
+/// when the second one has arrived.
+class ClosingUpstream {
+ public:
+  [[nodiscard]] int Requests() const { return m_requests; }
+  RawUpstream m_upstream{[this](RawSocket& connection, int) {
+    if (connection.ReceiveUntil(kEndOfRequest).empty()) return;
+    ++m_requests;
+    connection.Send(Answer("", "body"));
+    if (connection.ReceiveUntil(kEndOfRequest).empty()) return;
+    ++m_requests;
+  }};
+
+ private:
+  std::atomic<int> m_requests = 0;
+};
+
+TEST_F(SoupUpstreamTransportTest, IdempotentRequestIsNotResentByTheLibrary) {
+  ClosingUpstream upstream;
+  EXPECT_EQ(Send(Request(upstream.m_upstream)).kind, SubOutcomeKind::kAnswered);
+  EXPECT_EQ(Send(Request(upstream.m_upstream)).kind,
+            SubOutcomeKind::kConnectionLost);
+  // The next request is the third that arrives: none was sent twice.
+  EXPECT_EQ(Send(Request(upstream.m_upstream)).kind, SubOutcomeKind::kAnswered);
+  EXPECT_EQ(upstream.Requests(), 3);
+  EXPECT_EQ(upstream.m_upstream.Connections(), 2);
+}
+
+TEST_F(SoupUpstreamTransportTest, NonIdempotentRequestIsNeverSentTwice) {
+  std::atomic<int> requests = 0;
+  std::vector<RawSocket> kept;
+  RawUpstream upstream([&](RawSocket& connection, int number) {
+    if (connection.ReceiveUntil(kEndOfRequest).empty()) return;
+    ++requests;
+    // The connections after the first close before an answer.
+    if (number > 0) return;
+    connection.Send(Answer("", "body"));
+    kept.push_back(std::move(connection));
+  });
+  EXPECT_EQ(Send(Request(upstream)).kind, SubOutcomeKind::kAnswered);
+  constexpr int kRequests = 5;
+  for (int i = 0; i < kRequests; ++i) {
+    SubRequest request = Request(upstream);
+    request.idempotent = false;
+    request.request_id = "caller-1";
+    EXPECT_EQ(Send(request).kind, SubOutcomeKind::kConnectionLost);
+  }
+  EXPECT_EQ(requests, 1 + kRequests);
+}
+
+TEST_F(SoupUpstreamTransportTest, KeepsConnectionsUnlessToldOtherwise) {
+  RawUpstream upstream([&](RawSocket& connection, int number) {
+    while (!connection.ReceiveUntil(kEndOfRequest).empty()) {
+      connection.Send(Answer("", "body"));
+      if (number == 0) continue;
+      return;
+    }
+  });
+  for (int i = 0; i < 3; ++i) Send(Request(upstream));
+  EXPECT_EQ(Count(Counter::kConnectionsOpened), 1);
+}
+
+TEST_F(SoupUpstreamTransportTest, FreshConnectionLeavesTheKeptOneAlone) {
+  std::vector<RawSocket> kept;
+  RawUpstream upstream([&](RawSocket& connection, int) {
+    connection.ReceiveUntil(kEndOfRequest);
+    connection.Send(Answer("", "body"));
+    kept.push_back(std::move(connection));
+  });
+  Send(Request(upstream));
+  SubRequest request = Request(upstream);
+  request.fresh_connection = true;
+  EXPECT_EQ(Send(request).kind, SubOutcomeKind::kAnswered);
+  EXPECT_EQ(Count(Counter::kConnectionsOpened), 2);
+}
+
+TEST_F(SoupUpstreamTransportTest, CancelClosesTheConnection) {
+  std::atomic<bool> received = false;
+  std::atomic<bool> closed = false;
+  RawUpstream upstream([&](RawSocket& connection, int) {
+    connection.ReceiveUntil(kEndOfRequest);
+    received = true;
+    g_main_context_wakeup(nullptr);
+    connection.ReceiveAll();
+    closed = true;
+    g_main_context_wakeup(nullptr);
+  });
+  const SubRequest request = Request(upstream);
+  m_transport.Send(request, [](const SubOutcome&) { FAIL(); });
+  IterateUntil([&] { return received.load(); });
+  m_transport.Cancel(request.id);
+  IterateUntil([&] { return closed.load(); });
+}
+
+TEST_F(SoupUpstreamTransportTest, TimeoutClosesTheConnection) {
+  std::atomic<bool> closed = false;
+  RawUpstream upstream([&](RawSocket& connection, int) {
+    connection.ReceiveAll();
+    closed = true;
+    g_main_context_wakeup(nullptr);
+  });
+  SubRequest request = Request(upstream);
+  request.timeout = milliseconds(50);
+  EXPECT_EQ(Send(request).kind, SubOutcomeKind::kTimedOut);
+  IterateUntil([&] { return closed.load(); });
+}
+
+TEST_F(SoupUpstreamTransportTest, RefusedConnectionIsNotConnected) {
+  SubRequest request;
+  {
+    const RawUpstream gone([](RawSocket&, int) {});
+    request = Request(gone);
+  }
+  EXPECT_EQ(Send(request).kind, SubOutcomeKind::kNotConnected);
+}
+
+TEST_F(SoupUpstreamTransportTest, UnusableAddressIsNotConnected) {
+  SubRequest request;
+  request.id = ++m_last_id;
+  request.replica = Address{"not an address"};
+  request.timeout = seconds(60);
+  EXPECT_EQ(Send(request).kind, SubOutcomeKind::kNotConnected);
+}
+
+/// Bytes of an answer, after which the connection is closed.
+struct AnswerCase {
+  std::string name;
+  std::string sent;
+  SubOutcomeKind kind = SubOutcomeKind::kAnswered;
+};
+
+class UpstreamAnswerTest : public SoupUpstreamTransportTest,
+                           public testing::WithParamInterface<AnswerCase> {};
+
+TEST_P(UpstreamAnswerTest, HasItsOutcome) {
+  std::atomic<int> requests = 0;
+  RawUpstream upstream([&](RawSocket& connection, int) {
+    if (connection.ReceiveUntil(kEndOfRequest).empty()) return;
+    ++requests;
+    connection.Send(GetParam().sent);
+  });
+  EXPECT_EQ(Send(Request(upstream)).kind, GetParam().kind);
+  EXPECT_EQ(requests, 1);
+}
+
+std::vector<AnswerCase> AnswerCases() {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string empty = "Content-Length: 0\r\n";
+  return {
+      {"Whole", Answer("", "body"), SubOutcomeKind::kAnswered},
+      {"Nothing", "", SubOutcomeKind::kConnectionLost},
+      {"EndsInHeaders", head + "Content-Le", SubOutcomeKind::kMalformed},
+      {"EndsInBody", head + "Content-Length: 10\r\n\r\nabc",
+       SubOutcomeKind::kConnectionLost},
+      {"NoHttp", "hello\r\n\r\n", SubOutcomeKind::kMalformed},
+      {"TooLong",
+       head + "Content-Length: 1001\r\n\r\n" + std::string(1001, 'x'),
+       SubOutcomeKind::kMalformed},
+      {"NoLength", head + "\r\nbody", SubOutcomeKind::kMalformed},
+      {"Chunked", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       SubOutcomeKind::kMalformed},
+      {"BadNumber", Answer("X-Chicoryvale-Shard: seven\r\n", ""),
+       SubOutcomeKind::kMalformed},
+      {"NumberOutOfRange", Answer("X-Chicoryvale-Load: 4294967296\r\n", ""),
+       SubOutcomeKind::kMalformed},
+      {"Shed",
+       "HTTP/1.1 503 Shed\r\nX-Chicoryvale-Not-Started: 1\r\n" + empty + "\r\n",
+       SubOutcomeKind::kNotStarted},
+      {"ShedWithoutItsWord", "HTTP/1.1 503 Shed\r\n" + empty + "\r\n",
+       SubOutcomeKind::kFailed},
+      {"OtherSnapshot", "HTTP/1.1 409 Conflict\r\n" + empty + "\r\n",
+       SubOutcomeKind::kSnapshotUnavailable},
+      {"Redirect",
+       "HTTP/1.1 307 Elsewhere\r\nLocation: /other\r\n" + empty + "\r\n",
+       SubOutcomeKind::kFailed},
+      {"AsksForAuthentication",
+       "HTTP/1.1 401 Who\r\nWWW-Authenticate: Basic realm=\"r\"\r\n" + empty +
+           "\r\n",
+       SubOutcomeKind::kFailed},
+  };
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers, UpstreamAnswerTest,
+                         testing::ValuesIn(AnswerCases()),
+                         [](const testing::TestParamInfo<AnswerCase>& param) {
+                           return param.param.name;
+                         });
+
+}  // namespace
+}  // namespace chicoryvale
