Quarantine, stalled attempts and the fingerprint's shard in the query engine

Cause: the gate refuses quarantined requests, runs unproven ones at one upstream first and tells after which time an attempt without progress is worth another; the engine knew none of it. Change: the fingerprint goes to the gate and chooses the shard asked first; a quarantined shard ends at once, and the caller is told kQuarantined if nothing ran; after the progress bound a second attempt comes from the retry budget.

--- a/src/query/query.cc
+++ b/src/query/query.cc
@@ -26,6 +26,7 @@
   m_ctx.deadline = m_ctx.started + m_ctx.spec.deadline;
   m_ctx.gate_spec.service = m_ctx.spec.service;
   m_ctx.gate_spec.workspace = m_ctx.spec.workspace;
+  m_ctx.gate_spec.fingerprint = m_ctx.spec.fingerprint;
   ++service->queries_in_flight;
 }
 
@@ -132,7 +133,12 @@
   m_pending = m_tasks.size();
   m_covered = 0;
   PlanEarlyReturn();
-  for (ShardTask& task : m_tasks) task.Start();
+  // Requests not yet proven run at one upstream first: that of the shard asked
+  // first, which the fingerprint chooses.
+  const std::size_t first = m_ctx.spec.fingerprint % m_tasks.size();
+  for (std::size_t i = 0; i < m_tasks.size(); ++i) {
+    m_tasks[(first + i) % m_tasks.size()].Start();
+  }
 }
 
 void Query::PlanEarlyReturn() {
--- a/src/query/query_counters.h
+++ b/src/query/query_counters.h
@@ -22,6 +22,7 @@
   kFailedOverloaded,
   kFailedUnavailable,
   kFailedMayHaveRun,
+  kFailedQuarantined,
   kRefusedNoConfiguration,
   kRefusedEpoch,
   kRefusedDeadline,
@@ -38,6 +39,7 @@
   kRetryConnectionLost,
   kRetryTimedOut,
   kRetryBadAnswer,
+  kRetryStalled,
   kRetryNoBudget,
   kGateRefused,
   kRestartSnapshot,
@@ -53,7 +55,7 @@
 
 template <>
 struct CounterNames<QueryCounter> {
-  static constexpr std::array<std::string_view, 38> kNames = {
+  static constexpr std::array<std::string_view, 40> kNames = {
       "query_started",
       "query_answered_whole",
       "query_answered_partly",
@@ -65,6 +67,7 @@
       "query_failed_overloaded",
       "query_failed_unavailable",
       "query_failed_may_have_run",
+      "query_failed_quarantined",
       "query_refused_no_configuration",
       "query_refused_epoch",
       "query_refused_deadline",
@@ -81,6 +84,7 @@
       "query_retry_connection_lost",
       "query_retry_timed_out",
       "query_retry_bad_answer",
+      "query_retry_stalled",
       "query_retry_no_budget",
       "query_gate_refused",
       "query_restart_snapshot",
--- a/src/query/query_engine.cc
+++ b/src/query/query_engine.cc
@@ -17,13 +17,14 @@
   QueryCounter counter;
 };
 
-constexpr std::array<FailureCounter, 6> kFailureCounters = {{
+constexpr std::array<FailureCounter, 7> kFailureCounters = {{
     {ErrorKind::kDeadlineExceeded, kFailedDeadline},
     {ErrorKind::kInsufficientCoverage, kFailedCoverage},
     {ErrorKind::kSnapshotUnavailable, kFailedSnapshot},
     {ErrorKind::kOverloaded, kFailedOverloaded},
     {ErrorKind::kUpstreamUnavailable, kFailedUnavailable},
     {ErrorKind::kMayHaveRun, kFailedMayHaveRun},
+    {ErrorKind::kQuarantined, kFailedQuarantined},
 }};
 
 bool ReturnedEarly(const QueryAnswer& answer) {
--- a/src/query/query_failure.cc
+++ b/src/query/query_failure.cc
@@ -13,7 +13,8 @@
   ErrorKind kind;
 };
 
-constexpr std::array<StateError, 4> kStateErrors = {{
+constexpr std::array<StateError, 5> kStateErrors = {{
+    {ShardState::kQuarantined, ErrorKind::kQuarantined},
     {ShardState::kSnapshotUnavailable, ErrorKind::kSnapshotUnavailable},
     {ShardState::kOverloaded, ErrorKind::kOverloaded},
     {ShardState::kUnreachable, ErrorKind::kUpstreamUnavailable},
--- a/src/query/query_types.h
+++ b/src/query/query_types.h
@@ -52,7 +52,8 @@
   /// Epoch of the shard map that the caller planned with; 0 takes any. A query
   /// planned with another epoch than the one in force is refused, not run.
   std::uint64_t map_epoch = 0;
-  /// Hash of the request, equal for resends of it.
+  /// Hash of the request, equal for resends of it; 0 if it takes no part in
+  /// crash quarantine.
   std::uint64_t fingerprint = 0;
 };
 
@@ -73,13 +74,15 @@
   kFailed,
   /// The answers received were damaged or were not for this sub-request.
   kBadAnswer,
+  /// The request is quarantined, since upstreams that ran it were lost.
+  kQuarantined,
 };
 
 /// Names of ShardState, in its order.
-inline constexpr std::array<std::string_view, 8> kShardStateNames = {
+inline constexpr std::array<std::string_view, 9> kShardStateNames = {
     "covered",    "deadline",    "early",
     "overloaded", "unreachable", "snapshot_unavailable",
-    "failed",     "bad_answer"};
+    "failed",     "bad_answer",  "quarantined"};
 
 /// Returns the stable name of `state`. Thread safe.
 constexpr std::string_view ShardStateName(ShardState state) {
--- a/src/query/shard_task.cc
+++ b/src/query/shard_task.cc
@@ -14,6 +14,7 @@
 constexpr std::uint32_t kMaxBackoffDoublings = 6;
 
 ShardState ReasonOf(ErrorKind kind) {
+  if (kind == ErrorKind::kQuarantined) return ShardState::kQuarantined;
   return kind == ErrorKind::kUpstreamUnavailable ? ShardState::kUnreachable
                                                  : ShardState::kOverloaded;
 }
@@ -85,6 +86,8 @@
   if (m_ended) return;
   if (m_retry_at && now >= *m_retry_at) RunRetry(now);
   if (m_hedge_at && now >= *m_hedge_at) RunHedge(now);
+  if (m_stall_at && now >= *m_stall_at) RunStalled();
+  if (m_stall_at) m_owner->WantSweep(*m_stall_at);
   if (m_retry_at) m_owner->WantSweep(*m_retry_at);
   if (m_hedge_at) m_owner->WantSweep(*m_hedge_at);
 }
@@ -142,6 +145,7 @@
   attempt->sent = true;
   attempt->sent_at = now;
   attempt->replica = choice.replica;
+  const Duration progress_bound = choice.progress_bound;
   m_retry_at.reset();
   m_waits = 0;
   ++m_sent;
@@ -169,7 +173,12 @@
       [table = query.parts.attempts, id = attempt->id](SubOutcome outcome) {
         table->DeliverOutcome(id, std::move(outcome));
       });
-  if (!query.parts.hedging || m_hedged || !query.spec.idempotent) return;
+  if (!query.spec.idempotent) return;
+  if (progress_bound > Duration::zero()) {
+    m_stall_at = now + progress_bound;
+    m_owner->WantSweep(*m_stall_at);
+  }
+  if (!query.parts.hedging || m_hedged) return;
   const auto delay = query.service->hedging.Delay();
   if (!delay) return;
   m_hedge_at = now + *delay;
@@ -193,7 +202,12 @@
   }
   m_state = ReasonOf(kind);
   if (kind == ErrorKind::kUpstreamUnavailable) m_failed.clear();
-  if (!HasLive()) RetryLater();
+  if (HasLive()) return;
+  if (kind == ErrorKind::kQuarantined) {
+    End(m_state);
+  } else {
+    RetryLater();
+  }
 }
 
 void ShardTask::Cover(const LiveAttempt& winner, Duration elapsed) {
@@ -308,11 +322,26 @@
   Attempt(AttemptPurpose::kHedge);
 }
 
+// Asks again beside an attempt without progress, whose connection may be
+// silent, if no hedge has done so.
+void ShardTask::RunStalled() {
+  m_stall_at.reset();
+  if (!InFlight() || Find(0) == nullptr) return;
+  if (m_query->MapChanged() || m_sent >= kMaxAttempts) return;
+  if (!m_query->service->extra_load.TryTake()) {
+    Counters().Add(QueryCounter::kRetryNoBudget);
+    return;
+  }
+  Counters().Add(QueryCounter::kRetryStalled);
+  Attempt(AttemptPurpose::kRetry);
+}
+
 void ShardTask::End(ShardState state) {
   m_ended = true;
   m_state = state;
   m_retry_at.reset();
   m_hedge_at.reset();
+  m_stall_at.reset();
   m_owner->TaskEnded(state);
 }
 
--- a/src/query/shard_task.h
+++ b/src/query/shard_task.h
@@ -106,6 +106,7 @@
   void WaitForBudget();
   void RunRetry(TimePoint now);
   void RunHedge(TimePoint now);
+  void RunStalled();
   void End(ShardState state);
   void Abandon(LiveAttempt* attempt, TimePoint now);
   void AbandonAll();
@@ -125,6 +126,7 @@
   std::uint32_t m_waits = 0;
   std::optional<TimePoint> m_retry_at;
   std::optional<TimePoint> m_hedge_at;
+  std::optional<TimePoint> m_stall_at;
   std::array<LiveAttempt, kMaxLive> m_live;
   /// Replicas that failed; avoided as long as there are others.
   std::vector<Address> m_failed;
--- a/tests/fakes/fake_gate.h
+++ b/tests/fakes/fake_gate.h
@@ -26,6 +26,9 @@
   /// Refuses every request with `kind`, or none.
   void SetRefusal(std::optional<ErrorKind> kind) { m_refusal = kind; }
 
+  /// Time after which choices say that a silent attempt is worth another.
+  void SetProgressBound(Duration bound) { m_progress_bound = bound; }
+
   /// Keeps every request waiting until Release.
   void Hold() { m_hold = true; }
   void Release() {
@@ -101,13 +104,14 @@
       m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(i));
       ++m_load[*replica];
       m_placed.emplace(next.ticket, *replica);
-      next.callback(ReplicaChoice{*replica, false});
+      next.callback(ReplicaChoice{*replica, false, m_progress_bound});
     }
   }
 
   ClusterConfig m_config;
   std::size_t m_slots = 0;
   std::size_t m_turn = 0;
+  Duration m_progress_bound{};
   bool m_hold = false;
   std::optional<ErrorKind> m_refusal;
   std::deque<Waiting> m_waiting;
--- a/tests/query/once_guard_test.cc
+++ b/tests/query/once_guard_test.cc
@@ -137,6 +137,7 @@
       {"gate overloaded", gate(kOverloaded), Ran::kNo, kOverloaded, 0},
       {"gate without replica", gate(kUpstreamUnavailable), Ran::kNo,
        kUpstreamUnavailable, 0},
+      {"gate quarantines", gate(kQuarantined), Ran::kNo, kQuarantined, 0},
       {"gate holds past the deadline", [](World* w) { w->first.gate.Hold(); },
        Ran::kNo, kDeadlineExceeded, 0},
       {"connection refused", upstream(kNotConnected, false), Ran::kNo,
--- a/tests/query/query_engine_test.cc
+++ b/tests/query/query_engine_test.cc
@@ -109,6 +109,28 @@
   EXPECT_EQ(answer->ran, Ran::kYes);
 }
 
+TEST(QueryEngineTest, AsksAgainBesideAnAttemptWithoutProgress) {
+  QueryFixture fixture;
+  fixture.gate.SetProgressBound(milliseconds(20));
+  fixture.upstream.SetDefault([&](const SubRequest& request) {
+    return fixture.upstream.SentCount() == 2 ? FakeUpstream::Silent()
+                                             : fixture.upstream.Serve(request);
+  });
+  const QueryAnswer answer = fixture.Ask(QueryFixture::Spec());
+  EXPECT_EQ(CountCovered(answer.coverage), 4U);
+  EXPECT_EQ(answer.retries, 1U);
+  EXPECT_EQ(fixture.Count(QueryCounter::kRetryStalled), 1U);
+  EXPECT_LT(fixture.scheduler.Now() - TimePoint{}, milliseconds(30));
+}
+
+TEST(QueryEngineTest, AsksTheShardOfTheFingerprintFirst) {
+  QueryFixture fixture;
+  QuerySpec spec = QueryFixture::Spec();
+  spec.fingerprint = 4 * 1000 + 2;
+  fixture.Ask(spec);
+  EXPECT_EQ(fixture.upstream.Sent().front().shard, 2U);
+}
+
 TEST(QueryEngineTest, WaitsForPlacesAtTheGate) {
   QueryFixture fixture;
   fixture.gate.SetSlots(1);
