Find silent connections by what new ones do

Cause: open connections can go silent for good while new ones work; a slow replica shows the same stalls.

Change: ConnectionMonitor per replica and PathMonitor per zone. Three stalls on kept connections make the next attempt a trial on a new connection; an ordinary answer there shows the kept ones silent, a stall there shows the replica slow. UpstreamGate tells a listener whose idle connections to close and gives callers ReplicaChoice::progress_bound. The transport has to close them: not wired here.

--- a/src/upstream/replica_set.h
+++ b/src/upstream/replica_set.h
@@ -10,6 +10,7 @@
 #include "base/time.h"
 #include "config/cluster_config.h"
 #include "ports/scheduler.h"
+#include "upstream/connection_monitor.h"
 #include "upstream/connection_share.h"
 #include "upstream/replica_picker.h"
 #include "upstream/replica_state.h"
@@ -21,10 +22,11 @@
 
 /// A replica, and the sets of which requests wait for it.
 struct Replica {
-  explicit Replica(ReplicaState replica_state)
-      : state(std::move(replica_state)) {}
+  Replica(ReplicaState replica_state, ConnectionMonitor connection_monitor)
+      : state(std::move(replica_state)), monitor(connection_monitor) {}
 
   ReplicaState state;
+  ConnectionMonitor monitor;
   /// The lowest limits that a service places on it.
   ReplicaLimits limits;
   /// This process's part of its connections.
--- a/src/upstream/replica_table.cc
+++ b/src/upstream/replica_table.cc
@@ -100,7 +100,9 @@
     limit.initial = limits.slots;
     replica = std::make_unique<Replica>(
         ReplicaState(config.address, m_settings.replica, limit,
-                     m_leave->RecordOf(config.address), m_configured, now));
+                     m_leave->RecordOf(config.address), m_configured, now),
+        ConnectionMonitor(m_settings.monitor,
+                          &m_paths[config.availability_zone]));
   }
   if (replica->placed) {
     replica->limits.slots = std::min(replica->limits.slots, limits.slots);
--- a/src/upstream/replica_table.h
+++ b/src/upstream/replica_table.h
@@ -25,6 +25,7 @@
   std::size_t queue_capacity = 256;
   ReplicaSettings replica;
   ConcurrencyLimitSettings limit;
+  ConnectionMonitorSettings monitor;
 };
 
 /// The replicas and replica sets of the present configuration. Replicas that
@@ -73,6 +74,8 @@
   LeaveTracker* m_leave;
   bool m_configured = false;
   std::optional<ConnectionShare> m_share;
+  /// By availability zone.
+  std::unordered_map<std::string, PathMonitor> m_paths;
   std::unordered_map<std::string, std::unique_ptr<Replica>> m_replicas;
   std::unordered_map<std::string, Shards> m_services;
 };
--- a/src/upstream/upstream_counters.h
+++ b/src/upstream/upstream_counters.h
@@ -15,6 +15,8 @@
   kQueued,
   kAvoidedReplicaUsed,
   kFreshConnection,
+  kSilentReplica,
+  kSilentPath,
   kRefusedUnknownShard,
   kRefusedNoReplica,
   kRefusedQueueFull,
@@ -37,11 +39,13 @@
 
 template <>
 struct CounterNames<UpstreamCounter> {
-  static constexpr std::array<std::string_view, 22> kNames = {
+  static constexpr std::array<std::string_view, 24> kNames = {
       "upstream_chosen",
       "upstream_queued",
       "upstream_avoided_replica_used",
       "upstream_fresh_connection",
+      "upstream_silent_replica",
+      "upstream_silent_path",
       "upstream_refused_unknown_shard",
       "upstream_refused_no_replica",
       "upstream_refused_queue_full",
--- a/src/upstream/upstream_gate.cc
+++ b/src/upstream/upstream_gate.cc
@@ -20,7 +20,7 @@
 
 ReplicaTableSettings TableSettings(const UpstreamGateOptions& options) {
   return {options.availability_zone, options.queue_capacity, options.replica,
-          options.limit};
+          options.limit, options.monitor};
 }
 
 std::vector<std::uint64_t> QuarantinedIn(const ClusterConfig& config) {
@@ -239,13 +239,17 @@
   attempt.replica = replica;
   attempt.waits_in.reset();
   attempt.sent_at = m_scheduler->Now();
+  // After an attempt at the same replica its kept connections may be silent.
+  const bool replace = replica->monitor.TakeFresh();
+  attempt.fresh_connection = replace || pick.avoided;
   m_counters.Add(UpstreamCounter::kChosen);
+  if (pick.avoided) m_counters.Add(UpstreamCounter::kAvoidedReplicaUsed);
   ReplicaChoice choice;
   choice.replica = replica->state.GetAddress();
-  if (pick.avoided) {
-    // The query has tried this replica: its kept connections may be silent.
-    choice.fresh_connection = true;
-    m_counters.Add(UpstreamCounter::kAvoidedReplicaUsed);
+  choice.fresh_connection = attempt.fresh_connection;
+  choice.progress_bound =
+      replica->monitor.ProgressBound(replica->state.Median());
+  if (choice.fresh_connection) {
     m_counters.Add(UpstreamCounter::kFreshConnection);
   }
   callback(std::move(choice));
@@ -393,10 +397,39 @@
   EndRun(attempt, RunEndOf(outcome.kind));
   m_recorder.Record(outcome, attempt.replica, attempt.sent_at, elapsed,
                     m_scheduler->Now());
+  JudgeConnection(attempt, outcome, elapsed);
   AfterEnd(attempt.replica);
   ResumeReady();
 }
 
+void UpstreamGate::JudgeConnection(const Attempt& attempt,
+                                   const SubOutcome& outcome,
+                                   Duration elapsed) {
+  Replica* replica = attempt.replica;
+  const Duration typical = replica->state.Median();
+  const bool progress = outcome.first_byte > Duration::zero();
+  if (outcome.kind == SubOutcomeKind::kTimedOut && !progress) {
+    replica->monitor.OnNoProgress(attempt.fresh_connection, elapsed, typical);
+    return;
+  }
+  if (outcome.kind != SubOutcomeKind::kAnswered) return;
+  const ConnectionVerdict verdict = replica->monitor.OnAnswer(
+      attempt.fresh_connection, progress ? outcome.first_byte : elapsed,
+      typical, m_scheduler->Now());
+  if (verdict == ConnectionVerdict::kNone) return;
+  m_counters.Add(UpstreamCounter::kSilentReplica);
+  if (!m_silent_listener) return;
+  if (verdict == ConnectionVerdict::kReplicaSilent) {
+    m_silent_listener(replica->state.GetAddress());
+    return;
+  }
+  m_counters.Add(UpstreamCounter::kSilentPath);
+  m_table.Visit([this, path = replica->monitor.Path()](Replica* other) {
+    if (other->monitor.Path() != path) return;
+    m_silent_listener(other->state.GetAddress());
+  });
+}
+
 void UpstreamGate::OnAbandon(GateTicket ticket, Duration elapsed) {
   const auto node = m_attempts.extract(ticket);
   if (node.empty()) return;
@@ -411,6 +444,8 @@
     ResumeReady();
     return;
   }
+  attempt.replica->monitor.OnNoProgress(attempt.fresh_connection, elapsed,
+                                        attempt.replica->state.Median());
   attempt.replica->state.OnAbandon(elapsed, m_scheduler->Now());
   AfterEnd(attempt.replica);
   ResumeReady();
--- a/src/upstream/upstream_gate.h
+++ b/src/upstream/upstream_gate.h
@@ -3,9 +3,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/counters.h"
@@ -40,6 +42,7 @@
   LeaveSettings leave;
   CrashSettings crash;
   ConnectionShareSettings share;
+  ConnectionMonitorSettings monitor;
 };
 
 /// Chooses the replica of each attempt and bounds the attempts in flight at
@@ -81,6 +84,12 @@
     return m_counters;
   }
 
+  /// Sets the function called when the kept connections of a replica were found
+  /// silent: idle ones are to be closed.
+  void SetSilentListener(std::function<void(const Address&)> listener) {
+    m_silent_listener = std::move(listener);
+  }
+
   /// Returns the requests in flight from here at `replica`.
   [[nodiscard]] std::uint32_t InFlight(const Address& replica);
 
@@ -106,6 +115,7 @@
     SetPointer waits_in;
     TimePoint deadline{};
     TimePoint sent_at{};
+    bool fresh_connection = false;
     CrashQuarantine::Run run;
   };
 
@@ -132,6 +142,8 @@
               const Callback& callback);
   /// Starts all requests of `set` that find a place.
   void Wake(const SetPointer& set);
+  void JudgeConnection(const Attempt& attempt, const SubOutcome& outcome,
+                       Duration elapsed);
   void AfterEnd(Replica* replica);
   void WakeWaiting(Replica* replica);
   [[nodiscard]] bool StartOne(const SetPointer& set);
@@ -148,6 +160,7 @@
   ParkedRequests m_parked;
   CounterSet<UpstreamCounter> m_counters;
   OutcomeRecorder m_recorder;
+  std::function<void(const Address&)> m_silent_listener;
   std::unordered_map<GateTicket, Attempt> m_attempts;
 };
 
