--- a/tests/replication/replica_node_test.cc
+++ b/tests/replication/replica_node_test.cc
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
+#include <string>
+#include <utility>
+
 #include "replication/replica_group.h"
 
 namespace chicoryvale {
@@ -55,5 +59,76 @@
             (ChangeResult{ChangeOutcome::kAccepted, 1, {}}));
 }
 
+/// A leader in term 3 of three replicas, of which the test plays two. Its log
+/// holds an entry of term 2 that may be on no other disk.
+class ScriptedPeers {
+ public:
+  ScriptedPeers() {
+    LogSnapshot first;
+    first.index = 1;
+    first.term = 1;
+    first.membership.members = {
+        {1, m_self, true, 0}, {2, m_left, true, 0}, {3, m_right, true, 0}};
+    first.data = m_machine.Snapshot();
+    const auto opened = LogStorage::Open(&m_storage, 1);
+    EXPECT_TRUE(opened->log->FormGroup(kGroup, first));
+    opened->log->SetHardState({2, 0});
+    opened->log->Append({2, 2, EntryKind::kEmpty, {}});
+    EXPECT_TRUE(opened->log->Sync());
+    ReplicaOptions options;
+    options.address = m_self;
+    m_node = std::move(*ReplicaNode::Make(
+        options, {&m_scheduler, &m_storage, &m_transport, &m_machine}));
+    m_network.SetReceiver(m_left, [this](const std::string& bytes) {
+      Envelope envelope;
+      ASSERT_TRUE(DecodeEnvelope(bytes, &envelope));
+      if (const auto* vote = std::get_if<VoteRequest>(&envelope.message)) {
+        Reply(VoteReply{vote->pre_vote, true, envelope.term});
+      }
+    });
+    EXPECT_TRUE(m_scheduler.RunUntil(
+        [this] { return m_node->Status().role == ReplicaRole::kLeader; }));
+  }
+
+  /// Replies to the leader in its term, as the left peer.
+  void Reply(Message message) {
+    Envelope envelope;
+    envelope.group_id = kGroup;
+    envelope.from = 2;
+    envelope.from_address = m_left;
+    envelope.to = 1;
+    envelope.term = m_node->Status().term;
+    envelope.message = std::move(message);
+    m_network.Send(m_left, m_self, EncodeEnvelope(envelope));
+  }
+
+  /// Lets the left peer hold the log up to `index`; returns the commit index.
+  LogIndex Hold(LogIndex index) {
+    Reply(AppendReply{true, index, 0});
+    m_scheduler.RunFor(milliseconds(10));
+    return m_node->Status().commit_index;
+  }
+
+ private:
+  static constexpr GroupId kGroup = 9;
+  const Address m_self = {"127.0.0.1:1"};
+  const Address m_left = {"127.0.0.2:1"};
+  const Address m_right = {"127.0.0.3:1"};
+  FakeScheduler m_scheduler;
+  FakeReplicationNetwork m_network{&m_scheduler, 1};
+  FakeReplicationTransport m_transport{&m_network, m_self};
+  FakeStorage m_storage;
+  ControlStateMachine m_machine;
+  std::unique_ptr<ReplicaNode> m_node;
+};
+
+// A quorum that holds an entry of an older term does not commit it: a leader of
+// a term between may still replace it (figure 8 of the Raft paper).
+TEST(ReplicaNodeTest, CommitsAnOlderTermOnlyWithAnEntryOfItsOwn) {
+  ScriptedPeers peers;
+  EXPECT_EQ(peers.Hold(2), 1U);
+  EXPECT_EQ(peers.Hold(3), 3U);
+}
+
 }  // namespace
 }  // namespace chicoryvale
