Run real processes through kills, stops, wiped data and lost quorums

Cause: nothing showed that the wired daemons keep the promises of their parts; and without a quorum a booking was told deadline_exceeded instead of no_quorum, since the guard's timer ended at the same time as the claim's. Change: tests/process starts real daemons on loopback addresses of its own: killed leaders and resent changes, a frozen leader that wakes, a wiped VM under its old name and a second failure just after, an entry restarted without control, a cut, a booking resent through another entry, a lost quorum, a graceful stop under load. A claim may take 80% of the deadline. Ruled out: telling no_quorum at the guard's own timer: a late grant is not a lost quorum.

--- a/programs/chicory-controld/control_daemon.cc
+++ b/programs/chicory-controld/control_daemon.cc
@@ -66,6 +66,9 @@
   options.seeds.insert(options.seeds.end(), options.controls.begin(),
                        options.controls.end());
   options.scheduler = &m_scheduler;
+  for (const Address& peer : ToAddresses(m_settings.refused_peers)) {
+    options.refused_peers.insert(peer);
+  }
   auto peers = PeerStack::Make(options);
   if (!peers) return tl::unexpected(peers.error());
   m_peers = std::move(*peers);
--- a/programs/chicory-controld/control_settings.cc
+++ b/programs/chicory-controld/control_settings.cc
@@ -20,6 +20,7 @@
   settings.group = reader.Addresses("group.members");
   settings.may_form_group = reader.Bool("group.may_form", false);
   settings.seeds = reader.Addresses("membership.seeds");
+  settings.refused_peers = reader.Addresses("testing.refused_peers");
   settings.linger = ReadLinger(reader);
   settings.log_level = ReadLogLevel(reader);
   return settings;
--- a/programs/chicory-controld/control_settings.h
+++ b/programs/chicory-controld/control_settings.h
@@ -27,6 +27,8 @@
   bool may_form_group = false;
   /// Peer addresses of entry VMs or control VMs, to join the membership.
   std::vector<std::string> seeds;
+  /// Peers that are neither talked nor listened to; cuts links in tests.
+  std::vector<std::string> refused_peers;
   Duration linger{};
   LogLevel log_level = LogLevel::kInfo;
 };
--- a/programs/chicory-entryd/entry_daemon.cc
+++ b/programs/chicory-entryd/entry_daemon.cc
@@ -1,5 +1,7 @@
 #include "chicory-entryd/entry_daemon.h"
 
+#include <algorithm>
+#include <iterator>
 #include <random>
 #include <string>
 #include <utility>
@@ -42,6 +44,7 @@
   StartQueryPath();
   if (auto ok = StartCallers(); !ok) return ok;
   if (auto ok = StartMetrics(); !ok) return ok;
+  if (auto ok = StartPlatform(); !ok) return ok;
   m_peers->Start();
   m_gossip->Start();
   return {};
@@ -58,6 +61,9 @@
   options.seeds.insert(options.seeds.end(), options.controls.begin(),
                        options.controls.end());
   options.scheduler = &m_scheduler;
+  for (const Address& peer : ToAddresses(m_settings.refused_peers)) {
+    options.refused_peers.insert(peer);
+  }
   auto peers = PeerStack::Make(options);
   if (!peers) return tl::unexpected(peers.error());
   m_peers = std::move(*peers);
@@ -77,6 +83,9 @@
   gate.seed = device();
   gate.availability_zone = m_settings.availability_zone;
   m_gate = UpstreamGate::Make(gate);
+  m_gate->UpdateMembers(*m_peers->Members());
+  m_peers->Members()->AddListener(
+      [this] { m_gate->UpdateMembers(*m_peers->Members()); });
   m_gossip = std::make_unique<GateGossip>(m_gate.get(), m_peers->Members(),
                                           &m_scheduler,
                                           m_peers->LocalAddress().host_port);
@@ -93,6 +102,24 @@
   m_endpoint = std::make_unique<CallerEndpoint>(m_runner.get());
 }
 
+Result<void> EntryDaemon::StartPlatform() {
+  if (m_settings.platform_list.empty()) return {};
+  auto poller = PlatformPoller::Make(
+      {.source = m_settings.platform_list, .scheduler = &m_scheduler});
+  if (!poller) return tl::unexpected(poller.error());
+  m_platform = std::move(*poller);
+  m_platform->SetListener([this](const std::vector<PlatformVm>& vms) {
+    std::vector<PlatformEntry> entries;
+    std::ranges::transform(
+        vms, std::back_inserter(entries), [](const PlatformVm& vm) {
+          return PlatformEntry{vm.address,
+                               vm.state == PlatformVmState::kLeaving};
+        });
+    m_gate->Leave()->OnPlatformList(entries, m_scheduler.Now());
+  });
+  return {};
+}
+
 void EntryDaemon::StartClaims() {
   ClaimClientOptions claims;
   claims.scheduler = &m_scheduler;
@@ -184,6 +211,7 @@
       .Add("callers", m_callers->Counters())
       .Add("transport", m_transport->Counters());
   m_peers->AddMetrics(&page);
+  if (m_platform) page.Add("entry", m_platform->counters());
   return page.Response();
 }
 
--- a/programs/chicory-entryd/entry_daemon.h
+++ b/programs/chicory-entryd/entry_daemon.h
@@ -8,6 +8,7 @@
 #include "adapters/daemon_loop.h"
 #include "adapters/glib_scheduler.h"
 #include "adapters/peer_stack.h"
+#include "adapters/platform_poller.h"
 #include "adapters/soup_http_server.h"
 #include "adapters/soup_upstream_transport.h"
 #include "chicory-entryd/entry_settings.h"
@@ -40,6 +41,7 @@
   void StartClaims();
   Result<void> StartCallers();
   Result<void> StartMetrics();
+  Result<void> StartPlatform();
   void ApplyConfig(const ClusterConfig& config, ConfigTrust trust);
   void HandleCaller(const HttpRequest& request, HttpResponder respond);
   void HandleMetrics(const HttpRequest& request, const HttpResponder& respond);
@@ -61,6 +63,7 @@
   std::unique_ptr<SoupHttpServer> m_callers;
   std::unique_ptr<SoupHttpServer> m_metrics;
   std::unique_ptr<GateGossip> m_gossip;
+  std::unique_ptr<PlatformPoller> m_platform;
   std::uint64_t m_config_version = 0;
   TimePoint m_handover_end{};
   bool m_ready = false;
--- a/programs/chicory-entryd/entry_settings.cc
+++ b/programs/chicory-entryd/entry_settings.cc
@@ -27,6 +27,8 @@
     reader.AddFault("control.addresses", "control.addresses names no VM");
   }
   settings.seeds = reader.Addresses("membership.seeds");
+  settings.platform_list = reader.String("platform.list", "");
+  settings.refused_peers = reader.Addresses("testing.refused_peers");
   settings.max_body_bytes = static_cast<std::uint32_t>(reader.Integer(
       "callers.max_body_bytes", kDefaultMaxBodyBytes, kMaxBodyBytesRange));
   settings.max_connections = static_cast<std::uint32_t>(reader.Integer(
--- a/programs/chicory-entryd/entry_settings.h
+++ b/programs/chicory-entryd/entry_settings.h
@@ -23,6 +23,10 @@
   std::vector<std::string> control;
   /// Peer addresses of other VMs, to join the membership.
   std::vector<std::string> seeds;
+  /// URL or file of the platform's list of VMs; empty: none is read.
+  std::string platform_list;
+  /// Peers that are neither talked nor listened to; cuts links in tests.
+  std::vector<std::string> refused_peers;
   /// Largest body of a caller's request.
   std::uint32_t max_body_bytes = 0;
   /// Connections of callers at a time.
--- a/programs/chicory-standin/standin_daemon.cc
+++ b/programs/chicory-standin/standin_daemon.cc
@@ -58,7 +58,9 @@
     }
     placement["shards"].push_back({{"replicas", replicas}});
   }
-  std::ofstream(service.name + ".placement.json") << placement.dump(1) << "\n";
+  std::ofstream(m_settings.placement_folder + "/" + service.name +
+                ".placement.json")
+      << placement.dump(1) << "\n";
   return {};
 }
 
--- a/programs/chicory-standin/standin_settings.cc
+++ b/programs/chicory-standin/standin_settings.cc
@@ -56,6 +56,7 @@
   if (!path.empty() && !ReadFile(path, &settings.schema_text)) {
     reader.AddFault("schema", "schema: " + path + " cannot be read");
   }
+  settings.placement_folder = reader.String("placement_folder", ".");
   settings.seed =
       static_cast<std::uint64_t>(reader.Integer("seed", 1, kVersionRange));
   reader.Tables("service", [&settings](SettingsReader& table) {
--- a/programs/chicory-standin/standin_settings.h
+++ b/programs/chicory-standin/standin_settings.h
@@ -32,6 +32,8 @@
 struct StandinSettings {
   std::string schema_text;
   std::uint64_t seed = 1;
+  /// Folder for the placement files.
+  std::string placement_folder;
   std::vector<ServiceBehaviour> services;
 };
 
--- a/programs/chicoryctl/commands.cc
+++ b/programs/chicoryctl/commands.cc
@@ -110,7 +110,7 @@
                        google::protobuf::Message* answer) {
     const auto token = ReadSecretFile(m_call.token_file, kMinTokenBytes);
     if (!token) return tl::unexpected(token.error());
-    OperatorClient client({m_call.control, *token});
+    OperatorClient client({m_call.control, *token, m_call.timeout_seconds});
     return client.Call(path, request, answer);
   }
 
--- a/programs/chicoryctl/commands.h
+++ b/programs/chicoryctl/commands.h
@@ -16,6 +16,8 @@
   std::vector<std::string> control;
   std::string token_file;
   bool json = false;
+  /// Time for the answer of one control VM, in seconds.
+  std::uint32_t timeout_seconds = 5;
   /// Empty: a random one is made.
   std::string operation_id;
   /// Absent: the version in force, read first.
--- a/programs/chicoryctl/main.cc
+++ b/programs/chicoryctl/main.cc
@@ -25,6 +25,11 @@
       "makes a resend of the same change safe")(
       "expected-version", po::value<std::uint64_t>()->value_name("N"),
       "refuse the change if another version is in force")(
+      "timeout",
+      po::value(&call->timeout_seconds)
+          ->default_value(call->timeout_seconds)
+          ->value_name("SECONDS"),
+      "time for the answer of one control VM")(
       "json", po::bool_switch(&call->json), "print answers as JSON");
   return options;
 }
--- a/programs/chicoryctl/operator_client.h
+++ b/programs/chicoryctl/operator_client.h
@@ -20,7 +20,7 @@
   /// Addresses of the control VMs' operator listeners, tried in turn.
   std::vector<std::string> control;
   std::string token;
-  std::uint32_t timeout_seconds = 10;
+  std::uint32_t timeout_seconds = 5;
 };
 
 /// Calls the operators' RPCs of a control group. A change is sent again, with
--- a/src/query/once_guard.cc
+++ b/src/query/once_guard.cc
@@ -8,6 +8,9 @@
 namespace chicoryvale {
 namespace {
 
+// Part of the deadline that the claim may take.
+constexpr int kClaimPercent = 80;
+
 QueryAnswer FailedAnswer(Error error) {
   QueryAnswer answer;
   answer.ran = error.ran;
@@ -91,8 +94,11 @@
   request->ticket = {*id, request->spec.fingerprint, handle};
   request->timer = m_scheduler->Schedule(
       request->spec.deadline, [this, handle] { OnClaimTimeout(handle); });
+  // The group's own refusal tells more than a passed deadline, and a claim that
+  // is granted at the last moment leaves no time to run.
+  const Duration claim_time = request->spec.deadline * kClaimPercent / 100;
   m_claims->Claim(
-      request->ticket, request->spec.deadline,
+      request->ticket, claim_time,
       [weak = std::weak_ptr<OnceGuard*>(m_self), claims = m_claims, handle,
        ticket = request->ticket](Result<ClaimResult> result) {
         const auto self = weak.lock();
--- /dev/null
+++ b/tests/process/cluster.cc
@@ -0,0 +1,199 @@
+#include "process/cluster.h"
+
+#include <gtest/gtest.h>
+#include <libsoup/soup.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <sstream>
+
+namespace chicoryvale {
+namespace {
+
+constexpr char kSecret[] = "secret-of-the-process-tests-0123456789abcdef";
+constexpr guint kCallTimeoutSeconds = 20;
+constexpr int kPollMilliseconds = 10;
+
+HttpAnswer Send(SoupMessage* message) {
+  SoupSession* session =
+      soup_session_new_with_options("timeout", kCallTimeoutSeconds, nullptr);
+  HttpAnswer answer;
+  GBytes* bytes =
+      soup_session_send_and_read(session, message, nullptr, nullptr);
+  if (bytes != nullptr) {
+    answer.status = static_cast<int>(soup_message_get_status(message));
+    gsize size = 0;
+    const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+    const std::string text(data == nullptr ? "" : data, size);
+    answer.body = nlohmann::json::parse(text, nullptr, false);
+    if (answer.body.is_discarded()) answer.body = text;
+    soup_message_headers_foreach(
+        soup_message_get_response_headers(message),
+        [](const char* name, const char* value, gpointer user) {
+          (*static_cast<std::map<std::string, std::string>*>(user))[name] =
+              value;
+        },
+        &answer.headers);
+    g_bytes_unref(bytes);
+  }
+  g_object_unref(message);
+  g_object_unref(session);
+  return answer;
+}
+
+// An address of 127.0.0.0/8 that no other process of this machine's tests
+// uses: the second and third number come from the process id.
+std::string HostOf(int last_number) {
+  const auto pid = static_cast<unsigned>(getpid());
+  return "127." + std::to_string(1 + pid % 250) + "." +
+         std::to_string(1 + pid / 250 % 250) + "." +
+         std::to_string(last_number);
+}
+
+constexpr int kPeerPort = 7000;
+constexpr int kFirstEntryNumber = 100;
+
+int NumberOf(const std::string& name) {
+  const int index =
+      std::atoi(name.substr(name.find_first_of("0123456789")).c_str());
+  return name.starts_with("entry") ? kFirstEntryNumber + index : 1 + index;
+}
+
+std::string QuotedList(const std::vector<std::string>& texts) {
+  std::string list = "[";
+  for (const std::string& text : texts) list += "\"" + text + "\",";
+  return list + "]";
+}
+
+}  // namespace
+
+HttpAnswer PostJson(const std::string& address, const std::string& path,
+                    const nlohmann::json& body,
+                    const std::vector<CallHeader>& headers) {
+  SoupMessage* message =
+      soup_message_new("POST", ("http://" + address + path).c_str());
+  for (const CallHeader& header : headers) {
+    soup_message_headers_append(soup_message_get_request_headers(message),
+                                header.name.c_str(), header.value.c_str());
+  }
+  const std::string text = body.dump();
+  GBytes* bytes = g_bytes_new(text.data(), text.size());
+  soup_message_set_request_body_from_bytes(message, "application/json", bytes);
+  g_bytes_unref(bytes);
+  return Send(message);
+}
+
+std::string GetText(const std::string& address, const std::string& path) {
+  const HttpAnswer answer =
+      Send(soup_message_new("GET", ("http://" + address + path).c_str()));
+  return answer.body.is_string() ? answer.body.get<std::string>()
+                                 : answer.body.dump();
+}
+
+void WaitFor(const std::function<bool()>& condition) {
+  while (!condition()) poll(nullptr, 0, kPollMilliseconds);
+}
+
+Cluster::Cluster() {
+  WritePrivateFile(m_folder.Path() + "/peer.key", kSecret);
+  WritePrivateFile(m_folder.Path() + "/operator.token", kSecret);
+}
+
+std::string Cluster::PeerAddress(const std::string& name) const {
+  return HostOf(NumberOf(name)) + ":" + std::to_string(kPeerPort);
+}
+
+std::string Cluster::GroupList(int group_size) const {
+  std::vector<std::string> members;
+  members.reserve(static_cast<std::size_t>(group_size));
+  for (int i = 0; i < group_size; ++i) {
+    members.push_back(PeerAddress(ControlName(i)));
+  }
+  return QuotedList(members);
+}
+
+void Cluster::StartControl(int index, int group_size, bool may_form) {
+  const std::string name = ControlName(index);
+  std::ostringstream settings;
+  settings << "availability_zone = \"a\"\n"
+           << "data_folder = \"" << m_folder.Path() << "/" << name << "\"\n"
+           << "[listen]\noperators = \"127.0.0.1:0\"\npeers = \""
+           << PeerAddress(name) << "\"\nmetrics = \"127.0.0.1:0\"\n"
+           << "[keys]\noperator_token_file = \"" << m_folder.Path()
+           << "/operator.token\"\npeer_key_file = \"" << m_folder.Path()
+           << "/peer.key\"\n[group]\nmembers = " << GroupList(group_size)
+           << "\nmay_form = " << (may_form ? "true" : "false")
+           << "\n[shutdown]\nlinger_ms = 0\n";
+  m_processes.erase(name);
+  m_processes[name] = std::make_unique<Process>(
+      "chicory-controld", name, m_folder.Path(), settings.str());
+}
+
+void Cluster::StartEntry(int index, int group_size, const std::string& zone,
+                         const std::vector<std::string>& refused) {
+  const std::string name = EntryName(index);
+  std::ostringstream settings;
+  settings << "availability_zone = \"" << zone << "\"\n"
+           << "[listen]\ncallers = \"127.0.0.1:0\"\npeers = \""
+           << PeerAddress(name) << "\"\nmetrics = \"127.0.0.1:0\"\n"
+           << "[keys]\npeer_key_file = \"" << m_folder.Path()
+           << "/peer.key\"\n[control]\naddresses = " << GroupList(group_size)
+           << "\n[membership]\nseeds = [\"" << PeerAddress(EntryName(0))
+           << "\"]\n[testing]\nrefused_peers = " << QuotedList(refused)
+           << "\n[shutdown]\nlinger_ms = 0\n";
+  m_processes.erase(name);
+  m_processes[name] = std::make_unique<Process>(
+      "chicory-entryd", name, m_folder.Path(), settings.str());
+}
+
+void Cluster::StartUpstreams(const std::string& example,
+                             const std::string& services) {
+  const std::string settings =
+      "schema = \"" CHICORYVALE_SOURCE_DIR "/examples/" + example +
+      "/schema.proto\"\n" + "placement_folder = \"" + m_folder.Path() + "\"\n" +
+      services;
+  m_processes["upstreams"] = std::make_unique<Process>(
+      "chicory-standin", "upstreams", m_folder.Path(), settings);
+}
+
+void Cluster::WipeControl(int index) const {
+  std::filesystem::remove_all(m_folder.Path() + "/" + ControlName(index));
+}
+
+int Cluster::Ctl(std::vector<std::string> words, std::string* out) {
+  std::vector<std::string> arguments = {"chicoryctl", "--token-file",
+                                        m_folder.Path() + "/operator.token"};
+  for (const auto& [name, process] : m_processes) {
+    if (!name.starts_with("control")) continue;
+    arguments.push_back("--control");
+    arguments.push_back(process->AddressOf("operators"));
+  }
+  arguments.insert(arguments.end(), words.begin(), words.end());
+  std::string ignored;
+  return RunProgram(arguments, out == nullptr ? &ignored : out);
+}
+
+void Cluster::Deploy(const std::string& example,
+                     const std::vector<std::string>& services) {
+  ASSERT_EQ(Ctl({"schema", "apply",
+                 std::string(CHICORYVALE_SOURCE_DIR "/examples/") + example +
+                     "/schema.proto"}),
+            0);
+  for (const std::string& service : services) {
+    ASSERT_EQ(Ctl({"placement", "set", service,
+                   m_folder.Path() + "/" + service + ".placement.json"}),
+              0);
+  }
+}
+
+std::int64_t Cluster::EntryMetric(int index, const std::string& name) {
+  const std::string text =
+      GetText(Entry(index).AddressOf("metrics"), "/metrics");
+  const std::size_t at = text.find("chicoryvale_" + name + " ");
+  if (at == std::string::npos) return -1;
+  return std::strtoll(text.c_str() + text.find(' ', at), nullptr, 10);
+}
+
+}  // namespace chicoryvale
