Test that a learner without the log is not promoted

Change: LearnerIsNotPromotedWhileItLacksTheLog cuts the link to the learner right after it was added. Conclusion: the counting rule has its test.

--- a/tests/replication/replica_fault_test.cc
+++ b/tests/replication/replica_fault_test.cc
@@ -171,6 +171,27 @@
   f.ExpectWhole();
 }
 
+TEST(ReplicaFaultTest, LearnerIsNotPromotedWhileItLacksTheLog) {
+  Fixture f(3);
+  for (int i = 0; i < 30; ++i) f.Change();
+  const std::size_t leader = *f.group.AwaitLeader();
+  const std::size_t wiped = f.Follower();
+  f.group.Wipe(wiped);
+  f.group.Start(wiped);
+  const Address& address = f.group.vms[wiped]->address;
+  const NodeId id = f.Node(wiped).Status().identity.node_id;
+  const auto membership = [&] { return f.Node(leader).Status().membership; };
+  ASSERT_TRUE(f.group.scheduler.RunUntil(
+      [&] { return FindMember(membership(), id) != nullptr; }));
+  f.group.network.Cut(f.group.vms[leader]->address, address);
+  for (int i = 0; i < 30; ++i) f.Change();
+  f.group.scheduler.RunFor(seconds(60));
+  EXPECT_EQ(f.group.Leader(), leader);
+  EXPECT_FALSE(IsVoter(membership(), id));
+  f.group.network.HealAll();
+  f.ExpectWhole();
+}
+
 TEST(ReplicaFaultTest, WipedReplicaFormsNoSecondGroup) {
   for (std::size_t wiped = 0; wiped < 3; ++wiped) {
     Fixture f(3);
