Take no lease without knowing most of the seeds

Cause: a process that restarted while none of its seeds could be reached formed a group of one and took a lease of its own; found by the connection share's random faults. Change: a lease settles only in a process that has read the member list and knows more than half of its seeds, as half of two parts cannot both do. Ruled out: waiting until every seed is alive, since one that is gone for good would keep all leases away.

--- a/src/membership/lease_keeper.h
+++ b/src/membership/lease_keeper.h
@@ -39,8 +39,8 @@
   /// Returns the entries of the own lease group whose share is their own,
   /// without this process.
   [[nodiscard]] virtual std::vector<Member> LeaseGroup() const = 0;
-  /// Returns whether no member that holds a share is believed dead: it may be
-  /// cut off and know nothing of new members.
+  /// Returns whether no member that holds a share may be unknown or is believed
+  /// dead: it may be cut off and know nothing of new members.
   [[nodiscard]] virtual bool AllHoldersSeen() const = 0;
   virtual void SendTo(const Member& to, Packet packet) = 0;
   /// A quorum of the group has no grant in force for `id`, whose share may be
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -197,9 +197,21 @@
 }
 
 bool Membership::AllHoldersSeen() const {
-  return std::ranges::none_of(m_table.records(), [](const auto& entry) {
-    return entry.second.member.state == MemberState::kDead;
-  });
+  return m_joined && KnowsMostSeeds() &&
+         std::ranges::none_of(m_table.records(), [](const auto& entry) {
+           return entry.second.member.state == MemberState::kDead;
+         });
+}
+
+bool Membership::KnowsMostSeeds() const {
+  const auto known =
+      std::ranges::count_if(m_options.seeds, [this](const Address& seed) {
+        return std::ranges::any_of(m_table.records(), [&](const auto& entry) {
+          return entry.second.member.info.address == seed;
+        });
+      });
+  return m_options.seeds.empty() ||
+         2 * static_cast<std::size_t>(known) > m_options.seeds.size();
 }
 
 void Membership::OnLeaseExpired(const std::string& id) {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -61,7 +61,9 @@
   /// Rises with each start of the process: milliseconds of the wall clock, for
   /// example.
   std::uint64_t incarnation = 1;
-  /// Members to join through; any of them suffices.
+  /// Members to join through; any of them suffices. A lease is taken only by
+  /// one that knows more than half of them, so that two parts of a group that
+  /// started apart do not both take the shares.
   std::vector<Address> seeds;
   std::uint64_t random_seed = 0;
   /// Both outlive the membership.
@@ -150,6 +152,7 @@
   void OnSuspicionEnded(const std::string& id) override;
   [[nodiscard]] std::vector<Member> LeaseGroup() const override;
   [[nodiscard]] bool AllHoldersSeen() const override;
+  [[nodiscard]] bool KnowsMostSeeds() const;
   void OnLeaseExpired(const std::string& id) override;
   void OnOwnLeaseChanged() override;
 
--- a/tests/membership/membership_test.cc
+++ b/tests/membership/membership_test.cc
@@ -144,6 +144,25 @@
   EXPECT_TRUE(m_group.node(4).membership->OwnLeaseHeld());
 }
 
+TEST_P(MembershipTest, APartThatStartsApartTakesNoLease) {
+  JoinAll();
+  for (std::size_t i = 0; i < kSize; ++i) m_group.Crash(i);
+  m_group.SetZoneCut("b", true);
+  // Datagrams on their way would tell of the old processes in the other part.
+  m_group.scheduler().RunFor(seconds(1));
+  for (std::size_t i = 0; i < kSize; ++i) m_group.Restart(i);
+  m_group.scheduler().RunFor(seconds(60));
+  // Of the three seeds only node 1 stands in zone b.
+  for (std::size_t i = 0; i < kSize; ++i) {
+    EXPECT_EQ(m_group.node(i).membership->OwnLeaseHeld(), i % kZones != 1) << i;
+  }
+  m_group.SetZoneCut("b", false);
+  m_group.scheduler().RunFor(seconds(60));
+  for (std::size_t i = 0; i < kSize; ++i) {
+    EXPECT_TRUE(m_group.node(i).membership->OwnLeaseHeld()) << i;
+  }
+}
+
 TEST_P(MembershipTest, AMassRestartComesTogetherAgain) {
   JoinAll();
   for (std::size_t i = 0; i < kSize; ++i) m_group.Crash(i);
