--- a/tests/adapters/tcp_peer_transport_test.cc
+++ b/tests/adapters/tcp_peer_transport_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "adapters/glib_scheduler.h"
+#include "base/codec.h"
 #include "fakes/main_context.h"
 
 namespace chicoryvale {
@@ -28,6 +29,16 @@
   void Send(const std::string& bytes) {
     g_socket_send(m_socket.get(), bytes.data(), bytes.size(), nullptr, nullptr);
   }
+  std::string Receive() {
+    IterateUntil([this] {
+      return g_socket_condition_check(m_socket.get(), G_IO_IN) != 0;
+    });
+    std::string bytes(4096, '\0');
+    const gssize size = g_socket_receive(m_socket.get(), bytes.data(),
+                                         bytes.size(), nullptr, nullptr);
+    bytes.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+    return bytes;
+  }
   void FinishSending() {
     g_socket_shutdown(m_socket.get(), FALSE, TRUE, nullptr);
   }
@@ -204,6 +215,59 @@
   }
 }
 
+/// What the transport sends, written by hand: a greeting and a call.
+struct HandMadeGreeting {
+  std::string nonce = std::string(16, 'n');
+  std::string advertised = "127.0.0.1:1";
+
+  template <class Archive>
+  void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+    archive(nonce, advertised);
+  }
+};
+
+struct HandMadeCall {
+  std::uint8_t type = 0;
+  std::uint64_t call = 1;
+  PeerChannel channel = PeerChannel::kConfig;
+  std::string payload = "x";
+
+  template <class Archive>
+  void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+    archive(type, call, channel, payload);
+  }
+};
+
+TEST_F(TcpPeerTransportTest, RefusesARecordedFrame) {
+  constexpr const char* kGreeting = "chicoryvale greeting";
+  const FrameAuth auth(kKey);
+  auto server = MakeEcho();
+  RawClient raw(server->LocalAddress());
+  const HandMadeGreeting greeting;
+  const std::string greeting_frame = auth.Seal(Encode(greeting), kGreeting);
+  raw.Send(greeting_frame);
+  IterateUntil([&] {
+    return server->counters().Get(PeerCounter::kFramesReceived) == 1;
+  });
+  const std::string answer = raw.Receive();
+  HandMadeGreeting theirs;
+  ASSERT_TRUE(Decode(auth.Open(answer, kGreeting, 512).payload, &theirs));
+  const std::string context =
+      greeting.nonce + theirs.nonce + "i" + Encode(std::uint64_t{0});
+  const std::string call = auth.Seal(Encode(HandMadeCall{}), context);
+  raw.Send(call);
+  IterateUntil([&] { return m_callers.size() == 1; });
+  // Again on the same connection, then on another one.
+  raw.Send(call);
+  IterateUntil(
+      [&] { return server->counters().Get(PeerCounter::kBadMac) == 1; });
+  RawClient other(server->LocalAddress());
+  other.Send(greeting_frame + call);
+  IterateUntil(
+      [&] { return server->counters().Get(PeerCounter::kBadMac) == 2; });
+  EXPECT_EQ(m_callers.size(), 1U);
+}
+
 TEST_F(TcpPeerTransportTest, BoundsAFloodOfConnections) {
   auto server = MakePeer(kKey, 4);
   std::vector<std::unique_ptr<RawClient>> flood;
