Give the stand-in its failures, a control endpoint and counts

Cause: the stand-in could only be slow; crashes, silent connections, drains, misleading load and newer index versions could not be provoked in processes. Change: settings and GET /control/counts, POST /control/set for each of them; runs are counted by the caller's request id; a crash closes the port and every connection; a signal finishes the requests in flight. HttpRequest tells its connection, so that those open at a moment can be silenced. Ruled out: a process for each replica (one process holds many ports).

--- a/programs/chicory-standin/emulated_replica.cc
+++ b/programs/chicory-standin/emulated_replica.cc
@@ -3,6 +3,8 @@
 #include <google/protobuf/descriptor.h>
 #include <google/protobuf/message.h>
 
+#include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <string>
 #include <utility>
@@ -39,47 +41,86 @@
 
 void EmulatedReplica::Handle(const HttpRequest& request,
                              HttpResponder respond) {
-  const std::string version = FindHeader(request.headers, kHeaderIndexVersion);
-  if (version != std::to_string(m_options.behaviour.index_version)) {
+  m_counters.Add(ReplicaCounter::kReceived);
+  if (request.connection <= m_silent_up_to) {
+    m_counters.Add(ReplicaCounter::kSilenced);
+    m_silenced.push_back({request, std::move(respond)});
+    return;
+  }
+  if (!Serves(request)) {
+    m_counters.Add(ReplicaCounter::kWrongSnapshot);
     return respond(Refusal(kStatusSnapshotUnavailable));
   }
-  if (m_busy < m_options.behaviour.slots) {
+  if (m_running.size() < m_options.behaviour.slots) {
     return Run({request, std::move(respond)});
   }
   if (m_queue.size() >= m_options.behaviour.queue) {
+    m_counters.Add(ReplicaCounter::kShed);
     return respond(Refusal(kStatusShed));
   }
   m_queue.push_back({request, std::move(respond)});
 }
 
+bool EmulatedReplica::Serves(const HttpRequest& request) const {
+  const std::string text = FindHeader(request.headers, kHeaderIndexVersion);
+  std::uint64_t version = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, version);
+  return !text.empty() && parsed.ptr == end &&
+         version >= m_options.behaviour.oldest_index_version &&
+         version <= m_options.behaviour.index_version;
+}
+
 void EmulatedReplica::Run(Waiting work) {
-  ++m_busy;
-  ++m_runs;
-  m_options.scheduler->Schedule(
-      DrawServiceTime(), [this, work = std::move(work)] { Finish(work); });
+  m_counters.Add(ReplicaCounter::kRuns);
+  const std::string id = FindHeader(work.request.headers, kHeaderRequestId);
+  if (!id.empty() && m_runs_by_id.size() < kMaxRequestIds) ++m_runs_by_id[id];
+  const std::string& marker = m_options.behaviour.crash_marker;
+  const bool crashes =
+      !marker.empty() && work.request.body.find(marker) != std::string::npos;
+  const std::uint64_t run = m_counters.Get(ReplicaCounter::kRuns);
+  m_running.emplace(run, std::move(work));
+  if (crashes) {
+    m_counters.Add(ReplicaCounter::kCrashes);
+    if (m_options.on_crash) m_options.on_crash();
+    return;
+  }
+  m_options.scheduler->Schedule(DrawServiceTime(),
+                                [this, run] { Finish(run); });
 }
 
-void EmulatedReplica::Finish(const Waiting& work) {
-  --m_busy;
-  work.respond(Answer(work.request));
+void EmulatedReplica::Finish(std::uint64_t run) {
+  auto work = m_running.extract(run);
+  if (work.empty()) return;
+  work.mapped().respond(Answer(work.mapped().request));
   if (m_queue.empty()) return;
   Waiting next = std::move(m_queue.front());
   m_queue.pop_front();
   Run(std::move(next));
 }
 
+void EmulatedReplica::DropWork() {
+  // A responder that goes unanswered ends its connection.
+  const auto running = std::exchange(m_running, {});
+  const auto queue = std::exchange(m_queue, {});
+  const auto silenced = std::exchange(m_silenced, {});
+}
+
 Duration EmulatedReplica::DrawServiceTime() {
   const ServiceBehaviour& behaviour = m_options.behaviour;
   if (behaviour.median_ms <= 0) return Duration::zero();
   std::lognormal_distribution<double> time(std::log(behaviour.median_ms),
                                            behaviour.sigma);
   std::bernoulli_distribution straggles(behaviour.straggler_share);
-  const double factor = straggles(m_random) ? behaviour.straggler_factor : 1;
+  double factor = straggles(m_random) ? behaviour.straggler_factor : 1;
+  if (m_counters.Get(ReplicaCounter::kRuns) <= behaviour.cold_start_requests) {
+    factor *= behaviour.cold_start_factor;
+  }
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(time(m_random) * factor));
 }
 
-HttpResponse EmulatedReplica::Answer(const HttpRequest& request) const {
+HttpResponse EmulatedReplica::Answer(const HttpRequest& request) {
   const auto path = ParseRpcPath(request.path);
   const ServiceSchema* service =
       path ? m_options.schema->FindService(path->service) : nullptr;
@@ -108,7 +149,7 @@
   return response;
 }
 
-HttpResponse EmulatedReplica::Refusal(int status) const {
+HttpResponse EmulatedReplica::Refusal(int status) {
   HttpResponse response;
   response.status = status;
   response.headers.push_back({kHeaderNotStarted, "1"});
@@ -116,12 +157,41 @@
   return response;
 }
 
-void EmulatedReplica::AddReport(HttpResponse* response) const {
-  const std::string version = std::to_string(m_options.behaviour.index_version);
-  response->headers.push_back(
-      {kHeaderLoad, std::to_string(m_busy + m_queue.size())});
-  response->headers.push_back({kHeaderOldestVersion, version});
-  response->headers.push_back({kHeaderNewestVersion, version});
+void EmulatedReplica::AddReport(HttpResponse* response) {
+  const ServiceBehaviour& behaviour = m_options.behaviour;
+  const auto add = [response](const char* name, std::uint64_t value) {
+    response->headers.push_back({name, std::to_string(value)});
+  };
+  add(kHeaderLoad, ReportedLoad());
+  add(kHeaderOldestVersion, behaviour.oldest_index_version);
+  add(kHeaderNewestVersion, behaviour.index_version);
+  if (behaviour.draining) add(kHeaderDraining, 1);
+}
+
+std::uint64_t EmulatedReplica::ReportedLoad() {
+  const ServiceBehaviour& behaviour = m_options.behaviour;
+  const std::uint64_t load = m_running.size() + m_queue.size();
+  const TimePoint now = m_options.scheduler->Now();
+  switch (behaviour.load_report) {
+    case LoadReport::kTrue:
+      return load;
+    case LoadReport::kOpposite: {
+      const std::uint64_t most =
+          std::uint64_t{behaviour.slots} + behaviour.queue;
+      return most - std::min(most, load);
+    }
+    case LoadReport::kLagging:
+      if (now - m_load_told_at < behaviour.load_lag) break;
+      m_told_load.reset();
+      break;
+    case LoadReport::kSticky:
+      break;
+  }
+  if (!m_told_load) {
+    m_told_load = load;
+    m_load_told_at = now;
+  }
+  return *m_told_load;
 }
 
 }  // namespace chicoryvale
--- /dev/null
+++ b/programs/chicory-standin/replica_change.h
@@ -0,0 +1,46 @@
+#ifndef CHICORYVALE_PROGRAMS_CHICORY_STANDIN_REPLICA_CHANGE_H_
+#define CHICORYVALE_PROGRAMS_CHICORY_STANDIN_REPLICA_CHANGE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "chicory-standin/standin_settings.h"
+#include "chicoryvale/error.h"
+
+namespace chicoryvale {
+
+/// A change of the behaviour of some replicas at run time. Absent fields stay
+/// as they are.
+struct ReplicaChange {
+  /// Replicas concerned: those that match each field that is present.
+  std::optional<std::string> service;
+  std::optional<std::uint32_t> shard;
+  std::optional<std::string> address;
+
+  std::optional<double> median_ms;
+  std::optional<double> straggler_share;
+  std::optional<double> straggler_factor;
+  std::optional<std::uint32_t> slots;
+  std::optional<std::uint32_t> queue;
+  std::optional<std::uint64_t> index_version;
+  std::optional<std::uint64_t> oldest_index_version;
+  std::optional<std::string> crash_marker;
+  std::optional<LoadReport> load_report;
+  std::optional<bool> draining;
+  /// Refuses connections, and ends those that are open; false: comes back.
+  std::optional<bool> down;
+  /// Never answers again on the connections that are open now.
+  bool silence_connections = false;
+};
+
+/// Reads a change from a JSON object whose keys are the fields' names.
+/// kMalformedRequest for unknown keys, wrong types and negative numbers.
+Result<ReplicaChange> ParseReplicaChange(const std::string& json);
+
+/// Applies the behaviour that `change` names.
+void ApplyBehaviour(const ReplicaChange& change, ServiceBehaviour* behaviour);
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_PROGRAMS_CHICORY_STANDIN_REPLICA_CHANGE_H_
--- a/programs/chicory-standin/standin_daemon.cc
+++ b/programs/chicory-standin/standin_daemon.cc
@@ -2,9 +2,12 @@
 
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <numeric>
+#include <string>
 #include <utility>
 
 #include "adapters/log.h"
+#include "endpoint/error_response.h"
 
 namespace chicoryvale {
 
@@ -20,9 +23,19 @@
   }
   ShutdownSteps steps;
   steps.stop_ready = [] {};
-  steps.stop_accepting = [] {};
-  steps.in_flight = [] { return 0; };
-  return m_loop.Run({}, steps);
+  steps.stop_accepting = [this] {
+    for (const auto& listener : m_listeners) {
+      if (listener->server) listener->server->StopAccepting();
+    }
+  };
+  steps.in_flight = [this] {
+    return std::accumulate(
+        m_listeners.begin(), m_listeners.end(), std::uint32_t{0},
+        [](std::uint32_t sum, const auto& listener) {
+          return sum + (listener->server ? listener->server->InFlight() : 0);
+        });
+  };
+  return m_loop.Run({{"control", m_control->LocalAddress().host_port}}, steps);
 }
 
 Result<void> StandinDaemon::Start() {
@@ -32,7 +45,7 @@
   for (const ServiceBehaviour& service : m_settings.services) {
     if (auto ok = StartService(service); !ok) return ok;
   }
-  return {};
+  return StartControl();
 }
 
 Result<void> StandinDaemon::StartService(const ServiceBehaviour& service) {
@@ -64,24 +77,123 @@
 
 Result<Address> StandinDaemon::StartReplica(const ServiceBehaviour& service,
                                             ShardId shard) {
+  auto listener = std::make_unique<Listener>();
+  EmulatedReplica::Options options;
+  options.scheduler = &m_scheduler;
+  options.schema = m_schema;
+  options.behaviour = service;
+  options.shard = shard;
+  options.seed = m_settings.seed + m_listeners.size();
+  options.on_crash = [this, crashed = listener.get()] {
+    // The handler that found the marker has to return first.
+    m_scheduler.Schedule(Duration::zero(), [this, crashed] { Crash(crashed); });
+  };
+  listener->replica = std::make_unique<EmulatedReplica>(std::move(options));
+  listener->address = {"127.0.0.1:0"};
+  if (auto ok = Listen(listener.get()); !ok) return tl::unexpected(ok.error());
+  m_listeners.push_back(std::move(listener));
+  return m_listeners.back()->address;
+}
+
+Result<void> StandinDaemon::Listen(Listener* listener) {
   SoupHttpServerOptions options;
-  options.bind = {"127.0.0.1:0"};
-  options.max_connections = service.connections;
+  options.bind = listener->address;
+  options.max_connections = listener->replica->Settings().behaviour.connections;
   auto server = SoupHttpServer::Make(options);
   if (!server) return tl::unexpected(server.error());
-  Listener listener;
-  listener.server = std::move(*server);
-  listener.replica = std::make_unique<EmulatedReplica>(
-      EmulatedReplica::Options{&m_scheduler, m_schema, service, shard,
-                               m_settings.seed + m_listeners.size()});
-  listener.server->SetHandler(
-      [replica = listener.replica.get()](const HttpRequest& request,
-                                         HttpResponder respond) {
+  listener->server = std::move(*server);
+  listener->address = listener->server->LocalAddress();
+  listener->server->SetHandler(
+      [replica = listener->replica.get()](const HttpRequest& request,
+                                          HttpResponder respond) {
         replica->Handle(request, std::move(respond));
       });
-  Address address = listener.server->LocalAddress();
-  m_listeners.push_back(std::move(listener));
-  return address;
+  return {};
+}
+
+void StandinDaemon::Crash(Listener* listener) {
+  listener->replica->DropWork();
+  listener->replica->SilenceConnections(0);
+  listener->server.reset();
+}
+
+Result<void> StandinDaemon::StartControl() {
+  SoupHttpServerOptions options;
+  options.bind = m_settings.control;
+  auto server = SoupHttpServer::Make(options);
+  if (!server) return tl::unexpected(server.error());
+  m_control = std::move(*server);
+  m_control->SetHandler(
+      [this](const HttpRequest& request, const HttpResponder& respond) {
+        respond(HandleControl(request));
+      });
+  return {};
+}
+
+HttpResponse StandinDaemon::HandleControl(const HttpRequest& request) {
+  if (request.path == "/control/counts") return Counts();
+  if (request.path != "/control/set") {
+    return ErrorResponse(
+        {ErrorKind::kUnknownEndpoint, "no endpoint " + request.path, Ran::kNo});
+  }
+  const auto change = ParseReplicaChange(request.body);
+  return change ? Change(*change) : ErrorResponse(change.error());
+}
+
+HttpResponse StandinDaemon::Change(const ReplicaChange& change) {
+  std::size_t changed = 0;
+  for (const auto& listener : m_listeners) {
+    const EmulatedReplica::Options& replica = listener->replica->Settings();
+    if (change.service.value_or(replica.behaviour.name) !=
+            replica.behaviour.name ||
+        change.shard.value_or(replica.shard) != replica.shard ||
+        change.address.value_or(listener->address.host_port) !=
+            listener->address.host_port) {
+      continue;
+    }
+    ++changed;
+    ApplyBehaviour(change, &listener->replica->Behaviour());
+    if (change.silence_connections && listener->server) {
+      listener->replica->SilenceConnections(
+          listener->server->Counters().Get(HttpServerCounter::kConnections));
+    }
+    if (!change.down) continue;
+    if (*change.down) Crash(listener.get());
+    if (*change.down || listener->server) continue;
+    if (auto ok = Listen(listener.get()); !ok) return ErrorResponse(ok.error());
+  }
+  HttpResponse response;
+  response.body = nlohmann::json{{"replicas", changed}}.dump();
+  return response;
+}
+
+HttpResponse StandinDaemon::Counts() const {
+  nlohmann::json totals = nlohmann::json::object();
+  nlohmann::json runs_by_id = nlohmann::json::object();
+  nlohmann::json replicas = nlohmann::json::array();
+  for (const auto& listener : m_listeners) {
+    const EmulatedReplica& replica = *listener->replica;
+    nlohmann::json row = {{"service", replica.Settings().behaviour.name},
+                          {"shard", replica.Settings().shard},
+                          {"address", listener->address.host_port},
+                          {"down", listener->server == nullptr}};
+    replica.Counters().Visit([&](std::string_view name, std::uint64_t value) {
+      const std::string key(name);
+      row[key] = value;
+      totals[key] = totals.value(key, std::uint64_t{0}) + value;
+    });
+    replicas.push_back(std::move(row));
+    for (const auto& [id, runs] : replica.RunsById()) {
+      runs_by_id[id] = runs_by_id.value(id, std::uint32_t{0}) + runs;
+    }
+  }
+  HttpResponse response;
+  response.body = nlohmann::json{
+      {"totals", totals},
+      {"runs_by_request_id", runs_by_id},
+      {"replicas",
+       replicas}}.dump();
+  return response;
 }
 
 }  // namespace chicoryvale
--- a/programs/chicory-standin/standin_daemon.h
+++ b/programs/chicory-standin/standin_daemon.h
@@ -9,13 +9,16 @@
 #include "adapters/glib_scheduler.h"
 #include "adapters/soup_http_server.h"
 #include "chicory-standin/emulated_replica.h"
+#include "chicory-standin/replica_change.h"
 #include "chicory-standin/standin_settings.h"
 
 namespace chicoryvale {
 
 /// Emulates the replicas of some services, each on a port of its own. Tells
 /// the placement of each service, as SetPlacement takes it, in the file
-/// "<service>.placement.json" of the folder it runs in. Not thread safe.
+/// "<service>.placement.json" of the folder it runs in. The control endpoint
+/// answers GET /control/counts, and POST /control/set with a ReplicaChange.
+/// Not thread safe.
 class StandinDaemon {
  public:
   explicit StandinDaemon(StandinSettings settings);
@@ -26,8 +29,16 @@
  private:
   struct Listener {
     std::unique_ptr<EmulatedReplica> replica;
+    Address address;
+    /// Null while the replica is down.
     std::unique_ptr<SoupHttpServer> server;
   };
+  Result<void> StartControl();
+  HttpResponse HandleControl(const HttpRequest& request);
+  HttpResponse Change(const ReplicaChange& change);
+  [[nodiscard]] HttpResponse Counts() const;
+  Result<void> Listen(Listener* listener);
+  void Crash(Listener* listener);
   Result<void> Start();
   Result<void> StartService(const ServiceBehaviour& service);
   Result<Address> StartReplica(const ServiceBehaviour& service, ShardId shard);
@@ -36,7 +47,8 @@
   GlibScheduler m_scheduler;
   DaemonLoop m_loop{&m_scheduler};
   std::shared_ptr<const Schema> m_schema;
-  std::vector<Listener> m_listeners;
+  std::vector<std::unique_ptr<Listener>> m_listeners;
+  std::unique_ptr<SoupHttpServer> m_control;
 };
 
 }  // namespace chicoryvale
--- a/programs/chicory-standin/standin_settings.cc
+++ b/programs/chicory-standin/standin_settings.cc
@@ -1,5 +1,6 @@
 #include "chicory-standin/standin_settings.h"
 
+#include <algorithm>
 #include <limits>
 
 #include "adapters/command_line.h"
@@ -12,6 +13,7 @@
 constexpr IntegerRange kAnyCountRange = {0, 100'000};
 constexpr IntegerRange kVersionRange = {
     1, std::numeric_limits<std::int64_t>::max()};
+constexpr IntegerRange kLagRangeMs = {0, 600'000};
 constexpr double kMaxMedianMs = 60'000;
 constexpr double kMaxSigma = 3;
 constexpr double kMaxStragglerFactor = 10'000;
@@ -21,6 +23,17 @@
   return static_cast<std::uint32_t>(reader.Integer(key, fallback, range));
 }
 
+LoadReport ReadLoadReport(SettingsReader& reader) {
+  const std::string name = reader.String("load_report", "true");
+  const auto report = ParseLoadReport(name);
+  if (!report) {
+    reader.AddFault("load_report", "load_report: " + name +
+                                       " is not true, lagging, sticky or "
+                                       "opposite");
+  }
+  return report.value_or(LoadReport::kTrue);
+}
+
 ServiceBehaviour ReadService(SettingsReader& reader) {
   ServiceBehaviour service;
   service.name = reader.RequiredString("name");
@@ -41,8 +54,20 @@
       reader.Number("straggler_share", service.straggler_share, 0, 1);
   service.straggler_factor = reader.Number(
       "straggler_factor", service.straggler_factor, 1, kMaxStragglerFactor);
+  service.cold_start_requests =
+      Count(reader, "cold_start_requests", service.cold_start_requests,
+            kAnyCountRange);
+  service.cold_start_factor = reader.Number(
+      "cold_start_factor", service.cold_start_factor, 1, kMaxStragglerFactor);
+  service.load_report = ReadLoadReport(reader);
+  service.load_lag =
+      reader.Milliseconds("load_lag_ms", service.load_lag, kLagRangeMs);
+  service.crash_marker = reader.String("crash_marker", "");
   service.index_version = static_cast<std::uint64_t>(
       reader.Integer("index_version", 1, kVersionRange));
+  service.oldest_index_version = static_cast<std::uint64_t>(reader.Integer(
+      "oldest_index_version", static_cast<std::int64_t>(service.index_version),
+      kVersionRange));
   service.records_per_shard = Count(reader, "records_per_shard",
                                     service.records_per_shard, kAnyCountRange);
   return service;
@@ -50,6 +75,12 @@
 
 }  // namespace
 
+std::optional<LoadReport> ParseLoadReport(std::string_view name) {
+  const auto* found = std::ranges::find(kLoadReportNames, name);
+  if (found == kLoadReportNames.end()) return {};
+  return static_cast<LoadReport>(found - kLoadReportNames.begin());
+}
+
 StandinSettings ReadStandinSettings(SettingsReader& reader) {
   StandinSettings settings;
   const std::string path = reader.RequiredString("schema");
@@ -58,6 +89,10 @@
   }
   settings.seed =
       static_cast<std::uint64_t>(reader.Integer("seed", 1, kVersionRange));
+  settings.control = {reader.String("control", "127.0.0.1:0")};
+  if (!IsHostPort(settings.control.host_port)) {
+    reader.AddFault("control", "control: not an IP number and port");
+  }
   reader.Tables("service", [&settings](SettingsReader& table) {
     settings.services.push_back(ReadService(table));
   });
--- a/src/adapters/soup_http_server.cc
+++ b/src/adapters/soup_http_server.cc
@@ -90,6 +90,7 @@
 /// One caller's connection.
 struct SoupHttpServer::Connection {
   SoupHttpServer* server = nullptr;
+  std::uint64_t number = 0;
   GObjectPtr<GSocket> socket;
   GSource* hang_up = nullptr;
   /// The message that libsoup reads or answers; null between messages.
@@ -239,6 +240,7 @@
   m_connections.emplace(socket, std::move(made));
   WatchForHangUp(connection);
   m_counters.Add(HttpServerCounter::kConnections);
+  connection->number = m_counters.Get(HttpServerCounter::kConnections);
   if (m_connections.size() > m_options.max_connections) {
     m_counters.Add(HttpServerCounter::kConnectionsRefused);
     ShutDown(socket);
@@ -306,6 +308,7 @@
   HttpRequest request;
   request.method = soup_server_message_get_method(message);
   request.path = path;
+  request.connection = exchange->connection->number;
   request.too_large = exchange->too_large;
   soup_message_headers_foreach(soup_server_message_get_request_headers(message),
                                CopyHeader, &request.headers);
--- a/src/ports/http.h
+++ b/src/ports/http.h
@@ -24,6 +24,8 @@
   std::string path;
   std::vector<HttpHeader> headers;
   std::string body;
+  /// Number of the connection within its server, from 1.
+  std::uint64_t connection = 0;
   /// The body exceeded the server's limit; `body` is empty.
   bool too_large = false;
 };
