Add chicory-load: open-loop load from a plan, and the baseline script

Cause: latency, coverage and extra upstream load could not be measured over processes. Ruled out: a closed loop; programs.LoadTest answers nothing until the last arrival is there.

--- /dev/null
+++ b/programs/chicory-load/load_runner.h
@@ -0,0 +1,59 @@
+#ifndef CHICORYVALE_PROGRAMS_CHICORY_LOAD_LOAD_RUNNER_H_
+#define CHICORYVALE_PROGRAMS_CHICORY_LOAD_LOAD_RUNNER_H_
+
+#include <libsoup/soup.h>
+
+#include <cstdint>
+#include <random>
+#include <vector>
+
+#include "adapters/glib_scheduler.h"
+#include "chicory-load/call_statistics.h"
+#include "chicory-load/load_plan.h"
+
+namespace chicoryvale {
+
+/// Generates the load of a plan: open loop, each stream's arrivals drawn ahead
+/// of the answers. Not thread safe.
+class LoadRunner {
+ public:
+  explicit LoadRunner(LoadPlan plan);
+  ~LoadRunner();
+  LoadRunner(const LoadRunner&) = delete;
+  LoadRunner& operator=(const LoadRunner&) = delete;
+
+  /// Runs until the last call has ended, on the default main context. Call
+  /// once.
+  void Run();
+
+  /// Returns the results of each stream, in the order of the plan.
+  [[nodiscard]] const std::vector<CallStatistics>& Results() const {
+    return m_results;
+  }
+
+  /// Returns the time from the first arrival to the last end.
+  [[nodiscard]] Duration Elapsed() const { return m_elapsed; }
+
+ private:
+  struct Call;
+  void ScheduleArrival(std::size_t stream, TimePoint after);
+  void Arrive(std::size_t stream, TimePoint due);
+  SoupMessage* MakeMessage(const CallStream& stream, std::size_t entry);
+  static void OnAnswer(GObject* session, GAsyncResult* result, gpointer call);
+
+  LoadPlan m_plan;
+  GlibScheduler m_scheduler;
+  std::mt19937_64 m_random;
+  std::vector<SoupSession*> m_sessions;
+  std::vector<CallStatistics> m_results;
+  std::uint64_t m_arrivals = 0;
+  std::uint32_t m_in_flight = 0;
+  std::size_t m_active_streams = 0;
+  std::size_t m_next_entry = 0;
+  TimePoint m_start{};
+  Duration m_elapsed{};
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_PROGRAMS_CHICORY_LOAD_LOAD_RUNNER_H_
--- a/src/adapters/command_line.cc
+++ b/src/adapters/command_line.cc
@@ -13,12 +13,16 @@
 
 namespace po = boost::program_options;
 
-po::options_description DaemonOptions() {
+po::options_description DaemonOptions(const DaemonCommands& commands) {
   po::options_description options("Options");
   options.add_options()("help,h", "print this help")("version",
                                                      "print the version")(
       "config,c", po::value<std::string>()->value_name("FILE"),
       "settings file (TOML)")("check", "check the settings and exit");
+  if (commands.json != nullptr) {
+    options.add_options()("json", po::bool_switch(commands.json),
+                          "print JSON in place of a table");
+  }
   return options;
 }
 
@@ -52,7 +56,7 @@
 
 ExitCode RunDaemon(int argc, const char* const* argv,
                    const DaemonCommands& commands) {
-  const po::options_description options = DaemonOptions();
+  const po::options_description options = DaemonOptions(commands);
   po::variables_map arguments;
   if (!ParseArguments(argc, argv, options, &arguments)) {
     return ExitCode::kBadSettings;
--- a/src/adapters/command_line.h
+++ b/src/adapters/command_line.h
@@ -20,6 +20,8 @@
   std::function<void(SettingsReader&)> read_settings;
   /// Runs the daemon after its settings were read without a fault.
   std::function<ExitCode()> run;
+  /// Set by `--json`; null if the program has no such option.
+  bool* json = nullptr;
 };
 
 /// Implements `--help`, `--version`, `--config FILE` and `--check` for a
