--- /dev/null
+++ b/tests/adapters/glib_scheduler_test.cc
@@ -0,0 +1,62 @@
+#include "adapters/glib_scheduler.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <vector>
+
+#include "fakes/main_context.h"
+
+namespace chicoryvale {
+namespace {
+
+TEST(GlibSchedulerTest, FiresInOrderOfDueTimeAndNotBefore) {
+  GlibScheduler scheduler;
+  std::vector<int> fired;
+  const TimePoint start = scheduler.Now();
+  scheduler.Schedule(milliseconds(3), [&] {
+    EXPECT_GE(scheduler.Now() - start, milliseconds(3));
+    fired.push_back(3);
+  });
+  scheduler.Schedule(milliseconds(1), [&] { fired.push_back(1); });
+  scheduler.Schedule(milliseconds(1), [&] { fired.push_back(2); });
+  IterateUntil([&] { return fired.size() == 3; });
+  EXPECT_EQ(fired, (std::vector<int>{1, 2, 3}));
+}
+
+TEST(GlibSchedulerTest, CancelledTimersDoNotFire) {
+  GlibScheduler scheduler;
+  bool done = false;
+  const TimerId first = scheduler.Schedule(Duration::zero(), [] { FAIL(); });
+  TimerId second = 0;
+  scheduler.Schedule(milliseconds(1), [&] { scheduler.Cancel(second); });
+  second = scheduler.Schedule(milliseconds(1), [] { FAIL(); });
+  scheduler.Schedule(milliseconds(2), [&] { done = true; });
+  scheduler.Cancel(first);
+  IterateUntil([&] { return done; });
+  scheduler.Cancel(second);
+}
+
+TEST(GlibSchedulerTest, TimerOfACallbackFiresInALaterIteration) {
+  GlibScheduler scheduler;
+  int iterations = 0;
+  int fired_in = 0;
+  scheduler.Schedule(Duration::zero(), [&] {
+    scheduler.Schedule(Duration::zero(), [&] { fired_in = iterations; });
+  });
+  while (fired_in == 0) {
+    ++iterations;
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  EXPECT_GE(fired_in, 2);
+}
+
+TEST(GlibSchedulerTest, CallbackMayDestroyTheScheduler) {
+  auto scheduler = std::make_unique<GlibScheduler>();
+  scheduler->Schedule(Duration::zero(), [&] { scheduler.reset(); });
+  scheduler->Schedule(Duration::zero(), [] { FAIL(); });
+  IterateUntil([&] { return scheduler == nullptr; });
+}
+
+}  // namespace
+}  // namespace chicoryvale
