Test fresh connections at the limit, freed connections, shedding

Cause: nothing showed that a fresh connection goes ahead while kept ones fill the limit, nor that connections closed by upstreams are freed. Change: tests only; each passed at once. Conclusion: libsoup closes an idle connection to make room.

--- a/tests/adapters/soup_upstream_transport_test.cc
+++ b/tests/adapters/soup_upstream_transport_test.cc
@@ -170,6 +170,42 @@
   EXPECT_EQ(Count(Counter::kConnectionsOpened), 2);
 }
 
+TEST_F(SoupUpstreamTransportTest, FreshConnectionGoesAheadAtTheLimit) {
+  std::vector<RawSocket> kept;
+  RawUpstream upstream([&](RawSocket& connection, int) {
+    connection.ReceiveUntil(kEndOfRequest);
+    connection.Send(Answer("", "body"));
+    kept.push_back(std::move(connection));
+  });
+  SoupUpstreamTransport transport{SoupUpstreamTransportOptions{
+      .scheduler = &m_scheduler, .max_connections_per_replica = 1}};
+  int answered = 0;
+  for (const bool fresh : {false, true, true}) {
+    SubRequest request = Request(upstream);
+    request.fresh_connection = fresh;
+    bool ended = false;
+    transport.Send(request, [&](const SubOutcome& outcome) {
+      ended = true;
+      if (outcome.kind == SubOutcomeKind::kAnswered) ++answered;
+    });
+    IterateUntil([&] { return ended; });
+  }
+  EXPECT_EQ(answered, 3);
+  EXPECT_EQ(upstream.Connections(), 3);
+}
+
+TEST_F(SoupUpstreamTransportTest, ConnectionsThatUpstreamsCloseAreFreed) {
+  RawUpstream upstream([](RawSocket& connection, int) {
+    connection.ReceiveUntil(kEndOfRequest);
+    connection.Send(Answer("", "body"));
+  });
+  constexpr int kRequests = 200;
+  Send(Request(upstream));
+  const std::size_t before = OpenDescriptors();
+  for (int i = 0; i < kRequests; ++i) Send(Request(upstream));
+  EXPECT_LE(OpenDescriptors(), before + 4);
+}
+
 TEST_F(SoupUpstreamTransportTest, CancelClosesTheConnection) {
   std::atomic<bool> received = false;
   std::atomic<bool> closed = false;
--- a/tests/programs/standin_test.cc
+++ b/tests/programs/standin_test.cc
@@ -124,6 +124,16 @@
   EXPECT_EQ(Counts()["totals"]["silenced"], 1);
 }
 
+TEST_F(StandinTest, ShedsBeyondItsSlotsAndQueue) {
+  EXPECT_EQ(Set({{"median_ms", 600000}, {"slots", 1}, {"queue", 1}}), 1);
+  SubRequest request;
+  request.timeout = milliseconds(50);
+  EXPECT_EQ(Send(request).kind, SubOutcomeKind::kTimedOut);
+  EXPECT_EQ(Send(request).kind, SubOutcomeKind::kTimedOut);
+  EXPECT_EQ(Send({}).kind, SubOutcomeKind::kNotStarted);
+  EXPECT_EQ(Counts()["totals"]["shed"], 1);
+}
+
 TEST_F(StandinTest, ReportsDrainAndTheOppositeOfItsLoad) {
   EXPECT_EQ(Set({{"draining", true}, {"load_report", "opposite"}}), 1);
   const SubOutcome outcome = Send({});
