Close a crashed stand-in's port before its connections

Cause: the stand-in dropped a crashed replica's connections first and closed its port after; a client that saw its connection end could still reach the port, and StandinTest.CrashesOnTheMarkedRequestAndComesBackWhenTold failed by chance. Change: the port is closed first, in the stand-in's crash and in the server's destructor. Ruled out: libsoup's own resend; the transport's counter of prevented resends does not stand in the failing path.

--- a/programs/chicory-standin/standin_daemon.cc
+++ b/programs/chicory-standin/standin_daemon.cc
@@ -114,6 +114,8 @@
 }
 
 void StandinDaemon::Crash(Listener* listener) {
+  // The port closes before any connection does, as at the end of a process.
+  if (listener->server) listener->server->StopAccepting();
   listener->replica->DropWork();
   listener->replica->SilenceConnections(0);
   listener->server.reset();
--- a/src/adapters/soup_http_server.cc
+++ b/src/adapters/soup_http_server.cc
@@ -195,6 +195,9 @@
   g_signal_handlers_disconnect_by_data(m_server, this);
   soup_server_remove_handler(m_server, nullptr);
   soup_server_disconnect(m_server);
+  // The port closes before any connection does: a client that sees its
+  // connection end must not reach the port of a server that is gone.
+  g_socket_close(m_listener.get(), nullptr);
   for (const auto& [socket, connection] : m_connections) {
     if (connection->current != nullptr) connection->current->server = nullptr;
     connection->StopWatching();
