Admission: adaptive limit, deadlines, fair shares

Cause: at twice the capacity the engine alone gives no whole answer in time. Change: AdmissionQueue stands before the engine, one for each service: adaptive limit, deadline-aware waiting, fair shares between workspaces, a counter for each refusal reason. QueryAnswer tells the time in which half of the shards were covered. Ruled out: the whole query's latency as the signal (a dead shard makes it the deadline); the ways listed in docs/design/admission.md.

--- a/bench/hedging.cc
+++ b/bench/hedging.cc
@@ -51,7 +51,7 @@
   return ToSeconds(duration) * kMillisPerSecond;
 }
 
-void Print(const std::string& name, LoadPlan plan, const char* mode) {
+void Print(const std::string& name, const LoadPlan& plan, const char* mode) {
   const LoadResult result = LoadRun(plan).Run();
   std::printf("%-20s %-18s %7.1f %7.1f %7.1f %9.4f %8.2f %8.2f %8.2f\n",
               name.c_str(), mode, Millis(result.Quantile(0.5)),
--- /dev/null
+++ b/src/admission/fair_queue.cc
@@ -0,0 +1,116 @@
+#include "admission/fair_queue.h"
+
+#include <algorithm>
+#include <cassert>
+#include <iterator>
+
+namespace chicoryvale {
+
+void FairQueue::SetShares(const std::vector<WorkspaceWeight>& shares) {
+  m_shares.clear();
+  for (const WorkspaceWeight& weight : shares) {
+    m_shares[weight.workspace] = std::max(1U, weight.share);
+  }
+  for (auto& [name, workspace] : m_workspaces) {
+    workspace.share = Share(name);
+  }
+}
+
+void FairQueue::Push(const WaitingQuery& query) {
+  Workspace& workspace = Find(query.workspace);
+  // A workspace that was idle gets no credit for it.
+  if (workspace.waiting.empty()) {
+    workspace.start = std::max(workspace.start, m_virtual_time);
+  }
+  workspace.waiting.emplace(Key(query.deadline, query.ticket), query);
+  ++m_size;
+}
+
+std::optional<WaitingQuery> FairQueue::Pop(const Filter& filter) {
+  Workspace* next = nullptr;
+  for (auto& [name, workspace] : m_workspaces) {
+    if (workspace.waiting.empty()) continue;
+    if (next != nullptr && workspace.start >= next->start) continue;
+    if (filter(name)) next = &workspace;
+  }
+  if (next == nullptr) return std::nullopt;
+  m_virtual_time = next->start;
+  next->start += 1 / next->share;
+  return Take(next, next->waiting.begin());
+}
+
+void FairQueue::Remove(const WaitingQuery& query) {
+  const auto found = m_workspaces.find(query.workspace);
+  if (found == m_workspaces.end()) return;
+  const std::size_t erased =
+      found->second.waiting.erase(Key(query.deadline, query.ticket));
+  m_size -= erased;
+}
+
+std::vector<WaitingQuery> FairQueue::TakeDueBefore(TimePoint time) {
+  std::vector<WaitingQuery> due;
+  for (auto& [name, workspace] : m_workspaces) {
+    while (!workspace.waiting.empty() &&
+           workspace.waiting.begin()->first.first < time) {
+      due.push_back(Take(&workspace, workspace.waiting.begin()));
+    }
+  }
+  return due;
+}
+
+WaitingQuery FairQueue::TakeLast(const std::string& workspace) {
+  Workspace& found = Find(workspace);
+  assert(!found.waiting.empty());
+  return Take(&found, std::prev(found.waiting.end()));
+}
+
+std::string FairQueue::LongestForShare() const {
+  const auto length = [](const Workspaces::value_type& entry) {
+    return static_cast<double>(entry.second.waiting.size()) /
+           entry.second.share;
+  };
+  const auto longest = std::ranges::max_element(m_workspaces, {}, length);
+  return longest == m_workspaces.end() ? std::string() : longest->first;
+}
+
+std::size_t FairQueue::Size(const std::string& workspace) const {
+  const auto found = m_workspaces.find(workspace);
+  return found == m_workspaces.end() ? 0 : found->second.waiting.size();
+}
+
+TimePoint FairQueue::EarliestDeadline() const {
+  TimePoint earliest = TimePoint::max();
+  for (const auto& [name, workspace] : m_workspaces) {
+    if (workspace.waiting.empty()) continue;
+    earliest = std::min(earliest, workspace.waiting.begin()->first.first);
+  }
+  return earliest;
+}
+
+FairQueue::Workspace& FairQueue::Find(const std::string& name) {
+  const auto found = m_workspaces.find(name);
+  if (found != m_workspaces.end()) return found->second;
+  if (m_workspaces.size() >= kMaxIdle) {
+    std::erase_if(m_workspaces, [](const auto& entry) {
+      return entry.second.waiting.empty();
+    });
+  }
+  Workspace& created = m_workspaces[name];
+  created.share = Share(name);
+  return created;
+}
+
+double FairQueue::Share(const std::string& name) const {
+  const auto found = m_shares.find(name);
+  return found == m_shares.end() ? 1 : found->second;
+}
+
+WaitingQuery FairQueue::Take(Workspace* workspace,
+                             std::map<Key, WaitingQuery>::iterator query) {
+  WaitingQuery taken = std::move(query->second);
+  workspace->waiting.erase(query);
+  --m_size;
+  return taken;
+}
+
+}  // namespace chicoryvale
--- a/src/query/query.cc
+++ b/src/query/query.cc
@@ -81,7 +81,11 @@
 
 void Query::OnTaskEnded(ShardState state) {
   --m_pending;
-  if (state == ShardState::kCovered) ++m_covered;
+  if (state != ShardState::kCovered) return;
+  ++m_covered;
+  if (2 * m_covered >= m_tasks.size() && m_half_covered == Duration::zero()) {
+    m_half_covered = m_ctx.parts.scheduler->Now() - m_ctx.started;
+  }
 }
 
 void Query::OnWantSweep(TimePoint when) {
@@ -232,6 +236,7 @@
   answer.retries = m_ctx.retries;
   answer.hedges = m_ctx.hedges;
   answer.restarts = m_restarts;
+  answer.half_covered = m_half_covered;
   const std::size_t least =
       std::max<std::size_t>(LeastCovered(m_ctx.spec.min_coverage_per_10000), 1);
   if (covered >= least) {
--- a/src/query/query.h
+++ b/src/query/query.h
@@ -86,6 +86,7 @@
   std::size_t m_pending = 0;
   std::size_t m_covered = 0;
   std::uint32_t m_restarts = 0;
+  Duration m_half_covered{};
   int m_depth = 0;
   bool m_done = false;
   TimerId m_deadline_timer = 0;
--- a/src/query/query_types.h
+++ b/src/query/query_types.h
@@ -110,6 +110,8 @@
   std::uint32_t attempts = 0;
   std::uint32_t retries = 0;
   std::uint32_t hedges = 0;
+  /// Time in which half of the shards were covered; zero if they were not.
+  Duration half_covered{};
   /// Times that the query started again at another snapshot.
   std::uint32_t restarts = 0;
 };
--- a/tests/fakes/load_run.h
+++ b/tests/fakes/load_run.h
@@ -5,12 +5,14 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "admission/admission_queue.h"
 #include "fakes/fake_fleet.h"
 #include "fakes/fake_merger.h"
 #include "fakes/fake_scheduler.h"
@@ -19,6 +21,13 @@
 
 namespace chicoryvale {
 
+/// Arrivals of one workspace.
+struct LoadWorkspace {
+  std::string name;
+  double queries_per_second = 0;
+  std::uint32_t share = 1;
+};
+
 /// Load on one service, on virtual time.
 struct LoadPlan {
   std::uint32_t shards = 20;
@@ -27,7 +36,9 @@
   /// Every n-th replica is lost; 0: none.
   std::uint32_t lost_every = 0;
   FakeLoss loss = FakeLoss::kRefuses;
-  double queries_per_second = 150;
+  std::vector<LoadWorkspace> workspaces = {{"makers", 150, 1}};
+  /// Puts an AdmissionQueue before the engine.
+  bool admission = false;
   Duration warm_up = seconds(5);
   Duration duration = seconds(20);
   Duration deadline = milliseconds(400);
@@ -46,6 +57,9 @@
   std::uint64_t sub_requests = 0;
   std::uint64_t hedges = 0;
   std::uint64_t retries = 0;
+  std::uint64_t refused = 0;
+  /// Queries answered whole.
+  std::uint64_t whole = 0;
   std::vector<Duration> latencies;
 
   /// Sub-requests beyond one for each shard, as a part of the latter.
@@ -68,6 +82,9 @@
   }
 };
 
+/// Results by workspace.
+using WorkspaceResults = std::map<std::string, LoadResult>;
+
 /// Runs a LoadPlan: an engine over the real gate and a fake fleet.
 class LoadRun {
  public:
@@ -91,19 +108,31 @@
     engine.hedging = plan.hedging;
     m_engine = std::make_unique<QueryEngine>(engine);
     m_engine->SetConfig(config);
+    std::vector<WorkspaceWeight> shares;
+    for (const LoadWorkspace& workspace : plan.workspaces) {
+      shares.push_back({workspace.name, workspace.share});
+    }
+    m_admission.SetShares(shares);
     m_fleet.SetLoss([this](const Address& replica) {
       return IsLost(replica) ? m_plan.loss : FakeLoss::kNone;
     });
   }
 
   LoadResult Run() {
-    Arrive();
+    for (const LoadWorkspace& workspace : m_plan.workspaces) {
+      Arrive(workspace);
+    }
     m_scheduler.RunFor(m_plan.warm_up + m_plan.duration);
     m_stopped = true;
-    m_scheduler.RunFor(m_plan.deadline);
+    m_scheduler.RunFor(2 * m_plan.deadline);
     return m_result;
   }
 
+  /// Results of each workspace, after Run.
+  [[nodiscard]] const WorkspaceResults& ByWorkspace() const {
+    return m_by_workspace;
+  }
+
   [[nodiscard]] const QueryCounters& Counters() const {
     return m_engine->Counters();
   }
@@ -131,42 +160,70 @@
            std::stoul(replica.host_port) % m_plan.lost_every == 0;
   }
 
-  void Arrive() {
+  void Arrive(const LoadWorkspace& workspace) {
     if (m_stopped) return;
-    std::exponential_distribution<> gap(m_plan.queries_per_second);
+    std::exponential_distribution<> gap(workspace.queries_per_second);
     m_scheduler.Schedule(
-        Duration(static_cast<Duration::rep>(gap(m_random) * 1e6)), [this] {
-          Ask();
-          Arrive();
+        Duration(static_cast<Duration::rep>(gap(m_random) * 1e6)),
+        [this, &workspace] {
+          Submit(workspace.name);
+          Arrive(workspace);
         });
   }
 
-  void Ask() {
+  void Submit(const std::string& workspace) {
+    const TimePoint start = m_scheduler.Now();
+    if (!m_plan.admission) {
+      Ask(workspace, start, 0);
+      return;
+    }
+    m_admission.Submit(workspace, start + m_plan.deadline,
+                       [this, workspace, start, ticket = ++m_last_ticket](
+                           const Result<void>& admitted) {
+                         if (admitted) {
+                           Ask(workspace, start, ticket);
+                         } else if (IsMeasured(start)) {
+                           ++m_result.refused;
+                           ++m_by_workspace[workspace].refused;
+                         }
+                       });
+  }
+
+  void Ask(const std::string& workspace, TimePoint start,
+           AdmissionTicket ticket) {
     QuerySpec spec;
     spec.service = "sangh.FormulaDesk";
     spec.method = "Check";
-    spec.workspace = "makers";
-    spec.deadline = m_plan.deadline;
+    spec.workspace = workspace;
+    spec.deadline = start + m_plan.deadline - m_scheduler.Now();
     spec.objective = m_plan.objective;
     spec.min_coverage_per_10000 = m_plan.min_coverage_per_10000;
-    const TimePoint start = m_scheduler.Now();
     m_engine->Start(std::move(spec), &m_mergers,
-                    [this, start](const QueryAnswer& answer) {
-                      if (start >= TimePoint{} + m_plan.warm_up) {
-                        Record(answer, m_scheduler.Now() - start);
-                      }
+                    [=, this](const QueryAnswer& answer) {
+                      if (ticket != 0) m_admission.Finish(ticket, answer);
+                      if (!IsMeasured(start)) return;
+                      const Duration latency = m_scheduler.Now() - start;
+                      Record(answer, latency, &m_result);
+                      Record(answer, latency, &m_by_workspace[workspace]);
                     });
   }
 
-  void Record(const QueryAnswer& answer, Duration latency) {
-    ++m_result.queries;
-    if (answer.body) ++m_result.answered;
-    m_result.shards_asked += answer.coverage.size();
-    m_result.shards_covered += CountCovered(answer.coverage);
-    m_result.sub_requests += answer.attempts;
-    m_result.hedges += answer.hedges;
-    m_result.retries += answer.retries;
-    m_result.latencies.push_back(latency);
+  [[nodiscard]] bool IsMeasured(TimePoint start) const {
+    return start >= TimePoint{} + m_plan.warm_up && !m_stopped;
+  }
+
+  static void Record(const QueryAnswer& answer, Duration latency,
+                     LoadResult* result) {
+    ++result->queries;
+    if (answer.body) ++result->answered;
+    const std::size_t covered = CountCovered(answer.coverage);
+    if (covered == answer.coverage.size()) ++result->whole;
+    result->shards_asked += answer.coverage.size();
+    result->shards_covered += covered;
+    result->sub_requests += answer.attempts;
+    result->hedges += answer.hedges;
+    result->retries += answer.retries;
+    result->latencies.push_back(latency);
   }
 
   LoadPlan m_plan;
@@ -176,7 +233,12 @@
   FakeMergerFactory m_mergers;
   std::unique_ptr<UpstreamGate> m_gate;
   std::unique_ptr<QueryEngine> m_engine;
+  AdmissionCounters m_admission_counters;
+  AdmissionQueue m_admission{&m_scheduler, &m_admission_counters};
+  /// Follows the tickets of `m_admission`, which numbers them from 1.
+  AdmissionTicket m_last_ticket = 0;
   LoadResult m_result;
+  WorkspaceResults m_by_workspace;
   bool m_stopped = false;
 };
 
