--- a/tests/fakes/queued_upstream.h
+++ b/tests/fakes/queued_upstream.h
@@ -61,14 +61,17 @@
     return id;
   }
 
-  /// Drops a request, whether it waits or runs.
-  void Cancel(JobId id) {
-    std::erase_if(m_queue, [id](const Job& job) { return job.id == id; });
+  /// Drops a request; returns whether it waited or ran.
+  bool Cancel(JobId id) {
+    if (std::erase_if(m_queue, [id](const Job& job) { return job.id == id; })) {
+      return true;
+    }
     const auto found = m_running.find(id);
-    if (found == m_running.end()) return;
+    if (found == m_running.end()) return false;
     m_scheduler->Cancel(found->second.timer);
     m_running.erase(found);
     StartNext();
+    return true;
   }
 
   /// Ends the process: all requests lose their connection.
