Publish marks and leave signals as they are made

Cause: GateGossip polled every 10 ms; a caller could send a crashing request again before the mark was on its way.

Change: UpstreamGate calls a change listener at the end of an attempt, before the caller of the attempt hears of it; GateGossip publishes then and has no timer. LeaveTracker bounds the changes that wait to be taken.

--- a/src/upstream/crash_quarantine.cc
+++ b/src/upstream/crash_quarantine.cc
@@ -452,6 +452,7 @@
     return;
   }
   CountInOrigin(&oldest, false, false);
+  m_changed.erase(oldest.mark.key.fingerprint);
   m_by_key.erase(oldest.mark.key.fingerprint);
   m_records.pop_back();
 }
--- a/src/upstream/crash_quarantine.h
+++ b/src/upstream/crash_quarantine.h
@@ -147,6 +147,9 @@
   /// Returns all marks with deaths, and cleared ones that are remembered.
   [[nodiscard]] std::vector<CrashMark> Marks() const;
 
+  /// Returns whether TakeChanges has something to return.
+  [[nodiscard]] bool HasChanges() const { return !m_changed.empty(); }
+
   /// Returns the marks that changed since the last call.
   std::vector<CrashMark> TakeChanges();
 
--- a/src/upstream/gate_gossip.cc
+++ b/src/upstream/gate_gossip.cc
@@ -8,7 +8,6 @@
 namespace chicoryvale {
 namespace {
 
-constexpr Duration kPublishInterval = milliseconds(10);
 constexpr std::uint32_t kLeaveLifetimeSeconds = 600;
 constexpr std::uint32_t kMarkLifetimeSeconds = 3600;
 
@@ -29,7 +28,7 @@
       m_scheduler(scheduler),
       m_self(std::move(self)) {}
 
-GateGossip::~GateGossip() { m_scheduler->Cancel(m_timer); }
+GateGossip::~GateGossip() { m_gate->SetChangeListener({}); }
 
 void GateGossip::Start() {
   m_gossip->AddItemListener([this](const GossipItem& item) { OnItem(item); });
@@ -37,7 +36,8 @@
        {GossipKind::kUpstreamLeaving, GossipKind::kCrashMark}) {
     for (const GossipItem& item : m_gossip->Items(kind)) OnItem(item);
   }
-  PublishChanges();
+  m_gate->SetChangeListener([this] { PublishOwnChanges(); });
+  PublishOwnChanges();
 }
 
 void GateGossip::OnItem(const GossipItem& item) {
@@ -57,12 +57,6 @@
   }
 }
 
-void GateGossip::PublishChanges() {
-  PublishOwnChanges();
-  m_timer =
-      m_scheduler->Schedule(kPublishInterval, [this] { PublishChanges(); });
-}
-
 void GateGossip::PublishOwnChanges() {
   for (const LeaveSignal& signal : m_gate->Leave()->TakeChanges()) {
     // Signals are ordered by stamp, then by `leaving`.
--- a/src/upstream/gate_gossip.h
+++ b/src/upstream/gate_gossip.h
@@ -14,7 +14,8 @@
 /// Carries a gate's signs of leaving replicas and its marks of crashing
 /// requests to the gates of other entries, and theirs to it. Each entry's
 /// observations go out under its own key, since two entries may have lost
-/// different upstreams to one request. Not thread safe.
+/// different upstreams to one request. They go out as they are made, before the
+/// caller of the attempt has its answer and can send again. Not thread safe.
 class GateGossip {
  public:
   /// The pointees must outlive the link. `self` names this entry.
@@ -29,7 +30,6 @@
 
  private:
   void OnItem(const GossipItem& item);
-  void PublishChanges();
   void PublishOwnChanges();
 
   UpstreamGate* m_gate;
@@ -37,7 +37,6 @@
   Scheduler* m_scheduler;
   std::string m_self;
   std::uint64_t m_last_stamp = 0;
-  TimerId m_timer = 0;
 };
 
 }  // namespace chicoryvale
--- a/src/upstream/leave_tracker.cc
+++ b/src/upstream/leave_tracker.cc
@@ -7,6 +7,9 @@
 namespace chicoryvale {
 namespace {
 
+/// Changes kept for TakeChanges.
+constexpr std::size_t kMaxChanges = 4096;
+
 constexpr std::size_t Index(LeaveSource source) {
   return static_cast<std::size_t>(source);
 }
@@ -107,7 +110,7 @@
   if (!Precedes(known, signal)) return false;
   known = signal;
   found->second.heard_at[index] = now;
-  m_changes.push_back(signal);
+  AddChange(signal);
   return true;
 }
 
@@ -121,7 +124,13 @@
 }
 
 std::vector<LeaveSignal> LeaveTracker::TakeChanges() {
-  return std::exchange(m_changes, {});
+  const std::deque<LeaveSignal> changes = std::exchange(m_changes, {});
+  return {changes.begin(), changes.end()};
+}
+
+void LeaveTracker::AddChange(const LeaveSignal& signal) {
+  if (m_changes.size() >= kMaxChanges) m_changes.pop_front();
+  m_changes.push_back(signal);
 }
 
 void LeaveTracker::Observe(Record* record, LeaveSource source, bool leaving,
@@ -132,7 +141,7 @@
   if (signal.stamp > 0 && signal.leaving == leaving) return;
   signal.leaving = leaving;
   ++signal.stamp;
-  m_changes.push_back(signal);
+  AddChange(signal);
 }
 
 }  // namespace chicoryvale
--- a/src/upstream/leave_tracker.h
+++ b/src/upstream/leave_tracker.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -100,17 +101,22 @@
   /// Returns every signal that has been heard.
   [[nodiscard]] std::vector<LeaveSignal> Signals() const;
 
-  /// Returns the signals that changed since the last call.
+  /// Returns whether TakeChanges has something to return.
+  [[nodiscard]] bool HasChanges() const { return !m_changes.empty(); }
+
+  /// Returns the signals that changed since the last call, the newest ones if
+  /// there are very many.
   std::vector<LeaveSignal> TakeChanges();
 
  private:
   void Observe(Record* record, LeaveSource source, bool leaving, TimePoint now);
+  void AddChange(const LeaveSignal& signal);
   [[nodiscard]] bool DrainHolds(const Record& record, TimePoint now) const;
   [[nodiscard]] bool PlatformHolds(const Record& record, TimePoint now) const;
 
   LeaveSettings m_settings;
   std::unordered_map<std::string, Record> m_records;
-  std::vector<LeaveSignal> m_changes;
+  std::deque<LeaveSignal> m_changes;
 };
 
 }  // namespace chicoryvale
--- a/src/upstream/upstream_gate.cc
+++ b/src/upstream/upstream_gate.cc
@@ -178,6 +178,11 @@
   if (m_quarantine.Merge(mark, m_scheduler->Now())) ResumeReady();
 }
 
+void UpstreamGate::NotifyChanges() {
+  if (!m_change_listener) return;
+  if (m_leave.HasChanges() || m_quarantine.HasChanges()) m_change_listener();
+}
+
 void UpstreamGate::EndUnplaced(GateTicket ticket) {
   const auto node = m_attempts.extract(ticket);
   if (!node.empty()) EndRun(node.mapped(), RunEnd::kUnknown);
@@ -398,6 +403,8 @@
   m_recorder.Record(outcome, attempt.replica, attempt.sent_at, elapsed,
                     m_scheduler->Now());
   JudgeConnection(attempt, outcome, elapsed);
+  // Others hear of a death before the caller can send its request again.
+  NotifyChanges();
   AfterEnd(attempt.replica);
   ResumeReady();
 }
--- a/src/upstream/upstream_gate.h
+++ b/src/upstream/upstream_gate.h
@@ -80,6 +80,12 @@
   /// Takes a mark from another process.
   void MergeCrashMark(const CrashMark& mark);
 
+  /// Sets the function called when the end of an attempt changed leave signals
+  /// or marks, before the caller of the attempt hears of it.
+  void SetChangeListener(std::function<void()> listener) {
+    m_change_listener = std::move(listener);
+  }
+
   [[nodiscard]] const CounterSet<UpstreamCounter>& Counters() const {
     return m_counters;
   }
@@ -144,6 +150,7 @@
   void Wake(const SetPointer& set);
   void JudgeConnection(const Attempt& attempt, const SubOutcome& outcome,
                        Duration elapsed);
+  void NotifyChanges();
   void AfterEnd(Replica* replica);
   void WakeWaiting(Replica* replica);
   [[nodiscard]] bool StartOne(const SetPointer& set);
@@ -161,6 +168,7 @@
   CounterSet<UpstreamCounter> m_counters;
   OutcomeRecorder m_recorder;
   std::function<void(const Address&)> m_silent_listener;
+  std::function<void()> m_change_listener;
   std::unordered_map<GateTicket, Attempt> m_attempts;
 };
 
