--- a/src/upstream/crash_quarantine.cc
+++ b/src/upstream/crash_quarantine.cc
@@ -5,13 +5,6 @@
 #include <utility>
 
 namespace chicoryvale {
-namespace {
-
-/// Bounds of the log of deaths.
-constexpr std::size_t kMaxLoggedDeaths = 4096;
-constexpr Duration kDeathLogMemory = seconds(600);
-
-}  // namespace
 
 struct CrashQuarantine::Record {
   CrashMark mark;
@@ -47,14 +40,6 @@
   TimePoint next_run{};
 };
 
-struct CrashQuarantine::Death {
-  TimePoint at{};
-  std::uint64_t replica = 0;
-  std::uint64_t fingerprint = 0;
-  std::uint64_t origin = 0;
-  bool proven = false;
-};
-
 CrashQuarantine::CrashQuarantine(const CrashSettings& settings)
     : m_settings(settings) {
   assert(settings.max_deaths >= 1 && settings.max_records >= 1);
@@ -250,7 +235,7 @@
   CrashMark& mark = record->mark;
   const CrashDeath death{HashReplica(replica), run.shard, run.generation,
                          !run.unproven};
-  LogDeath(mark.key, death, now);
+  m_death_log.Add(mark.key, death, now);
   if (!AddDeath(death, &mark)) return;
   record->last_death_at = now;
   record->judged = false;
@@ -271,10 +256,8 @@
 void CrashQuarantine::OnReplicaSurvived(const Address& replica,
                                         TimePoint since) {
   const std::uint64_t hash = HashReplica(replica);
-  for (Death& death : m_death_log) {
-    if (death.replica != hash || death.at < since) continue;
-    death.replica = 0;
-    const auto found = m_by_key.find(death.fingerprint);
+  for (const std::uint64_t fingerprint : m_death_log.TakeBack(hash, since)) {
+    const auto found = m_by_key.find(fingerprint);
     if (found == m_by_key.end()) continue;
     Record* record = &*found->second;
     std::vector<CrashDeath> kept = record->mark.deaths;
@@ -293,23 +276,14 @@
                            &CrashDeath::replica) != deaths.end();
 }
 
-void CrashQuarantine::LogDeath(const CrashKey& key, const CrashDeath& death,
-                               TimePoint now) {
-  while (!m_death_log.empty() &&
-         (m_death_log.size() >= kMaxLoggedDeaths ||
-          m_death_log.front().at < now - kDeathLogMemory)) {
-    m_death_log.pop_front();
-  }
-  m_death_log.push_back(
-      {now, death.replica, key.fingerprint, key.Origin(), death.proven});
-}
-
 bool CrashQuarantine::Spare(Record* record, TimePoint now) {
   CrashMark& mark = record->mark;
   if (record->judged || mark.allowance > m_settings.max_deaths) return false;
   const TimePoint settled =
       record->last_death_at + m_settings.common_cause_window;
-  if (!IsCommonCause(*record)) {
+  const std::size_t others = m_death_log.CountOthers(
+      mark.key, record->last_death_at, m_settings.common_cause_window);
+  if (others < m_settings.common_cause_deaths) {
     record->judged = now > settled;
     return false;
   }
@@ -319,23 +293,6 @@
   return true;
 }
 
-bool CrashQuarantine::IsCommonCause(const Record& record) const {
-  const std::uint64_t origin = record.mark.key.Origin();
-  const TimePoint from = record.last_death_at - m_settings.common_cause_window;
-  const TimePoint to = record.last_death_at + m_settings.common_cause_window;
-  std::unordered_map<std::uint64_t, bool> own;
-  for (const Death& death : m_death_log) {
-    if (death.at < from || death.at > to || death.replica == 0) continue;
-    // A variant of the request, from the same origin, may have done it.
-    bool& is_own = own[death.replica];
-    is_own = is_own || death.fingerprint == record.mark.key.fingerprint ||
-             (death.origin == origin && !death.proven);
-  }
-  const auto others = std::ranges::count_if(
-      own, [](const auto& entry) { return !entry.second; });
-  return others >= m_settings.common_cause_deaths;
-}
-
 void CrashQuarantine::SetDeaths(Record* record,
                                 std::vector<CrashDeath> deaths) {
   ++record->mark.epoch;
@@ -372,7 +329,7 @@
   Record* record = Touch(mark.key, now);
   if (!MergeMark(mark, &record->mark)) return false;
   for (const CrashDeath& death : record->mark.deaths) {
-    LogDeath(mark.key, death, now);
+    m_death_log.Add(mark.key, death, now);
   }
   record->last_death_at = now;
   record->judged = false;
--- a/src/upstream/crash_quarantine.h
+++ b/src/upstream/crash_quarantine.h
@@ -14,6 +14,7 @@
 #include "base/time.h"
 #include "ports/replica_gate.h"
 #include "upstream/crash_mark.h"
+#include "upstream/death_log.h"
 
 namespace chicoryvale {
 
@@ -161,7 +162,6 @@
 
  private:
   struct Origin;
-  struct Death;
 
   Record* Touch(const CrashKey& key, TimePoint now);
   void Evict();
@@ -186,11 +186,9 @@
   void CountInOrigin(Record* record, bool marked, bool convicted);
   /// Lets the next request of a suspicious origin wait twice as long.
   void ExtendProbation(const Record& record, TimePoint now);
-  void LogDeath(const CrashKey& key, const CrashDeath& death, TimePoint now);
   /// Raises the allowance of a request whose deaths look like a common cause;
   /// returns whether it did.
   bool Spare(Record* record, TimePoint now);
-  [[nodiscard]] bool IsCommonCause(const Record& record) const;
 
   CrashSettings m_settings;
   std::unordered_set<std::uint64_t> m_operator_list;
@@ -200,7 +198,7 @@
   std::unordered_map<std::uint64_t, Origin> m_origins;
   /// Slots that are taken, by service or origin, with fingerprints that wait.
   std::unordered_map<std::uint64_t, std::deque<std::uint64_t>> m_slots;
-  std::deque<Death> m_death_log;
+  DeathLog m_death_log;
   std::unordered_set<std::uint64_t> m_changed;
   std::vector<std::uint64_t> m_ready;
 };
--- a/tests/upstream/gate_gossip_group_test.cc
+++ b/tests/upstream/gate_gossip_group_test.cc
@@ -1,5 +1,3 @@
-#include "upstream/gate_gossip.h"
-
 #include <gtest/gtest.h>
 
 #include <memory>
@@ -8,6 +6,7 @@
 #include <vector>
 
 #include "fakes/fake_group.h"
+#include "upstream/gate_gossip.h"
 #include "upstream/tests_support.h"
 #include "upstream/upstream_gate.h"
 
--- /dev/null
+++ b/tests/upstream/slot_sharing_model.h
@@ -0,0 +1,446 @@
+#ifndef CHICORYVALE_TESTS_UPSTREAM_SLOT_SHARING_MODEL_H_
+#define CHICORYVALE_TESTS_UPSTREAM_SLOT_SHARING_MODEL_H_
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "base/rendezvous.h"
+#include "fakes/fake_scheduler.h"
+#include "fakes/queued_upstream.h"
+#include "upstream/upstream_gate.h"
+
+namespace chicoryvale::upstream_test {
+
+/// Who decides when a request goes to a replica.
+enum class Sharing : std::uint8_t {
+  /// Each entry for itself by its UpstreamGate, with adaptive limits and the
+  /// replicas' load reports; the replica queues.
+  kAdaptive,
+  /// As kAdaptive, without load reports.
+  kAdaptiveBlind,
+  /// As kAdaptive, with one hedge at the other replica after kHedgeDelay.
+  kAdaptiveHedged,
+  /// Each entry for itself by its own latency and requests, without limit.
+  kUnlimited,
+  /// The owner entry of each replica, by rendezvous hash, to which the others
+  /// relay; it sees the whole queue and sends what the slots hold and one more.
+  kOwner,
+  /// As kOwner, with both replicas of a shard owned by one entry.
+  kSetOwner,
+  /// Slots are leased to entries on demand by the owner of the replica.
+  kLeased,
+};
+
+struct Figures {
+  std::vector<double> latencies_ms;
+  std::uint64_t late = 0;
+  /// Attempts sent through gates.
+  std::uint64_t sent = 0;
+  double queue_sum = 0.0;
+  std::uint64_t queue_samples = 0;
+  std::size_t queue_most = 0;
+  double slot_idle_with_work = 0.0;
+  std::uint64_t samples = 0;
+};
+
+struct Job {
+  TimePoint arrived{};
+  std::size_t entry = 0;
+};
+
+/// One shard of two replicas, 16 entries, Poisson arrivals at random entries.
+class SlotSharingModel {
+ public:
+  SlotSharingModel(Sharing sharing, double utilisation, std::uint64_t seed)
+      : m_sharing(sharing), m_random(seed), m_arrivals(seed + 1) {
+    for (std::size_t i = 0; i < kReplicas; ++i) {
+      QueuedUpstreamOptions options;
+      options.slots = kSlots;
+      options.queue_capacity = kReplicaQueue;
+      options.median = kMedian;
+      options.seed = seed * 100 + i;
+      m_replicas.push_back(
+          std::make_unique<QueuedUpstream>(&m_scheduler, options));
+    }
+    m_owners.resize(kReplicas);
+    for (std::size_t i = 0; i < kReplicas; ++i) {
+      const std::uint64_t key =
+          sharing == Sharing::kSetOwner ? seed : seed * kReplicas + i;
+      for (std::size_t e = 0; e < kEntries; ++e) {
+        const auto weight = [key](std::size_t entry) {
+          return RendezvousWeight(std::to_string(entry), key);
+        };
+        if (weight(e) > weight(m_owners[i].entry)) m_owners[i].entry = e;
+      }
+    }
+    m_entries.resize(kEntries * kReplicas);
+    for (std::size_t e = 0; e < kEntries; ++e) MakeGate(e);
+    // Mean service time: median, spread of its logarithm, 1% at 20 times.
+    const double mean_s = ToSeconds(kMedian) * std::exp(0.25 * 0.25 / 2) * 1.19;
+    m_rate = utilisation * kReplicas * kSlots / mean_s;
+  }
+
+  Figures Run() {
+    Arrive();
+    Sample();
+    m_scheduler.RunFor(kLength);
+    return std::move(m_result);
+  }
+
+ private:
+  static constexpr std::size_t kEntries = 16;
+  static constexpr std::size_t kZones = 4;
+  static constexpr std::size_t kReplicas = 2;
+  static constexpr std::uint32_t kSlots = 2;
+  static constexpr Duration kOneWay = milliseconds(1);
+  static constexpr Duration kInZone = microseconds(250);
+  static constexpr Duration kMedian = milliseconds(5);
+  static constexpr Duration kDeadline = milliseconds(400);
+  static constexpr Duration kLength = seconds(120);
+  static constexpr std::size_t kReplicaQueue = 64;
+  static constexpr Duration kHedgeDelay = milliseconds(20);
+
+  /// What an entry knows of one replica.
+  struct EntryView {
+    std::uint32_t in_flight = 0;
+    double latency_us = 5000.0;
+  };
+  struct Owner {
+    std::size_t entry = 0;
+    std::uint32_t in_flight = 0;
+    std::deque<Job> queue;
+    /// Slots with an entry, for kLeased.
+    std::uint32_t leased = 0;
+    std::deque<std::size_t> asking;
+  };
+
+  static std::size_t ZoneOf(std::size_t entry) { return entry % kZones; }
+  static std::size_t ReplicaZone(std::size_t replica) { return replica; }
+
+  static Duration Hop(std::size_t from_zone, std::size_t to_zone) {
+    return from_zone == to_zone ? kInZone : kOneWay;
+  }
+
+  void Arrive() {
+    std::exponential_distribution<double> gap(m_rate);
+    const Duration wait(static_cast<std::int64_t>(gap(m_arrivals) * 1e6));
+    m_scheduler.Schedule(wait, [this] {
+      Start({m_scheduler.Now(), m_arrivals() % kEntries});
+      Arrive();
+    });
+  }
+
+  void Start(const Job& job) {
+    switch (m_sharing) {
+      case Sharing::kAdaptive:
+      case Sharing::kAdaptiveBlind:
+      case Sharing::kAdaptiveHedged:
+        SendByGate(job);
+        break;
+      case Sharing::kUnlimited:
+        SendFromEntry(job);
+        break;
+      case Sharing::kOwner:
+      case Sharing::kSetOwner:
+        Relay(job);
+        break;
+      case Sharing::kLeased:
+        m_local[job.entry].push_back(job);
+        AskForSlot(job.entry);
+        break;
+    }
+  }
+
+  EntryView& View(std::size_t entry, std::size_t replica) {
+    return m_entries[entry * kReplicas + replica];
+  }
+
+  double Cost(std::size_t entry, std::size_t replica) {
+    const EntryView& view = View(entry, replica);
+    return view.latency_us * (view.in_flight + 1.0);
+  }
+
+  void MakeGate(std::size_t entry) {
+    ServiceConfig service;
+    service.name = "s";
+    service.shards.emplace_back();
+    for (std::size_t r = 0; r < kReplicas; ++r) {
+      service.shards[0].replicas.push_back(
+          {{std::to_string(r)}, ZoneName(ReplicaZone(r)), false});
+    }
+    ClusterConfig config;
+    config.services = {service};
+    UpstreamGateOptions options;
+    options.scheduler = &m_scheduler;
+    options.seed = m_random();
+    options.availability_zone = ZoneName(ZoneOf(entry));
+    m_gates.push_back(UpstreamGate::Make(options));
+    m_gates.back()->ApplyConfig(config);
+  }
+
+  static std::string ZoneName(std::size_t zone) {
+    return "zone" + std::to_string(zone);
+  }
+
+  /// A request at up to two replicas.
+  struct Pair {
+    Job job;
+    bool done = false;
+    GateTicket tickets[2] = {0, 0};
+    TimePoint sent[2] = {};
+    std::size_t replicas[2] = {0, 0};
+    QueuedUpstream::JobId ids[2] = {0, 0};
+  };
+
+  void SendByGate(const Job& job) {
+    auto pair = std::make_shared<Pair>();
+    pair->job = job;
+    Attempt(pair, 0, {});
+    if (m_sharing != Sharing::kAdaptiveHedged) return;
+    m_scheduler.Schedule(kHedgeDelay, [=, this] {
+      if (pair->done) return;
+      Attempt(pair, 1, {{std::to_string(pair->replicas[0])}});
+    });
+  }
+
+  void Attempt(const std::shared_ptr<Pair>& pair, int index,
+               const std::vector<Address>& avoid) {
+    AttemptSpec spec;
+    spec.service = "s";
+    spec.deadline = pair->job.arrived + kDeadline;
+    spec.avoid = avoid;
+    if (index == 1) spec.purpose = AttemptPurpose::kHedge;
+    UpstreamGate* gate = m_gates[pair->job.entry].get();
+    const GateTicket ticket = gate->NewTicket();
+    gate->Request(spec, ticket, [=, this](const Result<ReplicaChoice>& choice) {
+      if (!choice) {
+        if (index == 0) ++m_result.late;
+        return;
+      }
+      ++m_result.sent;
+      pair->tickets[index] = ticket;
+      pair->replicas[index] = std::stoul(choice->replica.host_port);
+      pair->sent[index] = m_scheduler.Now();
+      SendPart(pair, index);
+    });
+  }
+
+  void SendPart(const std::shared_ptr<Pair>& pair, int index) {
+    const std::size_t replica = pair->replicas[index];
+    const Duration hop = Hop(ZoneOf(pair->job.entry), ReplicaZone(replica));
+    m_scheduler.Schedule(hop, [=, this] {
+      if (pair->done) return;
+      const auto on_end = [=, this](const SubOutcome& outcome) {
+        m_scheduler.Schedule(hop, [=, this] {
+          if (!pair->done) EndPair(pair, index, outcome);
+        });
+      };
+      pair->ids[index] = m_replicas[replica]->Submit(on_end);
+    });
+  }
+
+  void EndPair(const std::shared_ptr<Pair>& pair, int index,
+               const SubOutcome& reported) {
+    pair->done = true;
+    UpstreamGate* gate = m_gates[pair->job.entry].get();
+    SubOutcome outcome = reported;
+    if (m_sharing == Sharing::kAdaptiveBlind) outcome.report = {};
+    const TimePoint now = m_scheduler.Now();
+    gate->Finish(pair->tickets[index], outcome, now - pair->sent[index]);
+    Finish(pair->job);
+    const int other = 1 - index;
+    if (pair->tickets[other] == 0) return;
+    gate->Abandon(pair->tickets[other], now - pair->sent[other]);
+    const std::size_t replica = pair->replicas[other];
+    m_scheduler.Schedule(
+        kOneWay, [=, this] { m_replicas[replica]->Cancel(pair->ids[other]); });
+  }
+
+  void SendFromEntry(const Job& job) {
+    std::size_t replica = 0;
+    for (std::size_t r = 1; r < kReplicas; ++r) {
+      if (Cost(job.entry, r) < Cost(job.entry, replica)) replica = r;
+    }
+    const Duration hop = Hop(ZoneOf(job.entry), ReplicaZone(replica));
+    const TimePoint sent = m_scheduler.Now();
+    ++View(job.entry, replica).in_flight;
+    Submit(replica, hop, [=, this](const SubOutcome& /*outcome*/) {
+      Learn(job.entry, replica, m_scheduler.Now() - sent);
+      Finish(job);
+    });
+  }
+
+  void Learn(std::size_t entry, std::size_t replica, Duration took) {
+    EntryView& view = View(entry, replica);
+    --view.in_flight;
+    const auto sample = static_cast<double>(took.count());
+    view.latency_us +=
+        0.1 * (std::min(sample, 4 * view.latency_us) - view.latency_us);
+  }
+
+  /// Sends to a replica over `hop`; calls `done` back over it.
+  void Submit(std::size_t replica, Duration hop,
+              const std::function<void(const SubOutcome&)>& done) {
+    m_scheduler.Schedule(hop, [=, this] {
+      m_replicas[replica]->Submit([=, this](const SubOutcome& outcome) {
+        m_scheduler.Schedule(hop, [=] { done(outcome); });
+      });
+    });
+  }
+
+  /// Sends to the owner that the entry expects to be faster.
+  void Relay(const Job& job) {
+    std::size_t best = 0;
+    for (std::size_t r = 1; r < kReplicas; ++r) {
+      if (Cost(job.entry, r) < Cost(job.entry, best)) best = r;
+    }
+    const std::size_t owner_entry = m_owners[best].entry;
+    const TimePoint sent = m_scheduler.Now();
+    ++View(job.entry, best).in_flight;
+    const Duration hop = owner_entry == job.entry
+                             ? Duration::zero()
+                             : Hop(ZoneOf(job.entry), ZoneOf(owner_entry));
+    m_scheduler.Schedule(hop, [=, this] {
+      // An owner of the whole set takes the shorter queue.
+      std::size_t replica = best;
+      if (m_sharing == Sharing::kSetOwner) {
+        for (std::size_t r = 0; r < kReplicas; ++r) {
+          if (Backlog(r) < Backlog(replica)) replica = r;
+        }
+      }
+      m_owners[replica].queue.push_back(job);
+      m_waiting_back[job.arrived.time_since_epoch().count()] = {best, sent,
+                                                                hop};
+      DrainOwner(replica);
+    });
+  }
+
+  std::size_t Backlog(std::size_t replica) const {
+    return m_owners[replica].queue.size() + m_owners[replica].in_flight;
+  }
+
+  void DrainOwner(std::size_t replica) {
+    Owner& owner = m_owners[replica];
+    // One more than the slots covers the hop to the replica.
+    while (!owner.queue.empty() && owner.in_flight < kSlots + 1) {
+      const Job job = owner.queue.front();
+      owner.queue.pop_front();
+      if (m_scheduler.Now() - job.arrived > kDeadline) {
+        Finish(job);
+        continue;
+      }
+      ++owner.in_flight;
+      const Duration hop = Hop(ZoneOf(owner.entry), ReplicaZone(replica));
+      Submit(replica, hop, [=, this](const SubOutcome& /*outcome*/) {
+        --m_owners[replica].in_flight;
+        DrainOwner(replica);
+        const auto key = job.arrived.time_since_epoch().count();
+        const Back back = m_waiting_back[key];
+        m_waiting_back.erase(key);
+        m_scheduler.Schedule(back.hop, [=, this] {
+          Learn(job.entry, back.replica, m_scheduler.Now() - back.sent);
+          Finish(job);
+        });
+      });
+    }
+  }
+
+  /// Asks the owner of a random replica for one of its slots.
+  void AskForSlot(std::size_t entry) {
+    const std::size_t replica = m_random() % kReplicas;
+    const Duration hop = Hop(ZoneOf(entry), ZoneOf(m_owners[replica].entry));
+    m_scheduler.Schedule(hop, [=, this] {
+      m_owners[replica].asking.push_back(entry);
+      Grant(replica);
+    });
+  }
+
+  void Grant(std::size_t replica) {
+    Owner& owner = m_owners[replica];
+    while (!owner.asking.empty() && owner.leased < kSlots + 1) {
+      const std::size_t entry = owner.asking.front();
+      owner.asking.pop_front();
+      ++owner.leased;
+      const Duration hop = Hop(ZoneOf(owner.entry), ZoneOf(entry));
+      m_scheduler.Schedule(hop, [=, this] { UseSlot(entry, replica); });
+    }
+  }
+
+  /// Uses a leased slot for the waiting requests, one after the other.
+  void UseSlot(std::size_t entry, std::size_t replica) {
+    std::deque<Job>& queue = m_local[entry];
+    if (queue.empty()) {
+      const Duration hop = Hop(ZoneOf(entry), ZoneOf(m_owners[replica].entry));
+      m_scheduler.Schedule(hop, [=, this] {
+        --m_owners[replica].leased;
+        Grant(replica);
+      });
+      return;
+    }
+    const Job job = queue.front();
+    queue.pop_front();
+    Submit(replica, Hop(ZoneOf(entry), ReplicaZone(replica)),
+           [=, this](const SubOutcome& /*outcome*/) {
+             Finish(job);
+             UseSlot(entry, replica);
+           });
+  }
+
+  void Finish(const Job& job) {
+    const Duration took = m_scheduler.Now() - job.arrived;
+    m_result.latencies_ms.push_back(ToSeconds(took) * 1e3);
+    if (took > kDeadline) ++m_result.late;
+  }
+
+  /// Samples the queues at the replicas, and the share of slots that stand idle
+  /// while a request waits anywhere.
+  void Sample() {
+    std::size_t waiting = 0;
+    std::size_t busy = 0;
+    for (std::size_t r = 0; r < kReplicas; ++r) {
+      const std::size_t queued = m_replicas[r]->Queued();
+      m_result.queue_sum += static_cast<double>(queued);
+      m_result.queue_most = std::max(m_result.queue_most, queued);
+      ++m_result.queue_samples;
+      busy += m_replicas[r]->Load() - queued;
+      waiting += queued + m_owners[r].queue.size();
+    }
+    for (const auto& queue : m_local) waiting += queue.size();
+    const std::size_t idle = kReplicas * kSlots - busy;
+    m_result.slot_idle_with_work +=
+        static_cast<double>(std::min(idle, waiting)) / (kReplicas * kSlots);
+    ++m_result.samples;
+    m_scheduler.Schedule(microseconds(970), [this] { Sample(); });
+  }
+
+  struct Back {
+    std::size_t replica = 0;
+    TimePoint sent{};
+    Duration hop{};
+  };
+
+  Sharing m_sharing;
+  std::mt19937_64 m_random;
+  std::mt19937_64 m_arrivals;
+  double m_rate = 0.0;
+  FakeScheduler m_scheduler;
+  std::vector<std::unique_ptr<QueuedUpstream>> m_replicas;
+  std::vector<Owner> m_owners;
+  std::vector<EntryView> m_entries;
+  std::vector<std::unique_ptr<UpstreamGate>> m_gates;
+  std::deque<Job> m_local[kEntries];
+  std::map<std::int64_t, Back> m_waiting_back;
+  Figures m_result;
+};
+
+}  // namespace chicoryvale::upstream_test
+
+#endif  // CHICORYVALE_TESTS_UPSTREAM_SLOT_SHARING_MODEL_H_
