Admit callers' queries through a fair queue for each service

Cause: the entry daemon started every query at once, whatever its load. Change: AdmissionRunner stands first in the chain; the wait counts against the deadline; shares of workspaces come from the schema in force. Ruled out: starting the query from within Submit: its ticket is not known yet, and an answer at once could not be reported.

--- a/programs/chicory-entryd/entry_daemon.cc
+++ b/programs/chicory-entryd/entry_daemon.cc
@@ -99,7 +99,8 @@
   m_engine = std::make_unique<QueryEngine>(engine);
   StartClaims();
   m_runner = std::make_unique<OnceRunner>(m_guard.get());
-  m_endpoint = std::make_unique<CallerEndpoint>(m_runner.get());
+  m_admission = std::make_unique<AdmissionRunner>(&m_scheduler, m_runner.get());
+  m_endpoint = std::make_unique<CallerEndpoint>(m_admission.get());
 }
 
 Result<void> EntryDaemon::StartPlatform() {
@@ -167,6 +168,7 @@
     Log(LogLevel::kError, "schema_refused", {{"reason", ok.error().message}});
     return;
   }
+  m_admission->SetSchema(*m_endpoint->CurrentSchema());
   m_gate->ApplyConfig(config);
   m_engine->SetConfig(config);
   m_config_version = config.version;
@@ -204,6 +206,7 @@
       .AddValue("entry", "config_version", m_config_version)
       .Add("refused", m_endpoint->Errors())
       .Add("query", m_engine->Counters())
+      .Add("admission", m_admission->Counters())
       .Add("once", m_guard->Counters())
       .Add("claims", m_claims->Counters())
       .AddValue("claims", "pending", m_claims->Pending())
--- a/programs/chicory-entryd/entry_daemon.h
+++ b/programs/chicory-entryd/entry_daemon.h
@@ -11,6 +11,7 @@
 #include "adapters/platform_poller.h"
 #include "adapters/soup_http_server.h"
 #include "adapters/soup_upstream_transport.h"
+#include "admission/admission_runner.h"
 #include "chicory-entryd/entry_settings.h"
 #include "control/claim_client.h"
 #include "endpoint/caller_endpoint.h"
@@ -59,6 +60,7 @@
   std::unique_ptr<ClaimClient> m_claims;
   std::unique_ptr<OnceGuard> m_guard;
   std::unique_ptr<OnceRunner> m_runner;
+  std::unique_ptr<AdmissionRunner> m_admission;
   std::unique_ptr<CallerEndpoint> m_endpoint;
   std::unique_ptr<SoupHttpServer> m_callers;
   std::unique_ptr<SoupHttpServer> m_metrics;
--- /dev/null
+++ b/src/admission/admission_runner.h
@@ -0,0 +1,49 @@
+#ifndef CHICORYVALE_SRC_ADMISSION_ADMISSION_RUNNER_H_
+#define CHICORYVALE_SRC_ADMISSION_ADMISSION_RUNNER_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "admission/admission_counters.h"
+#include "admission/admission_queue.h"
+#include "ports/scheduler.h"
+#include "query/query_runner.h"
+
+namespace chicoryvale {
+
+class Schema;
+
+/// First QueryRunner of a chain: queries of each service pass its
+/// AdmissionQueue before the next runner gets them, with the deadline that is
+/// left. Not thread safe: used only on the event loop.
+class AdmissionRunner : public QueryRunner {
+ public:
+  /// The pointees must outlive the runner.
+  AdmissionRunner(Scheduler* scheduler, QueryRunner* next);
+  ~AdmissionRunner() override;
+
+  /// Takes the workspaces' shares of each service from `schema`.
+  void SetSchema(const Schema& schema);
+
+  /// Returns the counters of all services together.
+  [[nodiscard]] const AdmissionCounters& Counters() const { return m_counters; }
+
+ protected:
+  void OnRun(QuerySpec spec, std::shared_ptr<AnswerMergerFactory> mergers,
+             QueryCallback callback) override;
+
+ private:
+  struct Request;
+  AdmissionQueue* QueueFor(const std::string& service);
+  void Start(const std::shared_ptr<Request>& request);
+
+  Scheduler* m_scheduler;
+  QueryRunner* m_next;
+  AdmissionCounters m_counters;
+  std::map<std::string, std::unique_ptr<AdmissionQueue>> m_queues;
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_ADMISSION_ADMISSION_RUNNER_H_
--- a/src/endpoint/caller_endpoint.h
+++ b/src/endpoint/caller_endpoint.h
@@ -42,6 +42,9 @@
   /// one in force, and returns the error.
   Result<void> SetConfig(const ClusterConfig& config, ConfigTrust trust);
 
+  /// Returns the schema in force, or nullptr. Valid until the next SetConfig.
+  [[nodiscard]] const Schema* CurrentSchema() const { return m_schema.get(); }
+
   /// Refuses further requests with kShuttingDown.
   void StopAccepting() { m_accepting = false; }
 
