Fire timers in order of their due times

Cause: each timer was a GSource of its own; GLib runs sources that are due together in order of attachment, so that on a busy machine a later timer fired before an earlier one, unlike in FakeScheduler. Change: one GSource for all timers of a scheduler. Ruled out: GSource priorities (one for each due time).

--- a/src/adapters/glib_scheduler.cc
+++ b/src/adapters/glib_scheduler.cc
@@ -4,17 +4,16 @@
 
 namespace chicoryvale {
 
-struct GlibScheduler::Timer {
+/// The GSource of a scheduler, as GLib allocates it.
+struct GlibScheduler::Source {
+  GSource base;
   GlibScheduler* scheduler;
-  TimerId id;
-  std::function<void()> callback;
 };
 
 GlibScheduler::~GlibScheduler() {
-  for (auto& [id, source] : m_sources) {
-    g_source_destroy(source);
-    g_source_unref(source);
-  }
+  if (m_source == nullptr) return;
+  g_source_destroy(m_source);
+  g_source_unref(m_source);
 }
 
 TimePoint GlibScheduler::OnNow() const {
@@ -24,35 +23,56 @@
 TimerId GlibScheduler::OnSchedule(Duration delay,
                                   std::function<void()> callback) {
   const TimerId id = ++m_last_id;
-  GSource* source = g_timeout_source_new(0);
-  // A ready time has microseconds; a GLib timeout has only milliseconds.
-  g_source_set_ready_time(source, g_get_monotonic_time() + delay.count());
-  g_source_set_callback(
-      source,
-      [](gpointer data) -> gboolean {
-        auto* timer = static_cast<Timer*>(data);
-        // Firing frees `timer`, so that its callback is moved out first.
-        auto run = std::move(timer->callback);
-        timer->scheduler->Fire(timer->id);
-        run();
-        return G_SOURCE_REMOVE;
-      },
-      new Timer{this, id, std::move(callback)},
-      [](gpointer data) { delete static_cast<Timer*>(data); });
-  g_source_attach(source, g_main_context_get_thread_default());
-  m_sources.emplace(id, source);
+  const TimePoint due = OnNow() + delay;
+  m_due.emplace(std::pair(due, id), std::move(callback));
+  m_due_times.emplace(id, due);
+  ArmSource();
   return id;
 }
 
-void GlibScheduler::OnCancel(TimerId id) { Fire(id); }
+void GlibScheduler::OnCancel(TimerId id) {
+  const auto found = m_due_times.find(id);
+  if (found == m_due_times.end()) return;
+  m_due.erase({found->second, id});
+  m_due_times.erase(found);
+}
 
-void GlibScheduler::Fire(TimerId id) {
-  const auto found = m_sources.find(id);
-  if (found == m_sources.end()) return;
-  GSource* source = found->second;
-  m_sources.erase(found);
-  g_source_destroy(source);
-  g_source_unref(source);
+gboolean GlibScheduler::Dispatch(GSource* source, GSourceFunc /*callback*/,
+                                 gpointer /*data*/) {
+  reinterpret_cast<Source*>(source)->scheduler->FireDue();
+  return G_SOURCE_CONTINUE;
+}
+
+void GlibScheduler::FireDue() {
+  // Timers scheduled by the callbacks wait for the next iteration.
+  const auto end = std::pair(OnNow(), m_last_id);
+  const std::weak_ptr<bool> alive = m_alive;
+  while (!m_due.empty() && m_due.begin()->first <= end) {
+    auto timer = m_due.extract(m_due.begin());
+    m_due_times.erase(timer.key().second);
+    timer.mapped()();
+    if (alive.expired()) return;
+  }
+  ArmSource();
+}
+
+void GlibScheduler::ArmSource() {
+  static GSourceFuncs functions = {nullptr, nullptr, &Dispatch,
+                                   nullptr, nullptr, nullptr};
+  if (m_source == nullptr) {
+    m_source = g_source_new(&functions, sizeof(Source));
+    reinterpret_cast<Source*>(m_source)->scheduler = this;
+    g_source_attach(m_source, g_main_context_get_thread_default());
+  }
+  constexpr gint64 kNever = -1;
+  const gint64 ready =
+      m_due.empty() ? kNever
+                    : m_due.begin()->first.first.time_since_epoch().count();
+  // A cancelled timer leaves its time set: the source fires nothing then, and
+  // arms itself again.
+  if (ready != g_source_get_ready_time(m_source)) {
+    g_source_set_ready_time(m_source, ready);
+  }
 }
 
 }  // namespace chicoryvale
--- a/src/adapters/glib_scheduler.h
+++ b/src/adapters/glib_scheduler.h
@@ -4,14 +4,20 @@
 #include <glib.h>
 
 #include <functional>
+#include <map>
+#include <memory>
 #include <unordered_map>
+#include <utility>
 
 #include "ports/scheduler.h"
 
 namespace chicoryvale {
 
-/// Scheduler on the thread-default GMainContext.
-/// Not thread safe: used only on the thread that iterates the context.
+/// Scheduler on the GMainContext that is the thread's default at the first
+/// Schedule. Timers fire in order of their due times, however late the loop is:
+/// they share one GSource, while GLib would run sources of their own in order
+/// of Schedule. Not thread safe: used only on the thread that iterates the
+/// context. A callback may destroy the scheduler.
 class GlibScheduler : public Scheduler {
  public:
   GlibScheduler() = default;
@@ -25,11 +31,21 @@
   void OnCancel(TimerId id) override;
 
  private:
-  struct Timer;
-  void Fire(TimerId id);
+  struct Source;
+  /// Timers by due time, then by order of Schedule.
+  using DueTimers =
+      std::map<std::pair<TimePoint, TimerId>, std::function<void()>>;
+
+  static gboolean Dispatch(GSource* source, GSourceFunc, gpointer);
+  void FireDue();
+  void ArmSource();
 
   TimerId m_last_id = 0;
-  std::unordered_map<TimerId, GSource*> m_sources;
+  DueTimers m_due;
+  std::unordered_map<TimerId, TimePoint> m_due_times;
+  GSource* m_source = nullptr;
+  /// Expires with the scheduler.
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 }  // namespace chicoryvale
--- a/tests/adapters/glib_scheduler_test.cc
+++ b/tests/adapters/glib_scheduler_test.cc
@@ -10,7 +10,7 @@
 namespace chicoryvale {
 namespace {
 
-TEST(GlibSchedulerTest, FiresInOrderOfDueTimeAndNotBefore) {
+TEST(GlibSchedulerTest, FiresInOrderOfDueTimeEvenWhenTheLoopIsLate) {
   GlibScheduler scheduler;
   std::vector<int> fired;
   const TimePoint start = scheduler.Now();
@@ -20,6 +20,9 @@
   });
   scheduler.Schedule(milliseconds(1), [&] { fired.push_back(1); });
   scheduler.Schedule(milliseconds(1), [&] { fired.push_back(2); });
+  // All three are due before the loop runs.
+  while (scheduler.Now() - start < milliseconds(4)) {
+  }
   IterateUntil([&] { return fired.size() == 3; });
   EXPECT_EQ(fired, (std::vector<int>{1, 2, 3}));
 }
