Bound the news that a node sends in a second

Cause: with one of 4 zones cut off, a node sent 42,490 bytes in the worst second at 256 nodes, 32,458 at 128; 24 KB is the limit. Ruled out: encoding a packet once instead of twice, no gain seen in one run. News of 512 members that start together takes over two minutes to go out.

--- a/bench/membership_scale.cc
+++ b/bench/membership_scale.cc
@@ -43,6 +43,10 @@
   double all_expired_s = 0;
   double spread_s = 0;
   double wrongly_dead = 0;
+  /// Highest in any second after a zone was cut off, and the sum over the
+  /// minute without the quiet rate.
+  double cut_peak_bytes = 0;
+  double cut_extra_kilobytes = 0;
 };
 
 double HeapBytes() { return static_cast<double>(mallinfo2().uordblks); }
@@ -67,6 +71,7 @@
     MeasureChurn();
     MeasureSpread();
     MeasureCrash();
+    MeasureZoneCut();
     return m_row;
   }
 
@@ -162,6 +167,20 @@
         until([&] { return AllAtLeast(victim, MemberState::kLeaseExpired); });
   }
 
+  void MeasureZoneCut() {
+    constexpr int kCutSeconds = 60;
+    m_group.scheduler().RunFor(seconds(30));
+    m_group.SetZoneCut("b", true);
+    for (int second = 0; second < kCutSeconds; ++second) {
+      const double packets = m_row.packets;
+      const double bytes =
+          Observe(1, [this] { m_group.scheduler().RunFor(seconds(1)); }).first;
+      m_row.packets = packets;
+      m_row.cut_peak_bytes = std::max(m_row.cut_peak_bytes, bytes);
+      m_row.cut_extra_kilobytes += (bytes - m_row.bytes) / 1024;
+    }
+  }
+
   bool AllAtLeast(std::size_t victim, MemberState state) const {
     for (std::size_t i = 0; i < victim; ++i) {
       if (m_group.State(i, victim) < state) return false;
@@ -204,18 +223,20 @@
 }
 
 void PrintTable(std::size_t largest) {
-  std::printf("%5s %8s %8s %8s %8s %8s %8s %7s %7s %7s %7s %6s\n", "nodes",
-              "pkt/s", "B/s", "core%", "B/s+ch", "core%+ch", "KB/node",
-              "dead1 s", "deadN s", "exprd s", "sprd s", "wrong");
+  std::printf("%5s %8s %8s %8s %8s %8s %8s %7s %7s %7s %7s %6s %8s %8s\n",
+              "nodes", "pkt/s", "B/s", "core%", "B/s+ch", "core%+ch", "KB/node",
+              "dead1 s", "deadN s", "exprd s", "sprd s", "wrong", "cut B/s",
+              "cut KB");
   std::map<std::string, std::vector<std::pair<double, double>>> points;
   for (std::size_t size = 16; size <= largest; size *= 2) {
     const Row row = SizeRun(size).Measure();
     std::printf(
         "%5.0f %8.2f %8.0f %8.4f %8.0f %8.4f %8.0f %7.2f %7.2f %7.2f %7.2f "
-        "%6.0f\n",
+        "%6.0f %8.0f %8.0f\n",
         row.size, row.packets, row.bytes, row.core_percent, row.churn_bytes,
         row.churn_core_percent, row.kilobytes, row.first_dead_s, row.all_dead_s,
-        row.all_expired_s, row.spread_s, row.wrongly_dead);
+        row.all_expired_s, row.spread_s, row.wrongly_dead, row.cut_peak_bytes,
+        row.cut_extra_kilobytes);
     std::fflush(stdout);
     points["packets sent/s"].emplace_back(row.size, row.packets);
     points["bytes sent/s, quiet"].emplace_back(row.size, row.bytes);
@@ -224,6 +245,9 @@
     points["core %, quiet"].emplace_back(row.size, row.core_percent);
     points["core %, 7000 restarts"].emplace_back(row.size,
                                                  row.churn_core_percent);
+    points["peak B/s, zone cut off"].emplace_back(row.size, row.cut_peak_bytes);
+    points["extra KB, zone cut off"].emplace_back(row.size,
+                                                  row.cut_extra_kilobytes);
     points["heap KB"].emplace_back(row.size, row.kilobytes);
     points["all believe dead, s"].emplace_back(row.size, row.all_dead_s);
     points["lease expired, s"].emplace_back(row.size, row.all_expired_s);
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -42,6 +42,8 @@
       m_self{m_options.self, MemberState::kAlive, m_options.incarnation},
       m_table(m_self.info.id),
       m_items(m_options.max_items_per_kind),
+      m_news_budget_bytes(static_cast<double>(m_options.news_burst_bytes)),
+      m_news_refilled(m_scheduler->Now()),
       m_detector(m_options.detector, m_scheduler, this),
       m_lease(m_options.lease, m_self.info.id, m_options.incarnation,
               m_scheduler, this) {}
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -75,6 +75,9 @@
   std::size_t gossip_fanout = 2;
   /// News goes out this many times, times the binary logarithm of the size.
   std::uint32_t sends_factor = 3;
+  /// Bounds the news in all packets when many members change at once.
+  std::uint32_t news_bytes_per_second = 6 * 1024;
+  std::uint32_t news_burst_bytes = 12 * 1024;
   Duration sync_period = seconds(3);
   Duration join_period = seconds(1);
   /// Members that left or whose lease expired are forgotten after this long.
@@ -168,6 +171,8 @@
   // Sending.
   void Transmit(const Address& to, Packet packet);
   void FillNews(std::size_t used, Packet* packet);
+  // Returns the bytes of news that may go out now.
+  std::size_t RefillNewsBudget();
   void NoteNews();
   void GossipTick();
   // Sends an item to many members without waiting for a tick.
@@ -201,6 +206,8 @@
   GossipQueue m_item_news;
   ConfigDigest m_digest;
   std::uint32_t m_digest_sends = 0;
+  double m_news_budget_bytes = 0;
+  TimePoint m_news_refilled{};
   FailureDetector m_detector;
   LeaseKeeper m_lease;
   CounterSet<MembershipCounter> m_counters;
--- a/src/membership/membership_exchange.cc
+++ b/src/membership/membership_exchange.cc
@@ -117,9 +117,23 @@
   m_options.transport->Send(to, std::move(bytes));
 }
 
+std::size_t Membership::RefillNewsBudget() {
+  const TimePoint now = m_scheduler->Now();
+  const double refill = ToSeconds(now - m_news_refilled) *
+                        static_cast<double>(m_options.news_bytes_per_second);
+  m_news_refilled = now;
+  m_news_budget_bytes =
+      std::min(m_news_budget_bytes + refill,
+               static_cast<double>(m_options.news_burst_bytes));
+  return static_cast<std::size_t>(m_news_budget_bytes);
+}
+
 void Membership::FillNews(std::size_t used, Packet* packet) {
   const TimePoint now = m_scheduler->Now();
-  const std::size_t item_limit = std::min(kMaxPacketBytes, used + kItemBytes);
+  const std::size_t before = used;
+  const std::size_t limit =
+      std::min(kMaxPacketBytes, used + RefillNewsBudget());
+  const std::size_t item_limit = std::min(limit, used + kItemBytes);
   m_item_news.Fill(MaxSends(), [&](const std::string& key) {
     GossipItem item;
     if (!m_items.Find(key, now, &item)) return true;
@@ -135,11 +149,12 @@
     if (record == nullptr || id == m_self.info.id) return true;
     MemberUpdate update{record->member, record->accuser};
     const std::size_t size = EncodedSize(update);
-    if (used + size > kMaxPacketBytes) return false;
+    if (used + size > limit) return false;
     used += size;
     packet->updates.push_back(std::move(update));
     return true;
   });
+  m_news_budget_bytes -= static_cast<double>(used - before);
 }
 
 std::uint32_t Membership::MaxSends() const {
