--- a/src/replication/replica_node.cc
+++ b/src/replication/replica_node.cc
@@ -60,10 +60,9 @@
   m_ports.transport->SetReceiver(
       [this](const std::string& bytes) { OnBytes(bytes); });
   ArmElectionTimer();
-  if (!InGroup()) {
-    m_hello_timer = m_ports.scheduler->Schedule(Duration::zero(),
-                                                [this] { OnHelloTimer(); });
-  }
+  m_hello_timer = m_ports.scheduler->Schedule(
+      InGroup() ? m_options.hello_interval : Duration::zero(),
+      [this] { OnHelloTimer(); });
 }
 
 ReplicaNode::~ReplicaNode() {
--- a/src/replication/replica_node.h
+++ b/src/replication/replica_node.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 #include "base/counters.h"
@@ -158,7 +159,9 @@
   void Handle(const Envelope& envelope, const HelloRequest& request);
   void Handle(const Envelope& envelope, const HelloReply& reply);
   void OnHelloTimer();
+  [[nodiscard]] std::set<Address> HelloAddresses() const;
   void SendHello(const Address& to);
+  [[nodiscard]] bool IsForeign(GroupId group_id) const;
   void OnMemberAnswer(const Envelope& envelope);
   void FormGroup(const GroupMembership& membership);
   void RepairMember(const Address& address, NodeId node_id);
--- a/src/replication/replica_node_membership.cc
+++ b/src/replication/replica_node_membership.cc
@@ -8,20 +8,30 @@
 
 namespace chicoryvale {
 
+// A replica that hears no leader says who it is: it may have lost its disk, or
+// have been added by a change that was never committed.
 void ReplicaNode::OnHelloTimer() {
-  m_hello_timer = 0;
-  if (InGroup()) return;
-  for (const Address& address : m_options.initial_members) {
-    if (address != m_options.address) SendHello(address);
-  }
   m_hello_timer = m_ports.scheduler->Schedule(m_options.hello_interval,
                                               [this] { OnHelloTimer(); });
+  if (HearsLeader()) return;
+  for (const Address& address : HelloAddresses()) SendHello(address);
+  if (InGroup()) return;
   const bool may_form =
       m_options.may_form_group && !m_log->Identity().replaces_damaged;
   if (!may_form) return;
   if (const auto first = m_formation.Ready(Self())) FormGroup(*first);
 }
 
+std::set<Address> ReplicaNode::HelloAddresses() const {
+  std::set<Address> addresses(m_options.initial_members.begin(),
+                              m_options.initial_members.end());
+  for (const GroupMember& member : m_log->Membership().members) {
+    addresses.insert(member.address);
+  }
+  addresses.erase(m_options.address);
+  return addresses;
+}
+
 void ReplicaNode::SendHello(const Address& to) {
   const std::uint64_t nonce = m_random();
   m_hello_nonces[to.host_port] = nonce;
@@ -52,7 +62,7 @@
   Send(envelope.from_address, envelope.from, CurrentTerm(),
        HelloReply{request.nonce, m_leader_address});
   const bool stranger =
-      envelope.group_id == 0 && IsLeader() &&
+      IsLeader() && !IsForeign(envelope.group_id) &&
       FindMember(m_log->Membership(), envelope.from) == nullptr;
   if (!stranger) return;
   if (FindMemberAt(m_log->Membership(), envelope.from_address) == nullptr) {
@@ -77,10 +87,12 @@
   if (elsewhere) SendHello(reply.leader);
 }
 
+bool ReplicaNode::IsForeign(GroupId group_id) const {
+  return group_id != 0 && group_id != m_log->Identity().group_id;
+}
+
 void ReplicaNode::OnMemberAnswer(const Envelope& envelope) {
-  const bool foreign =
-      envelope.group_id != 0 && envelope.group_id != m_log->Identity().group_id;
-  if (!IsLeader() || foreign) return;
+  if (!IsLeader() || IsForeign(envelope.group_id)) return;
   const bool awaited =
       m_waiting_change && m_waiting_change->change.add == envelope.from_address;
   if (awaited) {
--- a/src/replication/replicator.cc
+++ b/src/replication/replicator.cc
@@ -116,8 +116,8 @@
     if (complete || progress.probed) progress.waiting = false;
     return;
   }
-  // A refusal that is older than an acceptance changes nothing.
-  if (reply.index < progress.match) return;
+  // The index may lie below what agrees: in an old refusal, or in one of a
+  // replica that has skipped a whole term.
   progress.next =
       std::clamp(reply.index + 1, progress.match + 1, m_log->LastIndex() + 1);
   progress.waiting = false;
--- a/tests/replication/replica_fault_test.cc
+++ b/tests/replication/replica_fault_test.cc
@@ -192,6 +192,29 @@
   f.ExpectWhole();
 }
 
+// A learner has the log of a leader that could not commit its addition and is
+// gone: the next leader, who knows nothing of it, adds it again.
+TEST(ReplicaFaultTest, LearnerOfALostChangeIsAddedAgain) {
+  Fixture f(5);
+  const std::size_t old = *f.group.AwaitLeader();
+  const std::size_t wiped = (old + 1) % 5;
+  f.group.Wipe(wiped);
+  for (const auto& vm : f.group.vms) {
+    if (vm == f.group.vms[wiped]) continue;
+    f.group.network.Cut(f.group.vms[old]->address, vm->address);
+  }
+  f.group.Start(wiped);
+  ASSERT_TRUE(f.group.RunUntil(
+      [&] { return f.Node(wiped).Status().role == ReplicaRole::kLearner; }));
+  f.group.Crash(old);
+  f.group.network.HealAll();
+  EXPECT_TRUE(f.group.RunUntil(
+      [&] { return f.Node(wiped).Status().role == ReplicaRole::kFollower; }));
+  f.Change();
+  f.group.Start(old);
+  f.ExpectWhole();
+}
+
 TEST(ReplicaFaultTest, WipedReplicaFormsNoSecondGroup) {
   for (std::size_t wiped = 0; wiped < 3; ++wiped) {
     Fixture f(3);
