--- a/programs/chicory-entryd/entry_daemon.cc
+++ b/programs/chicory-entryd/entry_daemon.cc
@@ -91,6 +91,9 @@
                                           m_peers->LocalAddress().host_port);
   m_transport = std::make_unique<SoupUpstreamTransport>(
       SoupUpstreamTransportOptions{.scheduler = &m_scheduler});
+  m_gate->SetSilentListener([this](const Address& replica) {
+    m_transport->RenewConnections(replica);
+  });
   QueryEngine::Options engine;
   engine.scheduler = &m_scheduler;
   engine.transport = m_transport.get();
--- a/src/adapters/soup_upstream_transport.cc
+++ b/src/adapters/soup_upstream_transport.cc
@@ -51,6 +51,14 @@
   return session;
 }
 
+void SoupUpstreamTransport::RenewConnections(const Address& replica) {
+  const auto found = m_sessions.find(replica.host_port);
+  if (found == m_sessions.end()) return;
+  // Attempts under way hold references, and the last one ends the session.
+  g_object_unref(found->second);
+  m_sessions.erase(found);
+}
+
 void SoupUpstreamTransport::OnSend(SubRequest request, Callback callback) {
   auto* exchange = new Exchange();
   exchange->transport = this;
--- a/src/adapters/soup_upstream_transport.h
+++ b/src/adapters/soup_upstream_transport.h
@@ -67,6 +67,10 @@
     return m_counters;
   }
 
+  /// Closes the idle connections to `replica`, and each other one after its
+  /// attempt; further attempts open new ones.
+  void RenewConnections(const Address& replica);
+
  protected:
   void OnSend(SubRequest request, Callback callback) override;
   void OnCancel(SubRequestId id) override;
--- a/tests/adapters/soup_upstream_transport_test.cc
+++ b/tests/adapters/soup_upstream_transport_test.cc
@@ -156,6 +156,23 @@
   EXPECT_EQ(Count(Counter::kConnectionsOpened), 1);
 }
 
+TEST_F(SoupUpstreamTransportTest, RenewedConnectionsAreClosedAndNotUsedAgain) {
+  std::atomic<int> ended{0};
+  RawUpstream upstream([&ended](RawSocket& connection, int) {
+    while (!connection.ReceiveUntil(kEndOfRequest).empty()) {
+      connection.Send(Answer("", "body"));
+    }
+    ++ended;
+  });
+  Send(Request(upstream));
+  m_transport.RenewConnections(upstream.LocalAddress());
+  // The upstream runs on a thread of its own, which wakes no context.
+  while (ended != 1) g_main_context_iteration(nullptr, FALSE);
+  EXPECT_EQ(Send(Request(upstream)).kind, SubOutcomeKind::kAnswered);
+  EXPECT_EQ(Count(Counter::kConnectionsOpened), 2U);
+  m_transport.RenewConnections({"127.0.0.1:1"});
+}
+
 TEST_F(SoupUpstreamTransportTest, FreshConnectionLeavesTheKeptOneAlone) {
   std::vector<RawSocket> kept;
   RawUpstream upstream([&](RawSocket& connection, int) {
