Set for how many entries the replicas' connection limits are divided

Cause: the gate divides for 20 seats; with fewer than half as many entries each keeps to its fixed part, one connection at a replica that accepts 50. Ruled out: counting the members seen: two parts that can't see each other would both grow (docs/design/connection-share.md). Conclusion: the limits are in force in the daemon.

--- a/programs/chicory-entryd/entry_daemon.cc
+++ b/programs/chicory-entryd/entry_daemon.cc
@@ -82,6 +82,7 @@
   gate.scheduler = &m_scheduler;
   gate.seed = device();
   gate.availability_zone = m_settings.availability_zone;
+  gate.share.seats = m_settings.entry_seats;
   m_gate = UpstreamGate::Make(gate);
   m_gate->UpdateMembers(*m_peers->Members());
   m_peers->Members()->AddListener(
--- a/programs/chicory-entryd/entry_settings.cc
+++ b/programs/chicory-entryd/entry_settings.cc
@@ -9,6 +9,8 @@
 
 constexpr std::int64_t kDefaultMaxBodyBytes = 1 << 20;
 constexpr IntegerRange kMaxBodyBytesRange = {1, 64 << 20};
+constexpr std::int64_t kDefaultEntrySeats = 20;
+constexpr IntegerRange kEntrySeatsRange = {1, 100'000};
 constexpr std::int64_t kDefaultMaxConnections = 10'000;
 constexpr IntegerRange kMaxConnectionsRange = {1, 1'000'000};
 
@@ -29,6 +31,8 @@
   settings.seeds = reader.Addresses("membership.seeds");
   settings.platform_list = reader.String("platform.list", "");
   settings.refused_peers = reader.Addresses("testing.refused_peers");
+  settings.entry_seats = static_cast<std::uint32_t>(reader.Integer(
+      "upstreams.entry_seats", kDefaultEntrySeats, kEntrySeatsRange));
   settings.max_body_bytes = static_cast<std::uint32_t>(reader.Integer(
       "callers.max_body_bytes", kDefaultMaxBodyBytes, kMaxBodyBytesRange));
   settings.max_connections = static_cast<std::uint32_t>(reader.Integer(
--- a/programs/chicory-entryd/entry_settings.h
+++ b/programs/chicory-entryd/entry_settings.h
@@ -27,6 +27,9 @@
   std::string platform_list;
   /// Peers that are neither talked nor listened to; cuts links in tests.
   std::vector<std::string> refused_peers;
+  /// Entry VMs that the replicas' connection limits are divided for: no fewer
+  /// than there are, and less than twice as many.
+  std::uint32_t entry_seats = 0;
   /// Largest body of a caller's request.
   std::uint32_t max_body_bytes = 0;
   /// Connections of callers at a time.
--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -140,7 +140,8 @@
            << PeerAddress(name) << "\"\nmetrics = \"127.0.0.1:0\"\n"
            << "[keys]\npeer_key_file = \"" << m_folder.Path()
            << "/peer.key\"\n[control]\naddresses = " << GroupList(group_size)
-           << "\n[membership]\nseeds = [\"" << PeerAddress(EntryName(0))
+           << "\n[upstreams]\nentry_seats = 3\n[membership]\nseeds = [\""
+           << PeerAddress(EntryName(0))
            << "\"]\n[testing]\nrefused_peers = " << QuotedList(refused)
            << "\n[shutdown]\nlinger_ms = 0\n";
   m_processes.erase(name);
--- a/tools/baseline.sh
+++ b/tools/baseline.sh
@@ -63,6 +63,8 @@
 peer_key_file = "$work/peer.key"
 [control]
 addresses = ["$(address control peers)"]
+[upstreams]
+entry_seats = $((entries + 1))
 [shutdown]
 linger_ms = 0
 T
--- a/tools/main_job.sh
+++ b/tools/main_job.sh
@@ -60,6 +60,8 @@
 peer_key_file = "$work/peer.key"
 [control]
 addresses = ["$(address control peers)"]
+[upstreams]
+entry_seats = 3
 [shutdown]
 linger_ms = 0
 T
