Run crashing requests, drains and silent connections with real processes

Cause: docs/PROOFS.md had these as shown by virtual time only. Change: three process tests against the stand-in's failures; the resent booking is counted by the upstream itself. Ruled out: a fault of the drain in the first run, which did not end: the test kept a reference into a temporary.

--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -189,6 +189,17 @@
   }
 }
 
+int Cluster::ChangeUpstreams(const nlohmann::json& change) {
+  return PostJson(Upstreams().AddressOf("control"), "/control/set", change, {})
+      .body.value("replicas", 0);
+}
+
+nlohmann::json Cluster::UpstreamCounts() {
+  return nlohmann::json::parse(
+      GetText(Upstreams().AddressOf("control"), "/control/counts"), nullptr,
+      false);
+}
+
 std::int64_t Cluster::EntryMetric(int index, const std::string& name) {
   const std::string text =
       GetText(Entry(index).AddressOf("metrics"), "/metrics");
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -71,6 +71,12 @@
   void Deploy(const std::string& example,
               const std::vector<std::string>& services);
 
+  /// Changes the replicas that `change` names, or all; returns how many.
+  int ChangeUpstreams(const nlohmann::json& change);
+
+  /// Returns what the emulated upstreams have counted.
+  nlohmann::json UpstreamCounts();
+
   /// Returns the value of a counter at an entry, or -1.
   std::int64_t EntryMetric(int index, const std::string& name);
 
--- a/tests/process/deployment_test.cc
+++ b/tests/process/deployment_test.cc
@@ -40,9 +40,10 @@
           {"X-Chicoryvale-Deadline-Ms", "10000"}};
 }
 
-HttpAnswer AskDues(Cluster& cluster, int entry) {
+HttpAnswer AskDues(Cluster& cluster, int entry,
+                   const std::string& member = "m1") {
   return PostJson(cluster.Entry(entry).AddressOf("callers"),
-                  "/sangh.DuesOffice/Lookup", {{"member_id", "m1"}},
+                  "/sangh.DuesOffice/Lookup", {{"member_id", member}},
                   MakerHeaders());
 }
 
@@ -218,6 +219,7 @@
   const HttpAnswer first = Book(m_cluster, 0, id);
   ASSERT_EQ(first.status, 200) << first.body;
   const HttpAnswer again = Book(m_cluster, 1, id);
+  EXPECT_EQ(m_cluster.UpstreamCounts()["runs_by_request_id"][id], 1);
   EXPECT_EQ(m_cluster.EntryMetric(0, "transport_sent") +
                 m_cluster.EntryMetric(1, "transport_sent"),
             1);
@@ -266,6 +268,73 @@
   EXPECT_EQ(m_cluster.Entry(0).Wait(), 0);
 }
 
+TEST_F(DeploymentTest, ACrashingRequestCostsAtMostTwoUpstreams) {
+  constexpr int kResends = 8;
+  StartGroup();
+  m_cluster.StartUpstreams(
+      "sangh", std::string(kDuesService) + "crash_marker = \"poison\"\n");
+  m_cluster.Deploy("sangh", {"sangh.DuesOffice"});
+  m_cluster.StartEntry(0, kGroupSize);
+  m_cluster.StartEntry(1, kGroupSize);
+  WaitForVersion(0, 2);
+  WaitForVersion(1, 2);
+  WaitFor([&] { return m_cluster.EntryMetric(0, "peers_members") == 5; });
+  WaitFor([&] { return m_cluster.EntryMetric(1, "peers_members") == 5; });
+  HttpAnswer last;
+  for (int i = 0; i < kResends; ++i) {
+    last = AskDues(m_cluster, i % 2, "poison");
+    EXPECT_NE(last.status, 200);
+    // Other requests go on meanwhile.
+    EXPECT_EQ(AskDues(m_cluster, i % 2, "m" + std::to_string(i)).status, 200);
+  }
+  EXPECT_EQ(last.body["kind"], "quarantined") << last.body;
+  EXPECT_EQ(last.body["ran"], "no");
+  EXPECT_LE(m_cluster.UpstreamCounts()["totals"]["crashes"], 2);
+}
+
+TEST_F(DeploymentTest, ADrainingUpstreamGetsNoNewWorkOnceItSaidSo) {
+  constexpr int kRequests = 40;
+  StartGroup();
+  m_cluster.StartUpstreams("sangh", kDuesService);
+  m_cluster.Deploy("sangh", {"sangh.DuesOffice"});
+  m_cluster.StartEntry(0, kGroupSize);
+  WaitForVersion(0, 2);
+  const std::string drained =
+      m_cluster.UpstreamCounts()["replicas"][0]["address"];
+  ASSERT_EQ(
+      m_cluster.ChangeUpstreams({{"address", drained}, {"draining", true}}), 1);
+  const auto runs = [&] {
+    const nlohmann::json counts = m_cluster.UpstreamCounts();
+    for (const auto& replica : counts["replicas"]) {
+      if (replica["address"] == drained) return replica["runs"].get<int>();
+    }
+    return -1;
+  };
+  // One answer with the drain header is enough.
+  WaitFor([&] { return AskDues(m_cluster, 0).status == 200 && runs() > 0; });
+  const int before = runs();
+  for (int i = 0; i < kRequests; ++i) {
+    EXPECT_EQ(AskDues(m_cluster, 0, "m" + std::to_string(i)).status, 200);
+  }
+  EXPECT_EQ(runs(), before);
+}
+
+TEST_F(DeploymentTest, ConnectionsThatGoSilentCostNoRequest) {
+  constexpr int kRequests = 20;
+  StartGroup();
+  m_cluster.StartUpstreams("sangh", kDuesService);
+  m_cluster.Deploy("sangh", {"sangh.DuesOffice"});
+  m_cluster.StartEntry(0, kGroupSize);
+  WaitForVersion(0, 2);
+  for (int i = 0; i < kRequests; ++i) AskDues(m_cluster, 0);
+  ASSERT_GT(m_cluster.ChangeUpstreams({{"silence_connections", true}}), 0);
+  for (int i = 0; i < kRequests; ++i) {
+    const HttpAnswer answer = AskDues(m_cluster, 0);
+    EXPECT_EQ(answer.status, 200) << answer.body;
+  }
+  EXPECT_GT(m_cluster.UpstreamCounts()["totals"]["silenced"], 0);
+}
+
 TEST_F(DeploymentTest, RefusesBadSettingsWithEveryFault) {
   const ScratchFolder folder;
   WritePrivateFile(folder.Path() + "/bad.toml",
