Tell when a control VM counts in the quorum; read peer settings in one place

Cause: process test AWipedControlVmComesBackWithoutFormingAGroup killed a second VM once the wiped one had the newest version. The test's condition was wrong. Both daemons also read and filled the same peer settings twice. Change: the counter control_voter tells what the quorum counts, for operators too; the test waits for it, which is stricter. ReadPeerOptions serves both daemons. Conclusion: operators can see when the next VM may be replaced.

--- a/programs/chicory-controld/control_daemon.cc
+++ b/programs/chicory-controld/control_daemon.cc
@@ -4,7 +4,6 @@
 #include <random>
 #include <utility>
 
-#include "adapters/common_settings.h"
 #include "adapters/log.h"
 #include "endpoint/metrics_page.h"
 
@@ -17,7 +16,7 @@
                                   const Address& self) {
   ReplicaOptions options;
   options.address = self;
-  options.initial_members = ToAddresses(settings.group);
+  options.initial_members = settings.peers.controls;
   if (options.initial_members.empty()) options.initial_members = {self};
   options.may_form_group = settings.may_form_group;
   std::random_device device;
@@ -26,6 +25,15 @@
   return options;
 }
 
+// Whether the replica counts in the quorum, by a committed membership.
+bool IsVoter(const ReplicaStatus& status) {
+  return status.membership_committed &&
+         std::ranges::any_of(
+             status.membership.members, [&status](const GroupMember& member) {
+               return member.voter && member.node_id == status.identity.node_id;
+             });
+}
+
 }  // namespace
 
 ControlDaemon::ControlDaemon(ControlSettings settings)
@@ -56,19 +64,8 @@
 }
 
 Result<void> ControlDaemon::StartPeers() {
-  PeerStackOptions options;
-  options.listen = m_settings.listen_peers;
-  options.key = m_settings.peer_key;
-  options.availability_zone = m_settings.availability_zone;
-  options.role = MemberRole::kControl;
-  options.controls = ToAddresses(m_settings.group);
-  options.seeds = ToAddresses(m_settings.seeds);
-  options.seeds.insert(options.seeds.end(), options.controls.begin(),
-                       options.controls.end());
+  PeerStackOptions options = m_settings.peers;
   options.scheduler = &m_scheduler;
-  for (const Address& peer : ToAddresses(m_settings.refused_peers)) {
-    options.refused_peers.insert(peer);
-  }
   auto peers = PeerStack::Make(options);
   if (!peers) return tl::unexpected(peers.error());
   m_peers = std::move(*peers);
@@ -158,6 +155,7 @@
 HttpResponse ControlDaemon::MetricsResponse() const {
   MetricsPage page;
   page.AddValue("control", "config_version", m_group->Config().version)
+      .AddValue("control", "voter", IsVoter(m_group->Node().Status()) ? 1 : 0)
       .Add("refused", m_endpoint->Errors())
       .Add("control", m_group->Node().Counters());
   m_peers->AddMetrics(&page);
--- a/programs/chicory-entryd/entry_daemon.cc
+++ b/programs/chicory-entryd/entry_daemon.cc
@@ -7,7 +7,6 @@
 #include <utility>
 #include <vector>
 
-#include "adapters/common_settings.h"
 #include "adapters/log.h"
 #include "endpoint/error_response.h"
 #include "endpoint/metrics_page.h"
@@ -51,19 +50,8 @@
 }
 
 Result<void> EntryDaemon::StartPeers() {
-  PeerStackOptions options;
-  options.listen = m_settings.listen_peers;
-  options.key = m_settings.peer_key;
-  options.availability_zone = m_settings.availability_zone;
-  options.role = MemberRole::kEntry;
-  options.controls = ToAddresses(m_settings.control);
-  options.seeds = ToAddresses(m_settings.seeds);
-  options.seeds.insert(options.seeds.end(), options.controls.begin(),
-                       options.controls.end());
+  PeerStackOptions options = m_settings.peers;
   options.scheduler = &m_scheduler;
-  for (const Address& peer : ToAddresses(m_settings.refused_peers)) {
-    options.refused_peers.insert(peer);
-  }
   auto peers = PeerStack::Make(options);
   if (!peers) return tl::unexpected(peers.error());
   m_peers = std::move(*peers);
@@ -81,7 +69,7 @@
   UpstreamGateOptions gate;
   gate.scheduler = &m_scheduler;
   gate.seed = device();
-  gate.availability_zone = m_settings.availability_zone;
+  gate.availability_zone = m_settings.peers.availability_zone;
   gate.share.seats = m_settings.entry_seats;
   m_gate = UpstreamGate::Make(gate);
   m_gate->UpdateMembers(*m_peers->Members());
@@ -129,7 +117,7 @@
   ClaimClientOptions claims;
   claims.scheduler = &m_scheduler;
   claims.peers = m_peers->Calls();
-  claims.control = ToAddresses(m_settings.control);
+  claims.control = m_settings.peers.controls;
   // The random part differs at each start: a claim of an earlier run is never
   // taken for one of this run.
   claims.entry_id = m_peers->LocalAddress().host_port + "/" +
--- a/programs/chicory-entryd/entry_settings.cc
+++ b/programs/chicory-entryd/entry_settings.cc
@@ -1,7 +1,7 @@
 #include "chicory-entryd/entry_settings.h"
 
 #include "adapters/common_settings.h"
-#include "adapters/key_file.h"
+#include "adapters/peer_settings.h"
 #include "adapters/settings_reader.h"
 
 namespace chicoryvale {
@@ -18,19 +18,14 @@
 
 EntrySettings ReadEntrySettings(SettingsReader& reader) {
   EntrySettings settings;
-  settings.availability_zone = reader.RequiredString("availability_zone");
-  settings.listen_callers = reader.RequiredAddress("listen.callers");
-  settings.listen_peers = reader.RequiredAddress("listen.peers");
-  settings.listen_metrics = reader.RequiredAddress("listen.metrics");
-  settings.peer_key =
-      ReadSecretSetting(reader, "keys.peer_key_file", kMinKeyBytes);
-  settings.control = reader.Addresses("control.addresses");
-  if (settings.control.empty()) {
+  settings.peers =
+      ReadPeerOptions(reader, MemberRole::kEntry, "control.addresses");
+  if (settings.peers.controls.empty()) {
     reader.AddFault("control.addresses", "control.addresses names no VM");
   }
-  settings.seeds = reader.Addresses("membership.seeds");
+  settings.listen_callers = reader.RequiredAddress("listen.callers");
+  settings.listen_metrics = reader.RequiredAddress("listen.metrics");
   settings.platform_list = reader.String("platform.list", "");
-  settings.refused_peers = reader.Addresses("testing.refused_peers");
   settings.entry_seats = static_cast<std::uint32_t>(reader.Integer(
       "upstreams.entry_seats", kDefaultEntrySeats, kEntrySeatsRange));
   settings.max_body_bytes = static_cast<std::uint32_t>(reader.Integer(
--- a/programs/chicory-entryd/entry_settings.h
+++ b/programs/chicory-entryd/entry_settings.h
@@ -3,9 +3,9 @@
 
 #include <cstdint>
 #include <string>
-#include <vector>
 
 #include "adapters/log.h"
+#include "adapters/peer_stack.h"
 #include "base/time.h"
 
 namespace chicoryvale {
@@ -14,19 +14,11 @@
 
 /// Settings of an entry VM's process.
 struct EntrySettings {
-  std::string availability_zone;
+  PeerStackOptions peers;
   std::string listen_callers;
-  std::string listen_peers;
   std::string listen_metrics;
-  std::string peer_key;
-  /// Peer addresses of the control VMs.
-  std::vector<std::string> control;
-  /// Peer addresses of other VMs, to join the membership.
-  std::vector<std::string> seeds;
   /// URL or file of the platform's list of VMs; empty: none is read.
   std::string platform_list;
-  /// Peers that are neither talked nor listened to; cuts links in tests.
-  std::vector<std::string> refused_peers;
   /// Entry VMs that the replicas' connection limits are divided for: no fewer
   /// than there are, and less than twice as many.
   std::uint32_t entry_seats = 0;
--- a/tests/process/deployment_test.cc
+++ b/tests/process/deployment_test.cc
@@ -156,12 +156,14 @@
   m_cluster.WipeControl(wiped);
   m_cluster.StartControl(wiped, kGroupSize);
   EXPECT_EQ(Version(), 2U);
-  // It counts again once it has caught up: then another VM may fail.
+  // Once it counts again, another VM may fail. Until then the group of two
+  // voters may not lose one.
   const int second = (wiped + 1) % kGroupSize;
   WaitFor([&] {
     const std::string text =
         GetText(m_cluster.Control(wiped).AddressOf("metrics"), "/metrics");
-    return text.find("control_config_version 2") != std::string::npos;
+    return text.find("control_config_version 2") != std::string::npos &&
+           text.find("control_voter 1") != std::string::npos;
   });
   m_cluster.Control(second).Signal(SIGKILL);
   EXPECT_EQ(m_cluster.Ctl({"index", "publish", "sangh.DuesOffice", "9"}), 0);
