--- a/programs/chicoryctl/main.cc
+++ b/programs/chicoryctl/main.cc
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "adapters/command_line.h"
+#include "adapters/settings_reader.h"
 #include "chicoryctl/commands.h"
 
 namespace chicoryvale {
@@ -17,6 +19,9 @@
   po::options_description options("Options");
   options.add_options()("help,h", "print this help")("version",
                                                      "print the version")(
+      "config,c", po::value<std::string>()->value_name("FILE"),
+      "settings file (TOML); options given here come first")(
+      "check", "check the settings file and exit")(
       "control", po::value(&call->control)->composing()->value_name("ADDRESS"),
       "operator address of a control VM; may be given several times")(
       "token-file", po::value(&call->token_file)->value_name("FILE"),
@@ -34,6 +39,25 @@
   return options;
 }
 
+// Fills what the command line left out of `call` from a settings file.
+ExitCode ReadCtlSettings(const std::string& path, CtlCall* call) {
+  std::string text;
+  if (!ReadFile(path, &text)) {
+    std::cerr << path << ": the settings file cannot be read\n";
+    return ExitCode::kBadSettings;
+  }
+  SettingsReader reader(text);
+  const std::vector<std::string> control =
+      reader.Addresses("control.addresses");
+  const std::string token_file = reader.String("keys.operator_token_file", "");
+  const std::vector<SettingsFault> faults = reader.Finish();
+  std::cerr << FormatFaults(path, faults);
+  if (!faults.empty()) return ExitCode::kBadSettings;
+  if (call->control.empty()) call->control = control;
+  if (call->token_file.empty()) call->token_file = token_file;
+  return ExitCode::kOk;
+}
+
 ExitCode RunCtl(int argc, const char* const* argv) {
   CtlCall call;
   const po::options_description visible = CtlOptions(&call);
@@ -62,6 +86,14 @@
     std::cout << "chicoryctl " << CHICORYVALE_VERSION << "\n";
     return ExitCode::kOk;
   }
+  if (arguments.contains("config")) {
+    const ExitCode read =
+        ReadCtlSettings(arguments["config"].as<std::string>(), &call);
+    if (read != ExitCode::kOk || arguments.contains("check")) return read;
+  } else if (arguments.contains("check")) {
+    std::cerr << "--check needs --config FILE\n";
+    return ExitCode::kBadSettings;
+  }
   if (arguments.contains("expected-version")) {
     call.expected_version = arguments["expected-version"].as<std::uint64_t>();
   }
--- a/tests/process/deployment_test.cc
+++ b/tests/process/deployment_test.cc
@@ -349,6 +349,16 @@
   EXPECT_EQ(RunProgram({"chicory-entryd", "--version"}, &out), 0);
   EXPECT_EQ(out, "chicory-entryd " CHICORYVALE_VERSION "\n");
   EXPECT_EQ(RunProgram({"chicoryctl", "no", "such", "command"}, &out), 2);
+  EXPECT_EQ(RunProgram({"chicoryctl", "--check", "--config",
+                        folder.Path() + "/bad.toml"},
+                       &out),
+            2);
+  WritePrivateFile(folder.Path() + "/ctl.toml",
+                   "[control]\naddresses = [\"127.0.0.1:7100\"]\n");
+  EXPECT_EQ(RunProgram({"chicoryctl", "--check", "--config",
+                        folder.Path() + "/ctl.toml"},
+                       &out),
+            0);
 }
 
 }  // namespace
