Log what state a control VM's data folder held

Change: chicory-controld tells at start whether it opened its state, set a damaged one aside, or found none. Ruled out: a line for each change of role: elections are counted.

--- a/programs/chicory-controld/control_daemon.cc
+++ b/programs/chicory-controld/control_daemon.cc
@@ -34,6 +34,20 @@
              });
 }
 
+// Tells operators what state the data folder held.
+void LogOpened(const ReplicaStatus& status) {
+  const ReplicaIdentity& identity = status.identity;
+  if (identity.replaces_damaged) {
+    Log(LogLevel::kWarning, "damaged_state_set_aside");
+  } else if (identity.group_id == 0) {
+    Log(LogLevel::kWarning, "data_folder_without_state");
+  } else {
+    Log(LogLevel::kInfo, "state_opened",
+        {{"term", std::to_string(status.term)},
+         {"last_index", std::to_string(status.last_index)}});
+  }
+}
+
 }  // namespace
 
 ControlDaemon::ControlDaemon(ControlSettings settings)
@@ -90,6 +104,7 @@
        .rules = &m_rules});
   if (!group) return tl::unexpected(group.error());
   m_group = std::move(*group);
+  LogOpened(m_group->Node().Status());
   m_group->SetFailureCallback(
       [this](const Error& error) { OnStorageFailed(error); });
   m_group->SetNodesCallback([this] { return Nodes(); });
