Cut links between real processes by refused peers

Change: two process tests: an entry that reaches no control VM takes the configuration from its peers, marked unconfirmed, and refuses a booking, not run; a control VM that is cut off answers nothing as current and catches up. Ruled out: nothing; no behaviour changes. Conclusion: these cuts hold with processes, from the start of a process on.

--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -114,7 +114,8 @@
   return QuotedList(members);
 }
 
-void Cluster::StartControl(int index, int group_size, bool may_form) {
+void Cluster::StartControl(int index, int group_size,
+                           const std::vector<std::string>& refused) {
   const std::string name = ControlName(index);
   std::ostringstream settings;
   settings << "availability_zone = \"a\"\n"
@@ -124,8 +125,8 @@
            << "[keys]\noperator_token_file = \"" << m_folder.Path()
            << "/operator.token\"\npeer_key_file = \"" << m_folder.Path()
            << "/peer.key\"\n[group]\nmembers = " << GroupList(group_size)
-           << "\nmay_form = " << (may_form ? "true" : "false")
-           << "\n[shutdown]\nlinger_ms = 0\n";
+           << "\nmay_form = true\n[testing]\nrefused_peers = "
+           << QuotedList(refused) << "\n[shutdown]\nlinger_ms = 0\n";
   m_processes.erase(name);
   m_processes[name] = std::make_unique<Process>(
       "chicory-controld", name, m_folder.Path(), settings.str());
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -45,8 +45,10 @@
   /// Nothing is started.
   Cluster();
 
-  /// Starts control VM `index` of `group_size`, with its former data if any.
-  void StartControl(int index, int group_size, bool may_form = true);
+  /// Starts control VM `index` of `group_size`, with its former data if any,
+  /// which does not talk to `refused`.
+  void StartControl(int index, int group_size,
+                    const std::vector<std::string>& refused = {});
 
   /// Starts entry VM `index` in `zone`, which does not talk to `refused`.
   void StartEntry(int index, int group_size, const std::string& zone = "a",
--- a/tests/process/deployment_test.cc
+++ b/tests/process/deployment_test.cc
@@ -209,6 +209,61 @@
   EXPECT_EQ(AskDues(m_cluster, 0).status, 200);
 }
 
+TEST_F(DeploymentTest, AnEntryThatReachesNoControlVmServesWhatItsPeersHave) {
+  StartGroup();
+  m_cluster.StartUpstreams("sangh", std::string(kDuesService) + kStallService);
+  m_cluster.Deploy("sangh", {"sangh.DuesOffice", "sangh.StallBooking"});
+  m_cluster.StartEntry(0, kGroupSize);
+  std::vector<std::string> control;
+  control.reserve(kGroupSize);
+  for (int i = 0; i < kGroupSize; ++i) {
+    control.push_back(m_cluster.PeerAddress(Cluster::ControlName(i)));
+  }
+  m_cluster.StartEntry(1, kGroupSize, "a", control);
+  WaitForVersion(1, 3);
+  const HttpAnswer answer = AskDues(m_cluster, 1);
+  EXPECT_EQ(answer.status, 200) << answer.body;
+  EXPECT_EQ(answer.headers.at("X-Chicoryvale-Config"), "3; unconfirmed");
+  std::vector<CallHeader> headers = MakerHeaders();
+  headers[1].value = "2000";
+  headers.push_back({"X-Chicoryvale-Request-Id", NewRequestId(3)});
+  const HttpAnswer refused =
+      PostJson(m_cluster.Entry(1).AddressOf("callers"),
+               "/sangh.StallBooking/Book", {{"stall_id", "s1"}}, headers);
+  EXPECT_EQ(refused.body["kind"], "no_quorum") << refused.body;
+  EXPECT_EQ(refused.body["ran"], "no");
+}
+
+TEST_F(DeploymentTest, AControlVmCutOffAnswersNothingAsCurrentAndCatchesUp) {
+  StartGroup();
+  m_cluster.StartUpstreams("sangh", kDuesService);
+  m_cluster.Deploy("sangh", {"sangh.DuesOffice"});
+  const int cut = Leader();
+  std::vector<std::string> others;
+  for (int i = 0; i < kGroupSize; ++i) {
+    if (i == cut) continue;
+    others.push_back(m_cluster.PeerAddress(Cluster::ControlName(i)));
+  }
+  m_cluster.Control(cut).Signal(SIGKILL);
+  m_cluster.Control(cut).Wait();
+  m_cluster.StartControl(cut, kGroupSize, others);
+  EXPECT_EQ(m_cluster.Ctl({"index", "publish", "sangh.DuesOffice", "9"}), 0);
+  const HttpAnswer answer =
+      PostJson(m_cluster.Control(cut).AddressOf("operators"),
+               "/chicoryvale.Cluster/Status", nlohmann::json::object(),
+               {{"Authorization",
+                 "Bearer secret-of-the-process-tests-0123456789abcdef"}});
+  EXPECT_NE(answer.status, 200) << answer.body;
+  EXPECT_EQ(answer.body["ran"], "no");
+  m_cluster.Control(cut).Signal(SIGKILL);
+  m_cluster.Control(cut).Wait();
+  m_cluster.StartControl(cut, kGroupSize);
+  WaitFor([&] {
+    return GetText(m_cluster.Control(cut).AddressOf("metrics"), "/metrics")
+               .find("control_config_version 3") != std::string::npos;
+  });
+}
+
 TEST_F(DeploymentTest, ABookingResentThroughAnotherEntryRunsOnce) {
   StartGroup();
   m_cluster.StartUpstreams("sangh", kStallService);
