--- a/src/replication/replicator.cc
+++ b/src/replication/replicator.cc
@@ -102,16 +102,28 @@
   return request;
 }
 
-void Replicator::OnAppendReply(NodeId node, const AppendReply& reply,
-                               TimePoint now) {
+Replicator::Progress* Replicator::NoteHeard(NodeId node, std::uint64_t round,
+                                            TimePoint now) {
   const auto found = m_progress.find(node);
-  if (found == m_progress.end()) return;
+  if (found == m_progress.end()) return nullptr;
   Progress& progress = found->second;
   progress.heard = now;
-  progress.round = std::max(progress.round, reply.round);
+  progress.round = std::max(progress.round, round);
+  return &progress;
+}
+
+void Replicator::Advance(Progress* progress, LogIndex index) {
+  progress->match = std::max(progress->match, index);
+  progress->next = std::max(progress->next, progress->match + 1);
+}
+
+void Replicator::OnAppendReply(NodeId node, const AppendReply& reply,
+                               TimePoint now) {
+  Progress* heard = NoteHeard(node, reply.round, now);
+  if (heard == nullptr) return;
+  Progress& progress = *heard;
   if (reply.accepted) {
-    progress.match = std::max(progress.match, reply.index);
-    progress.next = std::max(progress.next, progress.match + 1);
+    Advance(&progress, reply.index);
     const bool complete = progress.match >= progress.sent_through;
     if (complete || progress.probed) progress.waiting = false;
     return;
@@ -125,14 +137,11 @@
 
 void Replicator::OnSnapshotReply(NodeId node, const SnapshotReply& reply,
                                  TimePoint now) {
-  const auto found = m_progress.find(node);
-  if (found == m_progress.end()) return;
-  Progress& progress = found->second;
-  progress.heard = now;
-  progress.round = std::max(progress.round, reply.round);
+  Progress* heard = NoteHeard(node, reply.round, now);
+  if (heard == nullptr) return;
+  Progress& progress = *heard;
   if (reply.installed) {
-    progress.match = std::max(progress.match, reply.index);
-    progress.next = std::max(progress.next, progress.match + 1);
+    Advance(&progress, reply.index);
     progress.waiting = false;
     return;
   }
--- a/src/replication/replicator.h
+++ b/src/replication/replicator.h
@@ -82,6 +82,11 @@
     TimePoint heard;
   };
 
+  // Notes a reply of `node` to the heartbeat round `round`; nullptr for a node
+  // that is not followed.
+  Progress* NoteHeard(NodeId node, std::uint64_t round, TimePoint now);
+  // Takes everything up to `index` as agreed and synced.
+  static void Advance(Progress* progress, LogIndex index);
   [[nodiscard]] bool NeedsSnapshot(const Progress& progress) const;
   Message MakeChunk(Progress* progress);
   [[nodiscard]] AppendRequest MakeAppend(LogIndex prev_index,
