--- a/programs/chicory-controld/control_daemon.cc
+++ b/programs/chicory-controld/control_daemon.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "adapters/log.h"
+#include "config/change_rules.h"
 #include "endpoint/metrics_page.h"
 
 namespace chicoryvale {
@@ -56,24 +57,37 @@
 ControlDaemon::~ControlDaemon() = default;
 
 ExitCode ControlDaemon::Run() {
-  InitLog("chicory-controld", m_settings.log_level);
+  InitLog("chicory-controld", m_settings.log_level, m_settings.log_target);
   if (auto started = Start(); !started) {
     Log(LogLevel::kError, "start_failed",
         {{"reason", started.error().message}});
     return ExitCode::kRunFailed;
   }
-  return m_loop.Run({{"operators", m_operators->LocalAddress().host_port},
-                     {"peers", m_peers->LocalAddress().host_port},
-                     {"metrics", m_metrics->LocalAddress().host_port}},
-                    Shutdown());
+  std::vector<ReadyAddress> addresses = {
+      {"peers", m_peers->LocalAddress().host_port},
+      {"metrics", m_metrics->LocalAddress().host_port}};
+  if (m_operators) {
+    addresses.push_back({"operators", m_operators->LocalAddress().host_port});
+  }
+  if (m_routing_server) {
+    addresses.push_back(
+        {"routing", m_routing_server->LocalAddress().host_port});
+  }
+  return m_loop.Run(addresses, Shutdown());
 }
 
 Result<void> ControlDaemon::Start() {
   if (auto ok = StartPeers(); !ok) return ok;
   if (auto ok = StartReplica(); !ok) return ok;
-  if (auto ok = StartOperators(); !ok) return ok;
+  if (!m_settings.listen_operators.empty()) {
+    if (auto ok = StartOperators(); !ok) return ok;
+  }
+  if (!m_settings.listen_routing.empty()) {
+    if (auto ok = StartRouting(); !ok) return ok;
+  }
   if (auto ok = StartMetrics(); !ok) return ok;
   m_peers->Start();
+  if (m_settings.keep_members) StartGroupKeeper();
   return {};
 }
 
@@ -154,6 +168,40 @@
   return {};
 }
 
+Result<void> ControlDaemon::StartRouting() {
+  m_routing = std::make_unique<RoutingService>(
+      RoutingService::Ports{.scheduler = &m_scheduler,
+                            .group = m_group.get(),
+                            .peers = m_peers->Calls(),
+                            .log = &m_log},
+      m_peers->LocalAddress());
+  m_routing_endpoint =
+      std::make_unique<platform::RoutingEndpoint>(m_routing.get(), &m_log);
+  BeastHttpServerOptions options;
+  options.poller = &m_poller;
+  options.scheduler = &m_scheduler;
+  options.bind = {m_settings.listen_routing};
+  options.limits.max_body_bytes = kMaxRoutingBytes;
+  auto server = BeastHttpServer::Make(options);
+  if (!server) return tl::unexpected(server.error());
+  m_routing_server = std::move(*server);
+  m_routing_server->SetHandler(
+      [this](const HttpRequest& request, const HttpResponder& respond) {
+        m_routing_endpoint->Handle(request, respond);
+      });
+  return {};
+}
+
+void ControlDaemon::StartGroupKeeper() {
+  m_keeper = std::make_unique<GroupKeeper>(
+      GroupKeeper::Ports{.scheduler = &m_scheduler,
+                         .members = m_peers->Members(),
+                         .group = m_group.get(),
+                         .log = &m_log},
+      [this] { return m_group->Node().Status(); });
+  m_keeper->Start();
+}
+
 Result<void> ControlDaemon::StartMetrics() {
   SoupHttpServerOptions options;
   options.bind = {m_settings.listen_metrics};
@@ -171,8 +219,9 @@
   MetricsPage page;
   page.AddValue("control", "config_version", m_group->Config().version)
       .AddValue("control", "voter", IsVoter(m_group->Node().Status()) ? 1 : 0)
-      .Add("refused", m_endpoint->Errors())
       .Add("control", m_group->Node().Counters());
+  if (m_endpoint) page.Add("refused", m_endpoint->Errors());
+  if (m_routing_server) page.Add("routing", m_routing_server->Counters());
   m_peers->AddMetrics(&page);
   return page.Response();
 }
@@ -182,10 +231,17 @@
   steps.stop_ready = [] {};
   steps.linger = m_settings.linger;
   steps.stop_accepting = [this] {
-    m_endpoint->StopAccepting();
-    m_operators->StopAccepting();
+    if (m_operators) {
+      m_endpoint->StopAccepting();
+      m_operators->StopAccepting();
+    }
+    if (m_routing_server) m_routing_server->StopAccepting();
+    if (m_settings.keep_members) m_peers->Leave();
+  };
+  steps.in_flight = [this] {
+    return (m_operators ? m_operators->InFlight() : 0) +
+           (m_routing_server ? m_routing_server->InFlight() : 0);
   };
-  steps.in_flight = [this] { return m_operators->InFlight(); };
   return steps;
 }
 
--- a/programs/chicory-controld/control_daemon.h
+++ b/programs/chicory-controld/control_daemon.h
@@ -4,17 +4,23 @@
 #include <memory>
 #include <vector>
 
+#include "adapters/beast_http_server.h"
 #include "adapters/command_line.h"
 #include "adapters/daemon_loop.h"
 #include "adapters/disk_storage.h"
+#include "adapters/fd_poller.h"
 #include "adapters/glib_scheduler.h"
+#include "adapters/log.h"
 #include "adapters/peer_stack.h"
 #include "adapters/soup_http_server.h"
 #include "adapters/system_wall_clock.h"
 #include "chicory-controld/control_settings.h"
 #include "config/rollout_tracker.h"
 #include "control/claim_service.h"
+#include "control/group_keeper.h"
+#include "control/routing_service.h"
 #include "endpoint/operator_endpoint.h"
+#include "platform/routing_endpoint.h"
 #include "replication/replicated_control_group.h"
 #include "schema/schema_change_rules.h"
 
@@ -37,6 +43,8 @@
   Result<void> StartPeers();
   Result<void> StartReplica();
   Result<void> StartOperators();
+  Result<void> StartRouting();
+  void StartGroupKeeper();
   [[nodiscard]] std::vector<NodeKnowledge> Nodes() const;
   void OnStorageFailed(const Error& error);
   Result<void> StartMetrics();
@@ -55,6 +63,12 @@
   std::unique_ptr<ClaimService> m_claims;
   std::unique_ptr<OperatorEndpoint> m_endpoint;
   std::unique_ptr<SoupHttpServer> m_operators;
+  ProcessLog m_log;
+  FdPoller m_poller;
+  std::unique_ptr<RoutingService> m_routing;
+  std::unique_ptr<platform::RoutingEndpoint> m_routing_endpoint;
+  std::unique_ptr<BeastHttpServer> m_routing_server;
+  std::unique_ptr<GroupKeeper> m_keeper;
   std::unique_ptr<SoupHttpServer> m_metrics;
 };
 
--- a/programs/chicory-controld/control_settings.cc
+++ b/programs/chicory-controld/control_settings.cc
@@ -12,13 +12,18 @@
   settings.peers =
       ReadPeerOptions(reader, MemberRole::kControl, "group.members");
   settings.data_folder = reader.RequiredString("data_folder");
-  settings.listen_operators = reader.RequiredAddress("listen.operators");
+  settings.listen_routing = reader.String("listen.routing", "");
+  if (settings.listen_routing.empty()) {
+    settings.listen_operators = reader.RequiredAddress("listen.operators");
+    settings.operator_token =
+        ReadSecretSetting(reader, "keys.operator_token_file", kMinTokenBytes);
+  }
   settings.listen_metrics = reader.RequiredAddress("listen.metrics");
-  settings.operator_token =
-      ReadSecretSetting(reader, "keys.operator_token_file", kMinTokenBytes);
   settings.may_form_group = reader.Bool("group.may_form", false);
+  settings.keep_members = reader.Bool("group.keep_members", false);
   settings.linger = ReadLinger(reader);
   settings.log_level = ReadLogLevel(reader);
+  settings.log_target = ReadLogTarget(reader);
   return settings;
 }
 
--- /dev/null
+++ b/programs/chicory-gatewayd/gateway_daemon.h
@@ -0,0 +1,79 @@
+#ifndef CHICORYVALE_PROGRAMS_CHICORY_GATEWAYD_GATEWAY_DAEMON_H_
+#define CHICORYVALE_PROGRAMS_CHICORY_GATEWAYD_GATEWAY_DAEMON_H_
+
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+
+#include "adapters/beast_http_client.h"
+#include "adapters/beast_http_server.h"
+#include "adapters/command_line.h"
+#include "adapters/daemon_loop.h"
+#include "adapters/fd_poller.h"
+#include "adapters/glib_scheduler.h"
+#include "adapters/log.h"
+#include "adapters/peer_stack.h"
+#include "chicory-gatewayd/gateway_settings.h"
+#include "platform/http_replica_directory.h"
+#include "platform/http_replica_transport.h"
+#include "routing/repeat_budget.h"
+#include "routing/replica_feed.h"
+#include "routing/replica_pool.h"
+#include "routing/router.h"
+#include "routing/send_tracker.h"
+
+namespace chicoryvale {
+
+/// The process of an entry VM that routes opaque requests to replicas. Not
+/// thread safe.
+class GatewayDaemon {
+ public:
+  explicit GatewayDaemon(GatewaySettings settings);
+  ~GatewayDaemon();
+  GatewayDaemon(const GatewayDaemon&) = delete;
+  GatewayDaemon& operator=(const GatewayDaemon&) = delete;
+
+  /// Starts, serves until a signal, and shuts down gracefully.
+  ExitCode Run();
+
+ private:
+  Result<void> Start();
+  Result<void> StartPeers();
+  void StartRouting();
+  Result<void> StartServers();
+  Result<std::unique_ptr<BeastHttpServer>> MakeServer(
+      const std::string& address, HttpServer::Handler handler);
+  void ApplyConfig(const ClusterConfig& config);
+  void CountEntries();
+  void HandleCaller(HttpRequest request, const HttpResponder& respond);
+  void OnCallerGone(std::uint64_t connection);
+  [[nodiscard]] HttpResponse ReadinessResponse() const;
+  [[nodiscard]] HttpResponse MetricsResponse() const;
+  ShutdownSteps Shutdown();
+
+  GatewaySettings m_settings;
+  GlibScheduler m_scheduler;
+  FdPoller m_poller;
+  DaemonLoop m_loop{&m_scheduler};
+  ProcessLog m_log;
+  std::unique_ptr<PeerStack> m_peers;
+  std::unique_ptr<BeastHttpClient> m_client;
+  std::unique_ptr<platform::HttpReplicaTransport> m_transport;
+  std::unique_ptr<platform::HttpReplicaDirectory> m_directory;
+  std::unique_ptr<ReplicaPool> m_pool;
+  std::unique_ptr<SendTracker> m_sends;
+  std::unique_ptr<RepeatBudget> m_budget;
+  std::unique_ptr<Router> m_router;
+  std::unique_ptr<ReplicaFeed> m_feed;
+  std::unique_ptr<BeastHttpServer> m_callers;
+  std::unique_ptr<BeastHttpServer> m_ready_server;
+  std::unique_ptr<BeastHttpServer> m_metrics;
+  CounterSet<RoutingCounter> m_counters;
+  /// The query that each caller's connection waits for.
+  std::unordered_map<std::uint64_t, std::uint64_t> m_query_by_connection;
+  bool m_stopping = false;
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_PROGRAMS_CHICORY_GATEWAYD_GATEWAY_DAEMON_H_
--- /dev/null
+++ b/programs/chicory-gatewayd/gateway_settings.cc
@@ -0,0 +1,54 @@
+#include "chicory-gatewayd/gateway_settings.h"
+
+#include "adapters/common_settings.h"
+#include "adapters/peer_settings.h"
+#include "adapters/settings_reader.h"
+
+namespace chicoryvale {
+namespace {
+
+constexpr Duration kDefaultListPeriod = seconds(1);
+constexpr IntegerRange kListPeriodRangeMs = {50, 60'000};
+constexpr Duration kDefaultGrace = seconds(6);
+constexpr IntegerRange kGraceRangeMs = {0, 600'000};
+constexpr Duration kDefaultBudgetWindow = seconds(10);
+constexpr IntegerRange kBudgetWindowRangeMs = {100, 600'000};
+constexpr IntegerRange kBudgetFixedRange = {0, 1'000'000};
+constexpr std::int64_t kDefaultMaxConnections = 2000;
+constexpr IntegerRange kMaxConnectionsRange = {1, 1'000'000};
+
+RepeatBudgetOptions ReadBudget(SettingsReader& reader) {
+  RepeatBudgetOptions budget;
+  budget.ratio = reader.Number("repeats.ratio", budget.ratio, 0, 1);
+  budget.window = reader.Milliseconds("repeats.window_ms", kDefaultBudgetWindow,
+                                      kBudgetWindowRangeMs);
+  budget.fixed = static_cast<std::uint32_t>(
+      reader.Integer("repeats.fixed", 0, kBudgetFixedRange));
+  return budget;
+}
+
+}  // namespace
+
+GatewaySettings ReadGatewaySettings(SettingsReader& reader) {
+  GatewaySettings settings;
+  settings.peers =
+      ReadPeerOptions(reader, MemberRole::kEntry, "control.addresses");
+  settings.listen_callers = reader.RequiredAddress("listen.callers");
+  settings.listen_ready = reader.RequiredAddress("listen.ready");
+  settings.listen_metrics = reader.RequiredAddress("listen.metrics");
+  settings.replica_list = reader.RequiredAddress("platform.replica_list");
+  settings.replica_list_period =
+      reader.Milliseconds("platform.replica_list_period_ms", kDefaultListPeriod,
+                          kListPeriodRangeMs);
+  settings.budget = ReadBudget(reader);
+  settings.max_connections = static_cast<std::uint32_t>(reader.Integer(
+      "callers.max_connections", kDefaultMaxConnections, kMaxConnectionsRange));
+  settings.linger = ReadLinger(reader);
+  settings.grace =
+      reader.Milliseconds("shutdown.grace_ms", kDefaultGrace, kGraceRangeMs);
+  settings.log_level = ReadLogLevel(reader);
+  settings.log_target = ReadLogTarget(reader);
+  return settings;
+}
+
+}  // namespace chicoryvale
--- /dev/null
+++ b/programs/chicory-gatewayd/main.cc
@@ -0,0 +1,21 @@
+// Process of an entry VM that routes opaque requests.
+
+#include <utility>
+
+#include "adapters/command_line.h"
+#include "chicory-gatewayd/gateway_daemon.h"
+#include "chicory-gatewayd/gateway_settings.h"
+
+int main(int argc, char** argv) {
+  chicoryvale::GatewaySettings settings;
+  chicoryvale::DaemonCommands commands;
+  commands.name = "chicory-gatewayd";
+  commands.summary = "Routes callers' opaque requests on an entry VM.";
+  commands.read_settings = [&settings](chicoryvale::SettingsReader& reader) {
+    settings = chicoryvale::ReadGatewaySettings(reader);
+  };
+  commands.run = [&settings] {
+    return chicoryvale::GatewayDaemon(std::move(settings)).Run();
+  };
+  return static_cast<int>(chicoryvale::RunDaemon(argc, argv, commands));
+}
--- a/src/adapters/common_settings.cc
+++ b/src/adapters/common_settings.cc
@@ -34,6 +34,16 @@
   return level;
 }
 
+LogTarget ReadLogTarget(SettingsReader& reader) {
+  const std::string text = reader.String("log.target", "stderr");
+  if (text == "stdout") return LogTarget::kStandardOutput;
+  if (text != "stderr") {
+    reader.AddFault("log.target",
+                    "log.target \"" + text + "\" is not stderr or stdout");
+  }
+  return LogTarget::kStandardError;
+}
+
 Duration ReadLinger(SettingsReader& reader) {
   return reader.Milliseconds("shutdown.linger_ms", kDefaultLinger,
                              kLingerRangeMs);
--- a/src/adapters/common_settings.h
+++ b/src/adapters/common_settings.h
@@ -21,6 +21,9 @@
 /// Reads "log.level", "info" if absent.
 LogLevel ReadLogLevel(SettingsReader& reader);
 
+/// Reads "log.target", "stderr" if absent, or "stdout".
+LogTarget ReadLogTarget(SettingsReader& reader);
+
 /// Reads "shutdown.linger_ms": the time between the end of readiness and the
 /// refusal of new requests.
 Duration ReadLinger(SettingsReader& reader);
--- a/src/adapters/daemon_loop.cc
+++ b/src/adapters/daemon_loop.cc
@@ -26,6 +26,7 @@
   const guint term = g_unix_signal_add(SIGTERM, &DaemonLoop::OnSignal, this);
   const guint interrupt =
       g_unix_signal_add(SIGINT, &DaemonLoop::OnSignal, this);
+  const guint hang_up = g_unix_signal_add(SIGHUP, &DaemonLoop::OnReload, this);
   nlohmann::ordered_json ready;
   ready["ready"] = true;
   for (const ReadyAddress& address : addresses) {
@@ -36,6 +37,7 @@
   g_main_loop_run(m_loop);
   g_source_remove(term);
   g_source_remove(interrupt);
+  g_source_remove(hang_up);
   Log(LogLevel::kInfo, "stopped");
   return m_exit;
 }
@@ -55,10 +57,24 @@
   return G_SOURCE_CONTINUE;
 }
 
+gboolean DaemonLoop::OnReload(gpointer data) {
+  auto* loop = static_cast<DaemonLoop*>(data);
+  Log(LogLevel::kInfo, "reload_requested");
+  if (loop->m_steps.reload) loop->m_steps.reload();
+  return G_SOURCE_CONTINUE;
+}
+
 void DaemonLoop::BeginShutdown() {
   m_stopping = true;
   Log(LogLevel::kInfo, "shutdown_started");
   m_steps.stop_ready();
+  if (m_steps.max_time > Duration::zero()) {
+    m_scheduler->Schedule(m_steps.max_time, [this] {
+      Log(LogLevel::kWarning, "shutdown_cut_short",
+          {{"in_flight", std::to_string(m_steps.in_flight())}});
+      g_main_loop_quit(m_loop);
+    });
+  }
   m_scheduler->Schedule(m_steps.linger, [this] {
     m_steps.stop_accepting();
     PollInFlight();
--- a/src/adapters/daemon_loop.h
+++ b/src/adapters/daemon_loop.h
@@ -30,6 +30,11 @@
   std::function<void()> stop_accepting;
   /// Returns the requests that are still in flight.
   std::function<std::uint32_t()> in_flight;
+  /// Time from the signal after which the process ends with requests in
+  /// flight; zero for none.
+  Duration max_time{};
+  /// Reads the settings again, on SIGHUP; may be empty.
+  std::function<void()> reload;
 };
 
 /// The event loop of a daemon: runs until SIGTERM or SIGINT, then shuts down
@@ -53,6 +58,7 @@
 
  private:
   static gboolean OnSignal(gpointer data);
+  static gboolean OnReload(gpointer data);
   void BeginShutdown();
   void PollInFlight();
 
--- a/src/adapters/log.cc
+++ b/src/adapters/log.cc
@@ -1,17 +1,25 @@
 #include "adapters/log.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <iostream>
+#include <boost/make_shared.hpp>
+#include <csignal>
+#include <cstdint>
 #include <nlohmann/json.hpp>
 
+#include "adapters/line_writer.h"
+#include "base/time.h"
+
 namespace chicoryvale {
 namespace {
 
@@ -23,6 +31,32 @@
   return name;
 }
 
+/// Hands formatted lines to a LineWriter.
+class LineSink : public boost::log::sinks::basic_formatted_sink_backend<
+                     char, boost::log::sinks::synchronized_feeding> {
+ public:
+  explicit LineSink(int descriptor) : m_writer(descriptor) {}
+
+  // The name is Boost's.
+  void consume(  // NOLINT(readability-identifier-naming)
+      const boost::log::record_view& /*record*/, const std::string& line) {
+    const TimePoint now = std::chrono::time_point_cast<Duration>(
+        std::chrono::steady_clock::now());
+    if (m_left_out > 0) {
+      const std::string told =
+          R"({"level":"warning","event":"log_lines_left_out","lines":")" +
+          std::to_string(m_left_out) + R"("})";
+      if (m_writer.Write(told, now)) m_left_out = 0;
+    }
+    m_writer.Write(line, now);
+    m_left_out += m_writer.TakeLeftOut();
+  }
+
+ private:
+  LineWriter m_writer;
+  std::uint64_t m_left_out = 0;
+};
+
 boost::log::sources::severity_logger<LogLevel>& Logger() {
   static boost::log::sources::severity_logger<LogLevel> logger;
   return logger;
@@ -30,18 +64,23 @@
 
 }  // namespace
 
-void InitLog(std::string_view program, LogLevel level) {
+void InitLog(std::string_view program, LogLevel level, LogTarget target) {
   namespace expr = boost::log::expressions;
   ProgramName() = program;
   boost::log::add_common_attributes();
-  boost::log::add_console_log(
-      std::cerr,
-      boost::log::keywords::format =
-          expr::stream << "{\"time\":\""
-                       << expr::format_date_time<boost::posix_time::ptime>(
-                              "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-                       << "\"," << expr::smessage,
-      boost::log::keywords::auto_flush = true);
+  // A reader that goes away must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  using Sink = boost::log::sinks::synchronous_sink<LineSink>;
+  const int descriptor =
+      target == LogTarget::kStandardOutput ? STDOUT_FILENO : STDERR_FILENO;
+  auto sink =
+      boost::make_shared<Sink>(boost::make_shared<LineSink>(descriptor));
+  sink->set_formatter(expr::stream
+                      << "{\"time\":\""
+                      << expr::format_date_time<boost::posix_time::ptime>(
+                             "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                      << "\"," << expr::smessage);
+  boost::log::core::get()->add_sink(sink);
   boost::log::core::get()->set_filter(expr::attr<LogLevel>("Severity") >=
                                       level);
 }
--- a/src/adapters/peer_settings.cc
+++ b/src/adapters/peer_settings.cc
@@ -1,5 +1,6 @@
 #include "adapters/peer_settings.h"
 
+#include <string>
 #include <vector>
 
 #include "adapters/common_settings.h"
@@ -8,17 +9,48 @@
 
 namespace chicoryvale {
 
+namespace {
+
+// The key itself, or the file that holds it.
+std::string ReadPeerKey(SettingsReader& reader) {
+  const std::string key = reader.String("keys.peer_key", "");
+  if (key.empty()) {
+    return ReadSecretSetting(reader, "keys.peer_key_file", kMinKeyBytes);
+  }
+  if (key.size() < kMinKeyBytes) {
+    reader.AddFault("keys.peer_key", "keys.peer_key has less than " +
+                                         std::to_string(kMinKeyBytes) +
+                                         " bytes");
+  }
+  return key;
+}
+
+void SetPort(const std::string& own, std::vector<Address>* addresses) {
+  const std::string port = own.substr(own.rfind(':') + 1);
+  for (Address& address : *addresses) {
+    std::string& text = address.host_port;
+    text = text.substr(0, text.rfind(':') + 1) + port;
+  }
+}
+
+}  // namespace
+
 PeerStackOptions ReadPeerOptions(SettingsReader& reader, MemberRole role,
                                  const std::string& controls_key) {
   PeerStackOptions options;
   options.role = role;
   options.availability_zone = reader.RequiredString("availability_zone");
   options.listen = reader.RequiredAddress("listen.peers");
-  options.key = ReadSecretSetting(reader, "keys.peer_key_file", kMinKeyBytes);
+  options.key = ReadPeerKey(reader);
   options.controls = ToAddresses(reader.Addresses(controls_key));
   options.seeds = ToAddresses(reader.Addresses("membership.seeds"));
   options.seeds.insert(options.seeds.end(), options.controls.begin(),
                        options.controls.end());
+  // Where every VM has the same ports, a list may name any of them.
+  if (reader.Bool("membership.peers_share_port", false)) {
+    SetPort(options.listen, &options.controls);
+    SetPort(options.listen, &options.seeds);
+  }
   const std::vector<Address> refused =
       ToAddresses(reader.Addresses("testing.refused_peers"));
   options.refused_peers.insert(refused.begin(), refused.end());
--- /dev/null
+++ b/src/adapters/stream_socket.cc
@@ -0,0 +1,189 @@
+#include "adapters/stream_socket.h"
+
+#include <gio/gio.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include "adapters/socket_address.h"
+
+namespace chicoryvale {
+namespace {
+
+constexpr std::size_t kReadBytes = 16 * 1024;
+
+/// A peer that acknowledges nothing for this long is taken for lost. Within the
+/// shortest time after which the rest of the system counts a node as cut off.
+constexpr unsigned kUnacknowledgedMs = 3000;
+
+bool WouldBlock(int error) { return error == EAGAIN || error == EWOULDBLOCK; }
+
+void SetOptions(int fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedMs,
+             sizeof kUnacknowledgedMs);
+}
+
+}  // namespace
+
+std::unique_ptr<StreamSocket> StreamSocket::Connect(FdPoller* poller,
+                                                    const Address& to,
+                                                    StreamListener* listener) {
+  const auto address = ToSocketAddress(to);
+  if (!address) return nullptr;
+  sockaddr_storage native{};
+  const gssize size = g_socket_address_get_native_size(address->get());
+  if (!g_socket_address_to_native(address->get(), &native, sizeof native,
+                                  nullptr)) {
+    return nullptr;
+  }
+  const int fd =
+      socket(native.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return nullptr;
+  SetOptions(fd);
+  const int connected = connect(fd, reinterpret_cast<const sockaddr*>(&native),
+                                static_cast<socklen_t>(size));
+  if (connected != 0 && errno != EINPROGRESS) {
+    close(fd);
+    return nullptr;
+  }
+  std::unique_ptr<StreamSocket> made(
+      new StreamSocket(poller, fd, listener, true));
+  if (!made->Watch()) return nullptr;
+  return made;
+}
+
+std::unique_ptr<StreamSocket> StreamSocket::Adopt(FdPoller* poller, int fd,
+                                                  StreamListener* listener) {
+  SetOptions(fd);
+  std::unique_ptr<StreamSocket> made(
+      new StreamSocket(poller, fd, listener, false));
+  if (!made->Watch()) return nullptr;
+  return made;
+}
+
+StreamSocket::StreamSocket(FdPoller* poller, int fd, StreamListener* listener,
+                           bool connecting)
+    : m_poller(poller),
+      m_fd(fd),
+      m_listener(listener),
+      m_connecting(connecting) {}
+
+StreamSocket::~StreamSocket() {
+  m_poller->Remove(m_fd);
+  close(m_fd);
+}
+
+bool StreamSocket::Watch() {
+  const std::uint32_t events = m_connecting
+                                   ? static_cast<std::uint32_t>(EPOLLOUT)
+                                   : static_cast<std::uint32_t>(EPOLLIN);
+  return m_poller->Add(m_fd, events,
+                       [this](std::uint32_t pending) { OnEvents(pending); });
+}
+
+void StreamSocket::Write(std::string_view bytes) {
+  if (m_ended) return;
+  m_unsent.append(bytes);
+  if (m_connecting) return;
+  // A broken connection is told through the poller, never from within Write.
+  Flush();
+  UpdateEvents();
+}
+
+void StreamSocket::WhenWritten(std::function<void()> done) {
+  if (m_unsent.empty()) return done();
+  m_when_written = std::move(done);
+}
+
+void StreamSocket::SetReading(bool reading) {
+  m_reading = reading;
+  if (!m_connecting && !m_ended) UpdateEvents();
+}
+
+void StreamSocket::FinishSending() {
+  m_finish_sending = true;
+  if (m_unsent.empty() && !m_connecting) shutdown(m_fd, SHUT_WR);
+}
+
+void StreamSocket::UpdateEvents() {
+  std::uint32_t events = 0;
+  if (m_reading) events |= EPOLLIN;
+  if (!m_unsent.empty()) events |= EPOLLOUT;
+  m_poller->Modify(m_fd, events);
+}
+
+void StreamSocket::OnEvents(std::uint32_t events) {
+  const std::weak_ptr<int> alive = m_alive;
+  if (m_connecting) return FinishConnect();
+  if ((events & EPOLLOUT) != 0) {
+    if (!Flush()) return End(StreamEnd::kBroken);
+    UpdateEvents();
+    if (m_unsent.empty() && m_when_written) {
+      const std::function<void()> done = std::exchange(m_when_written, {});
+      done();
+      if (alive.expired()) return;
+    }
+  }
+  if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0) ReadPending();
+}
+
+void StreamSocket::FinishConnect() {
+  int error = 0;
+  socklen_t size = sizeof error;
+  getsockopt(m_fd, SOL_SOCKET, SO_ERROR, &error, &size);
+  if (error != 0) return End(StreamEnd::kBroken);
+  m_connecting = false;
+  const std::weak_ptr<int> alive = m_alive;
+  m_listener->OnConnected();
+  if (alive.expired()) return;
+  if (!Flush()) return End(StreamEnd::kBroken);
+  UpdateEvents();
+}
+
+void StreamSocket::ReadPending() {
+  std::array<char, kReadBytes> buffer;
+  const std::weak_ptr<int> alive = m_alive;
+  while (!m_ended) {
+    const ssize_t count = recv(m_fd, buffer.data(), buffer.size(), 0);
+    if (count < 0 && errno == EINTR) continue;
+    if (count < 0 && WouldBlock(errno)) return;
+    if (count < 0) return End(StreamEnd::kBroken);
+    if (count == 0) return End(StreamEnd::kFinished);
+    m_listener->OnBytes(
+        std::string_view(buffer.data(), static_cast<std::size_t>(count)));
+    if (alive.expired()) return;
+    // A short read has emptied the socket; the rest comes with a new event.
+    if (static_cast<std::size_t>(count) < buffer.size()) return;
+    if (!m_reading) return;
+  }
+}
+
+bool StreamSocket::Flush() {
+  while (!m_unsent.empty()) {
+    const ssize_t count =
+        send(m_fd, m_unsent.data(), m_unsent.size(), MSG_NOSIGNAL);
+    if (count < 0 && errno == EINTR) continue;
+    if (count < 0 && WouldBlock(errno)) return true;
+    if (count < 0) return false;
+    m_sent = true;
+    m_unsent.erase(0, static_cast<std::size_t>(count));
+  }
+  if (m_finish_sending) shutdown(m_fd, SHUT_WR);
+  return true;
+}
+
+void StreamSocket::End(StreamEnd end) {
+  if (std::exchange(m_ended, true)) return;
+  m_poller->Remove(m_fd);
+  m_listener->OnEnd(end);
+}
+
+}  // namespace chicoryvale
--- a/src/config/change.cc
+++ b/src/config/change.cc
@@ -7,9 +7,9 @@
 namespace chicoryvale {
 namespace {
 
-constexpr std::array<std::string_view, 6> kKindNames = {
-    "apply_schema", "set_placement", "drain_replica",
-    "set_limits",   "publish_index", "quarantine",
+constexpr std::array<std::string_view, 7> kKindNames = {
+    "apply_schema",  "set_placement", "drain_replica",   "set_limits",
+    "publish_index", "quarantine",    "replace_routing",
 };
 static_assert(kKindNames.size() == std::variant_size_v<ChangePayload>);
 
--- a/src/config/change.h
+++ b/src/config/change.h
@@ -22,6 +22,7 @@
   kSetLimits,
   kPublishIndex,
   kQuarantine,
+  kReplaceRouting,
 };
 
 /// Replaces the schema of the cluster.
@@ -67,8 +68,17 @@
   bool operator==(const Quarantine&) const = default;
 };
 
-using ChangePayload = std::variant<ApplySchema, SetPlacement, DrainReplica,
-                                   SetLimits, PublishIndex, Quarantine>;
+/// Replaces the whole configuration of routed requests, if its version is
+/// higher than the one in force; else it is accepted without effect. The
+/// expected version of the change does not count.
+struct ReplaceRouting {
+  RoutingDocument document;
+  bool operator==(const ReplaceRouting&) const = default;
+};
+
+using ChangePayload =
+    std::variant<ApplySchema, SetPlacement, DrainReplica, SetLimits,
+                 PublishIndex, Quarantine, ReplaceRouting>;
 
 /// One change as an operator sent it.
 struct Change {
@@ -77,7 +87,7 @@
   std::string operation_id;
   /// The configuration version that the operator saw; 0 if there was none.
   std::uint64_t expected_version = 0;
-  /// Full name of the service; empty for kApplySchema.
+  /// Full name of the service; empty for kApplySchema and kReplaceRouting.
   std::string service;
   ChangePayload payload;
   bool operator==(const Change&) const = default;
--- a/src/config/change_codec.h
+++ b/src/config/change_codec.h
@@ -42,6 +42,11 @@
   archive(value.fingerprint, value.release);
 }
 
+template <class Archive>
+void serialize(Archive& archive, ReplaceRouting& value) {
+  archive(value.document);
+}
+
 template <class Archive>
 void serialize(Archive& archive, Change& value) {
   archive(value.operation_id, value.expected_version, value.service,
--- a/src/config/change_rules.cc
+++ b/src/config/change_rules.cc
@@ -114,6 +114,14 @@
                                    payload.shards.size());
   }
 
+  Fault operator()(const ReplaceRouting& payload) const {
+    if (payload.document.text.size() > kMaxRoutingBytes) {
+      return "the configuration of routes has more than " +
+             std::to_string(kMaxRoutingBytes) + " bytes";
+    }
+    return std::nullopt;
+  }
+
   Fault operator()(const DrainReplica& payload) const {
     if (m_service == nullptr) return NoService();
     if (HasReplica(*m_service, payload.address)) return std::nullopt;
@@ -203,6 +211,10 @@
     }
   }
 
+  void operator()(const ReplaceRouting& payload) const {
+    m_config->routing = payload.document;
+  }
+
   void operator()(const DrainReplica& payload) const {
     for (ShardConfig& shard : FindOrAddService().shards) {
       const auto replica = std::ranges::find(shard.replicas, payload.address,
--- a/src/config/cluster_config.h
+++ b/src/config/cluster_config.h
@@ -44,12 +44,22 @@
   bool operator==(const ServiceConfig&) const = default;
 };
 
+/// A whole configuration of routed requests, as operators sent it. The log and
+/// its replicas do not look into it.
+struct RoutingDocument {
+  /// Given by the operators; the highest one is in force. 0 for none.
+  std::uint64_t version = 0;
+  std::string text;
+  bool operator==(const RoutingDocument&) const = default;
+};
+
 /// One accepted configuration. `version` is 0 before the first change and
 /// rises by one with each accepted change.
 struct ClusterConfig {
   std::uint64_t version = 0;
   std::string schema_text;
   std::vector<ServiceConfig> services;
+  RoutingDocument routing;
   bool operator==(const ClusterConfig&) const = default;
 };
 
--- a/src/config/cluster_config_codec.h
+++ b/src/config/cluster_config_codec.h
@@ -39,10 +39,17 @@
           value.shards, value.quarantined);
 }
 
+template <class Archive>
+void serialize(
+    Archive& archive,
+    RoutingDocument& value) {  // NOLINT(readability-identifier-naming)
+  archive(value.version, value.text);
+}
+
 template <class Archive>
 void serialize(Archive& archive,
                ClusterConfig& value) {  // NOLINT(readability-identifier-naming)
-  archive(value.version, value.schema_text, value.services);
+  archive(value.version, value.schema_text, value.services, value.routing);
 }
 
 }  // namespace chicoryvale
--- a/src/config/config_delta.cc
+++ b/src/config/config_delta.cc
@@ -1,6 +1,7 @@
 #include "config/config_delta.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -31,17 +32,62 @@
   }
 };
 
+/// The new configuration of routes: what stands between a beginning and an end
+/// that it shares with the old one.
+struct RoutingStep {
+  std::uint64_t version = 0;
+  std::uint64_t shared_prefix = 0;
+  std::uint64_t shared_suffix = 0;
+  std::string middle;
+
+  template <class Archive>
+  void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+    archive(version, shared_prefix, shared_suffix, middle);
+  }
+};
+
 struct ConfigStep {
   std::optional<std::string> schema_text;
   std::vector<std::string> removed;
   std::vector<ServiceStep> services;
+  std::optional<RoutingStep> routing;
 
   template <class Archive>
   void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
-    archive(schema_text, removed, services);
+    archive(schema_text, removed, services, routing);
   }
 };
 
+RoutingStep MakeRoutingStep(const RoutingDocument& from,
+                            const RoutingDocument& to) {
+  RoutingStep step;
+  step.version = to.version;
+  const auto shared = std::ranges::mismatch(from.text, to.text);
+  step.shared_prefix =
+      static_cast<std::uint64_t>(shared.in1 - from.text.begin());
+  const std::string_view old_rest =
+      std::string_view(from.text).substr(step.shared_prefix);
+  const std::string_view new_rest =
+      std::string_view(to.text).substr(step.shared_prefix);
+  const auto end = std::mismatch(old_rest.rbegin(), old_rest.rend(),
+                                 new_rest.rbegin(), new_rest.rend());
+  step.shared_suffix =
+      static_cast<std::uint64_t>(end.first - old_rest.rbegin());
+  step.middle = new_rest.substr(0, new_rest.size() - step.shared_suffix);
+  return step;
+}
+
+bool ApplyRoutingStep(const RoutingStep& step, RoutingDocument* routing) {
+  const std::string& old = routing->text;
+  const bool fits = step.shared_prefix <= old.size() &&
+                    step.shared_suffix <= old.size() - step.shared_prefix;
+  if (!fits) return false;
+  routing->text = old.substr(0, step.shared_prefix) + step.middle +
+                  old.substr(old.size() - step.shared_suffix);
+  routing->version = step.version;
+  return true;
+}
+
 ServiceConfig WithoutShards(const ServiceConfig& service) {
   ServiceConfig settings;
   settings.name = service.name;
@@ -97,6 +143,9 @@
     if (old != nullptr && *old == service) continue;
     step.services.push_back(MakeServiceStep(old, service));
   }
+  if (from.routing != to.routing) {
+    step.routing = MakeRoutingStep(from.routing, to.routing);
+  }
   ConfigDelta delta{{from.version, to.version, HashConfig(to)}, Encode(step)};
   ClusterConfig check = from;
   if (!ApplyDelta(delta, &check)) return std::nullopt;
@@ -121,6 +170,9 @@
     }
     if (!ApplyServiceStep(std::move(service), &*found)) return false;
   }
+  if (step.routing && !ApplyRoutingStep(*step.routing, &config->routing)) {
+    return false;
+  }
   config->version = delta.header.to_version;
   return HashConfig(*config) == delta.header.to_hash;
 }
--- a/src/config/config_state.cc
+++ b/src/config/config_state.cc
@@ -3,6 +3,7 @@
 #include <cassert>
 #include <cereal/types/deque.hpp>
 #include <utility>
+#include <variant>
 
 #include "base/hash.h"
 #include "config/change_codec.h"
@@ -38,7 +39,12 @@
 }
 
 ChangeResult ConfigState::Decide(const Change& change) {
-  if (change.expected_version != m_config.version) {
+  const auto* routing = std::get_if<ReplaceRouting>(&change.payload);
+  if (routing != nullptr) {
+    if (routing->document.version <= m_config.routing.version) {
+      return {ChangeOutcome::kAccepted, m_config.version, {}};
+    }
+  } else if (change.expected_version != m_config.version) {
     return {ChangeOutcome::kVersionConflict, m_config.version,
             "expected version " + std::to_string(change.expected_version) +
                 ", current version " + std::to_string(m_config.version)};
--- a/src/ports/http.h
+++ b/src/ports/http.h
@@ -22,6 +22,9 @@
   std::string method;
   /// Path without query string, for example "/macchie.EyepieceDesk/Compare".
   std::string path;
+  /// The whole target as it came, query string included; empty at servers that
+  /// do not keep it.
+  std::string target;
   std::vector<HttpHeader> headers;
   std::string body;
   /// Number of the connection within its server, from 1.
--- a/src/ports/peer_transport.h
+++ b/src/ports/peer_transport.h
@@ -35,7 +35,12 @@
 };
 
 /// Service behind a peer call; the first byte range of a frame names it.
-enum class PeerChannel : std::uint8_t { kReplication, kConfig, kClaims };
+enum class PeerChannel : std::uint8_t {
+  kReplication,
+  kConfig,
+  kClaims,
+  kRouting,
+};
 
 /// Port: request and answer between the system's own processes, over a
 /// reliable stream. Payloads are authenticated and bounded by the adapter.
--- /dev/null
+++ b/src/routing/answer_timing.cc
@@ -0,0 +1,31 @@
+#include "routing/answer_timing.h"
+
+namespace chicoryvale {
+namespace {
+
+/// Parts of the target latency.
+constexpr int kHedgePercent = 45;
+constexpr int kShortAnswerPercent = 85;
+constexpr int kPercent = 100;
+
+/// Rounding of a share of shards given as a decimal fraction.
+constexpr double kShareTolerance = 1e-9;
+
+}  // namespace
+
+Duration AnswerTiming::HedgeDelay() const {
+  return m_route->target_latency * kHedgePercent / kPercent;
+}
+
+Duration AnswerTiming::ShortAnswerTime() const {
+  return m_route->target_latency * kShortAnswerPercent / kPercent;
+}
+
+bool AnswerTiming::Suffices(std::size_t parts, std::size_t all) const {
+  if (parts == 0) return false;
+  const double needed =
+      m_route->scatter.min_share * static_cast<double>(all) - kShareTolerance;
+  return static_cast<double>(parts) >= needed;
+}
+
+}  // namespace chicoryvale
--- /dev/null
+++ b/src/routing/answer_timing.h
@@ -0,0 +1,37 @@
+#ifndef CHICORYVALE_SRC_ROUTING_ANSWER_TIMING_H_
+#define CHICORYVALE_SRC_ROUTING_ANSWER_TIMING_H_
+
+#include <cstddef>
+
+#include "base/time.h"
+#include "routing/routing_config.h"
+
+namespace chicoryvale {
+
+/// When a request is repeated and when it is answered short of a part. Answers
+/// the load in which each replica pauses now and then: of a request over many
+/// shards almost always one replica is in a pause, and waiting for it makes the
+/// whole answer late. Thread safe.
+class AnswerTiming {
+ public:
+  explicit AnswerTiming(const Route& route) : m_route(&route) {}
+
+  /// Time after its first send at which a silent part is asked of another
+  /// replica too: late enough that a working replica has mostly answered,
+  /// early enough that the other one answers within the target latency.
+  [[nodiscard]] Duration HedgeDelay() const;
+
+  /// Time after its arrival from which a request is answered with the parts
+  /// that are in, if they suffice. A request to one replica has none.
+  [[nodiscard]] Duration ShortAnswerTime() const;
+
+  /// Whether `parts` of `all` suffice for an answer.
+  [[nodiscard]] bool Suffices(std::size_t parts, std::size_t all) const;
+
+ private:
+  const Route* m_route;
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_ROUTING_ANSWER_TIMING_H_
--- /dev/null
+++ b/src/routing/repeat_budget.cc
@@ -0,0 +1,56 @@
+#include "routing/repeat_budget.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace chicoryvale {
+namespace {
+
+/// Part of the budget that is used: the rest covers requests that are counted
+/// here in another window than at the replicas.
+constexpr double kUsedPart = 0.8;
+
+}  // namespace
+
+void RepeatBudget::SetEntries(std::uint32_t entries) {
+  m_entries = std::max(m_entries, entries);
+}
+
+RepeatBudget::Window& RepeatBudget::Advance(const std::string& service,
+                                            TimePoint now) {
+  Window& window = m_windows[service];
+  const Duration bucket = m_options.window / kBuckets;
+  const std::int64_t number = now.time_since_epoch() / bucket;
+  const auto passed = std::min<std::int64_t>(number - window.newest, kBuckets);
+  for (std::int64_t i = 1; i <= passed; ++i) {
+    const auto slot = static_cast<std::size_t>(window.newest + i) % kBuckets;
+    window.firsts[slot] = 0;
+    window.repeats[slot] = 0;
+  }
+  if (number - window.newest > static_cast<std::int64_t>(kBuckets)) {
+    window.firsts.fill(0);
+    window.repeats.fill(0);
+  }
+  window.newest = std::max(window.newest, number);
+  return window;
+}
+
+void RepeatBudget::NoteFirst(const std::string& service, TimePoint now) {
+  Window& window = Advance(service, now);
+  ++window.firsts[static_cast<std::size_t>(window.newest) % kBuckets];
+}
+
+bool RepeatBudget::TryTake(const std::string& service, TimePoint now) {
+  Window& window = Advance(service, now);
+  const auto sum = [](const auto& counts) {
+    return std::accumulate(counts.begin(), counts.end(), 0U);
+  };
+  const double allowed =
+      kUsedPart * (m_options.ratio * sum(window.firsts) +
+                   static_cast<double>(m_options.fixed) / m_entries);
+  if (sum(window.repeats) + 1 > allowed) return false;
+  ++window.repeats[static_cast<std::size_t>(window.newest) % kBuckets];
+  return true;
+}
+
+}  // namespace chicoryvale
--- /dev/null
+++ b/src/routing/repeat_budget.h
@@ -0,0 +1,60 @@
+#ifndef CHICORYVALE_SRC_ROUTING_REPEAT_BUDGET_H_
+#define CHICORYVALE_SRC_ROUTING_REPEAT_BUDGET_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+#include "base/time.h"
+
+namespace chicoryvale {
+
+/// What all entries together may repeat at each service: in any window, a part
+/// of the requests for it and a fixed number.
+struct RepeatBudgetOptions {
+  double ratio = 0.2;
+  Duration window = seconds(10);
+  std::uint32_t fixed = 0;
+};
+
+/// This entry's part of the budget that all entries share: the ratio of its own
+/// requests, and an equal part of the fixed number. The sum over all entries is
+/// never more than the whole, whether or not they see each other, as long as
+/// each counts at least as many entries as there are. Not thread safe.
+class RepeatBudget {
+ public:
+  explicit RepeatBudget(const RepeatBudgetOptions& options)
+      : m_options(options) {}
+
+  /// Sets how many entries share the fixed number. It never falls: an entry
+  /// that is not seen may be at work.
+  void SetEntries(std::uint32_t entries);
+
+  /// Counts the first send of a request to `service`.
+  void NoteFirst(const std::string& service, TimePoint now);
+
+  /// Takes one repeat at `service`; false if the budget has none left.
+  bool TryTake(const std::string& service, TimePoint now);
+
+ private:
+  static constexpr std::size_t kBuckets = 20;
+
+  /// Counts of the last window, in buckets of equal length.
+  struct Window {
+    std::array<std::uint32_t, kBuckets> firsts{};
+    std::array<std::uint32_t, kBuckets> repeats{};
+    /// Number of the newest bucket since the epoch of the clock.
+    std::int64_t newest = 0;
+  };
+
+  Window& Advance(const std::string& service, TimePoint now);
+
+  RepeatBudgetOptions m_options;
+  std::uint32_t m_entries = 1;
+  std::unordered_map<std::string, Window> m_windows;
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_ROUTING_REPEAT_BUDGET_H_
--- /dev/null
+++ b/src/routing/route_table.h
@@ -0,0 +1,38 @@
+#ifndef CHICORYVALE_SRC_ROUTING_ROUTE_TABLE_H_
+#define CHICORYVALE_SRC_ROUTING_ROUTE_TABLE_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "routing/routing_config.h"
+
+namespace chicoryvale {
+
+/// Finds the route of a request. Immutable, and so thread safe.
+class RouteTable {
+ public:
+  explicit RouteTable(std::shared_ptr<const RoutingConfig> config);
+
+  /// Returns the route of `host` whose prefix is the longest that begins
+  /// `path`, or nullptr. The host's port, if any, and the case of its letters
+  /// do not count.
+  [[nodiscard]] const Route* Find(std::string_view host,
+                                  std::string_view path) const;
+
+  [[nodiscard]] const std::shared_ptr<const RoutingConfig>& Config() const {
+    return m_config;
+  }
+
+ private:
+  using RoutesByPrefix = std::map<std::string_view, const Route*>;
+
+  std::shared_ptr<const RoutingConfig> m_config;
+  std::unordered_map<std::string, RoutesByPrefix> m_hosts;
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_ROUTING_ROUTE_TABLE_H_
--- /dev/null
+++ b/src/routing/routed_query.cc
@@ -0,0 +1,360 @@
+#include "routing/routed_query.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace chicoryvale {
+namespace {
+
+/// Sends of one part, refused ones included.
+constexpr std::uint32_t kMaxSends = 4;
+
+/// Pause before a replica that had no room is asked again: about one work.
+constexpr Duration kBusyPause = milliseconds(15);
+
+/// When callers whose request had no room should come again.
+constexpr Duration kRetryAfterBusy = milliseconds(150);
+
+/// When callers should come again whose service has no replica: about the time
+/// in which one that crashed is back.
+constexpr Duration kRetryAfterNoReplica = seconds(1);
+
+constexpr std::array<std::string_view, 5> kReasonNames = {
+    "silent", "not_run", "wrong_replica", "broken", "failed"};
+
+constexpr std::array<RoutingCounter, 5> kReasonCounters = {
+    RoutingCounter::kHedges, RoutingCounter::kRetriesNotRun,
+    RoutingCounter::kRetriesWrongReplica, RoutingCounter::kRetriesBroken,
+    RoutingCounter::kRetriesFailed};
+
+std::string Milliseconds(Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
+}  // namespace
+
+RoutedQuery::RoutedQuery(const RoutingParts& parts, Question question,
+                         Callback done)
+    : m_parts(parts),
+      m_question(std::move(question)),
+      m_done(std::move(done)),
+      m_timing(*m_question.route) {}
+
+RoutedQuery::~RoutedQuery() { StopTimers(); }
+
+void RoutedQuery::Start() {
+  m_started = m_parts.scheduler->Now();
+  for (const std::string& service : m_question.services) {
+    m_services.emplace_back().service = service;
+  }
+  m_deadline_timer = m_parts.scheduler->Schedule(m_question.time_limit,
+                                                 [this] { OnDeadline(); });
+  if (m_question.route->idempotent) {
+    m_hedge_timer = m_parts.scheduler->Schedule(m_timing.HedgeDelay(),
+                                                [this] { OnHedgeTime(); });
+  }
+  if (m_question.route->IsScattered()) {
+    m_short_timer = m_parts.scheduler->Schedule(
+        m_timing.ShortAnswerTime(), [this] { OnShortAnswerTime(); });
+  }
+  for (std::size_t i = 0; i < m_services.size(); ++i) {
+    m_parts.budget->NoteFirst(m_services[i].service, m_started);
+    if (SendPart(i)) {
+      m_parts.counters->Add(RoutingCounter::kFirstSends);
+    } else {
+      m_services[i].resolved = true;
+    }
+  }
+  FinishIfSettled();
+}
+
+bool RoutedQuery::SendPart(std::size_t index) {
+  Part& part = m_services[index];
+  const TimePoint now = m_parts.scheduler->Now();
+  auto choice = m_parts.pool->Choose(part.service, part.tried, now);
+  if (!choice) return false;
+  part.tried.push_back(choice->id);
+  ++part.sends;
+  ++part.attempts;
+  const std::weak_ptr<int> alive = m_alive;
+  // The number is known only after the call; the answer never comes before.
+  auto number = std::make_shared<std::uint64_t>(0);
+  *number = m_parts.sends->Send(
+      {choice->address, choice->id, m_question.request, TimeLeft()},
+      [this, alive, index, number](ReplicaAnswer answer) {
+        if (!alive.expired()) OnSendEnd(index, *number, std::move(answer));
+      });
+  part.open.push_back({*number, choice->id, now});
+  return true;
+}
+
+bool RoutedQuery::RepeatPart(std::size_t index, RepeatReason reason) {
+  Part& part = m_services[index];
+  const Route& route = *m_question.route;
+  if (part.attempts >= route.max_attempts || part.sends >= kMaxSends) {
+    return false;
+  }
+  const TimePoint now = m_parts.scheduler->Now();
+  if (!m_parts.pool->Choose(part.service, part.tried, now)) return false;
+  if (!m_parts.budget->TryTake(part.service, now)) {
+    m_parts.counters->Add(RoutingCounter::kRepeatsOverBudget);
+    return false;
+  }
+  const std::string from = part.tried.empty() ? "" : part.tried.back();
+  if (!SendPart(index)) return false;
+  ++m_repeats;
+  const auto reason_index = static_cast<std::size_t>(reason);
+  m_parts.counters->Add(kReasonCounters[reason_index]);
+  m_parts.log->Write(LogLevel::kInfo, "part_repeated",
+                     {{"id", m_question.request->id},
+                      {"service", part.service},
+                      {"reason", std::string(kReasonNames[reason_index])},
+                      {"from", from},
+                      {"to", part.tried.back()},
+                      {"after_ms", Milliseconds(now - m_started)}});
+  return true;
+}
+
+void RoutedQuery::OnSendEnd(std::size_t index, std::uint64_t number,
+                            ReplicaAnswer answer) {
+  Part& part = m_services[index];
+  std::erase_if(part.open, [number](const PartSend& send) {
+    return send.number == number;
+  });
+  if (part.resolved || m_finished) return;
+  if (!answer.IsSuccess()) return OnPartFailed(index, answer);
+  for (const PartSend& send : part.open) m_parts.sends->Release(send.number);
+  part.open.clear();
+  part.resolved = true;
+  part.answer = std::move(answer);
+  FinishIfSettled();
+}
+
+void RoutedQuery::OnPartFailed(std::size_t index, const ReplicaAnswer& answer) {
+  Part& part = m_services[index];
+  const bool not_run =
+      answer.end == SendEnd::kNotRun || answer.end == SendEnd::kWrongReplica;
+  if (not_run) {
+    --part.attempts;
+    return RetryNotRun(index, answer.end == SendEnd::kNotRun
+                                  ? RepeatReason::kNotRun
+                                  : RepeatReason::kWrongReplica);
+  }
+  if (answer.end == SendEnd::kAnswered) part.failure = answer;
+  const RepeatReason reason = answer.end == SendEnd::kAnswered
+                                  ? RepeatReason::kFailed
+                                  : RepeatReason::kBroken;
+  if (m_question.route->idempotent && part.open.empty() &&
+      RepeatPart(index, reason)) {
+    return;
+  }
+  ResolveUnanswered(index);
+}
+
+// A part that has not run may go to a replica that was tried before.
+void RoutedQuery::RetryNotRun(std::size_t index, RepeatReason reason) {
+  Part& part = m_services[index];
+  if (!part.open.empty()) return;
+  if (RepeatPart(index, reason)) return;
+  const bool again = part.sends < kMaxSends &&
+                     part.attempts < m_question.route->max_attempts &&
+                     TimeLeft() > kBusyPause;
+  if (!again) return ResolveUnanswered(index);
+  part.retry_timer =
+      m_parts.scheduler->Schedule(kBusyPause, [this, index, reason] {
+        Part& waiting = m_services[index];
+        waiting.retry_timer = 0;
+        // A replica that refused may have room now.
+        waiting.tried.clear();
+        if (!RepeatPart(index, reason)) ResolveUnanswered(index);
+      });
+}
+
+void RoutedQuery::ResolveUnanswered(std::size_t index) {
+  Part& part = m_services[index];
+  if (!part.open.empty()) return;
+  part.resolved = true;
+  FinishIfSettled();
+}
+
+void RoutedQuery::OnHedgeTime() {
+  m_hedge_timer = 0;
+  for (std::size_t i = 0; i < m_services.size(); ++i) {
+    const Part& part = m_services[i];
+    if (part.resolved || part.open.size() != 1) continue;
+    RepeatPart(i, RepeatReason::kSilent);
+  }
+}
+
+void RoutedQuery::OnShortAnswerTime() {
+  m_short_timer = 0;
+  m_short_time_passed = true;
+  FinishIfSettled();
+}
+
+void RoutedQuery::OnDeadline() {
+  m_deadline_timer = 0;
+  if (m_question.route->IsScattered() &&
+      m_timing.Suffices(CountAnswered(), m_services.size())) {
+    return FinishWithAnswers();
+  }
+  FinishWithoutAnswer(true);
+}
+
+std::size_t RoutedQuery::CountAnswered() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      m_services, [](const Part& part) { return part.answer.has_value(); }));
+}
+
+bool RoutedQuery::MayHaveRun() const {
+  return std::ranges::any_of(
+      m_services, [](const Part& part) { return part.attempts > 0; });
+}
+
+Duration RoutedQuery::TimeLeft() const {
+  return m_started + m_question.time_limit - m_parts.scheduler->Now();
+}
+
+void RoutedQuery::FinishIfSettled() {
+  if (m_finished) return;
+  const std::size_t answered = CountAnswered();
+  const auto unresolved = static_cast<std::size_t>(std::ranges::count_if(
+      m_services, [](const Part& part) { return !part.resolved; }));
+  const bool suffices = m_question.route->IsScattered()
+                            ? m_timing.Suffices(answered, m_services.size())
+                            : answered > 0;
+  if (suffices && (unresolved == 0 || m_short_time_passed)) {
+    return FinishWithAnswers();
+  }
+  const bool can_suffice =
+      m_question.route->IsScattered()
+          ? m_timing.Suffices(answered + unresolved, m_services.size())
+          : unresolved > 0;
+  if (!can_suffice) FinishWithoutAnswer(false);
+}
+
+void RoutedQuery::FinishWithAnswers() {
+  RoutedAnswer answer;
+  if (!m_question.route->IsScattered()) {
+    ReplicaAnswer& whole = *m_services.front().answer;
+    answer.status = whole.status;
+    answer.headers = std::move(whole.headers);
+    answer.body = std::move(whole.body);
+    m_parts.counters->Add(RoutingCounter::kAnsweredWhole);
+    return Finish(std::move(answer), "answered");
+  }
+  answer.scattered = true;
+  RankMerger merger(m_question.route->scatter.rank_limit);
+  for (const Part& part : m_services) {
+    if (!part.answer) continue;
+    answer.signatures.push_back(part.answer->signature);
+    merger.Add(part.answer->body);
+  }
+  answer.missing = m_services.size() - answer.signatures.size();
+  answer.body = merger.Take();
+  m_parts.counters->Add(answer.missing == 0 ? RoutingCounter::kAnsweredWhole
+                                            : RoutingCounter::kAnsweredShort);
+  Finish(std::move(answer),
+         answer.missing == 0 ? "answered" : "answered_short");
+}
+
+void RoutedQuery::FinishWithoutAnswer(bool deadline) {
+  RoutedAnswer answer;
+  Part& only = m_services.front();
+  if (!m_question.route->IsScattered() && only.failure) {
+    answer.status = only.failure->status;
+    answer.headers = std::move(only.failure->headers);
+    answer.body = std::move(only.failure->body);
+    m_parts.counters->Add(RoutingCounter::kPassedFailure);
+    return Finish(std::move(answer), "passed_failure");
+  }
+  if (MayHaveRun()) {
+    m_parts.counters->Add(deadline ? RoutingCounter::kFailedDeadline
+                                   : RoutingCounter::kFailedBroken);
+    answer.error = deadline
+                       ? Error{ErrorKind::kDeadlineExceeded,
+                               "the time of the request is over", Ran::kMaybe}
+                       : Error{ErrorKind::kMayHaveRun,
+                               "too few replicas answered", Ran::kMaybe};
+    return Finish(std::move(answer), deadline ? "deadline" : "broken");
+  }
+  const bool no_replica =
+      std::ranges::any_of(m_services, [this](const Part& part) {
+        return !part.answer && m_parts.pool->CountUsable(part.service) == 0;
+      });
+  m_parts.counters->Add(no_replica ? RoutingCounter::kRefusedNoReplica
+                                   : RoutingCounter::kRefusedReplicasBusy);
+  answer.error = Error{ErrorKind::kUpstreamUnavailable,
+                       no_replica ? "too few shards have a replica"
+                                  : "the replicas have no room",
+                       Ran::kNo};
+  answer.retry_after = no_replica ? kRetryAfterNoReplica : kRetryAfterBusy;
+  Finish(std::move(answer), no_replica ? "no_replica" : "replicas_busy");
+}
+
+void RoutedQuery::Finish(RoutedAnswer answer, std::string_view outcome) {
+  m_finished = true;
+  StopTimers();
+  for (Part& part : m_services) {
+    for (const PartSend& send : part.open) {
+      // A deadline that passed ends the work; a loser may finish.
+      if (answer.error) {
+        m_parts.sends->Cancel(send.number);
+      } else {
+        m_parts.sends->Release(send.number);
+      }
+    }
+    part.open.clear();
+  }
+  LogEnd(answer, outcome);
+  const Callback done = std::move(m_done);
+  done(std::move(answer));
+}
+
+void RoutedQuery::CancelForGoneCaller() {
+  if (std::exchange(m_finished, true)) return;
+  StopTimers();
+  for (Part& part : m_services) {
+    for (const PartSend& send : part.open) m_parts.sends->Cancel(send.number);
+    part.open.clear();
+  }
+  m_parts.counters->Add(RoutingCounter::kCallersGone);
+  LogEnd({}, "caller_gone");
+}
+
+void RoutedQuery::LogEnd(const RoutedAnswer& answer,
+                         std::string_view outcome) const {
+  std::string missing;
+  for (const Part& part : m_services) {
+    if (part.answer) continue;
+    if (!missing.empty()) missing += ' ';
+    missing += part.service;
+    if (!part.tried.empty()) missing += "@" + part.tried.back();
+  }
+  m_parts.log->Write(
+      answer.error ? LogLevel::kWarning : LogLevel::kInfo, "request_ended",
+      {{"id", m_question.request->id},
+       {"route", m_question.route->name},
+       {"config_version", std::to_string(m_question.config->version)},
+       {"outcome", std::string(outcome)},
+       {"status", std::to_string(answer.status)},
+       {"parts", std::to_string(CountAnswered()) + "/" +
+                     std::to_string(m_services.size())},
+       {"repeats", std::to_string(m_repeats)},
+       {"missing", missing},
+       {"elapsed_ms", Milliseconds(m_parts.scheduler->Now() - m_started)},
+       {"limit_ms", Milliseconds(m_question.time_limit)}});
+}
+
+void RoutedQuery::StopTimers() {
+  for (TimerId* timer : {&m_hedge_timer, &m_short_timer, &m_deadline_timer}) {
+    m_parts.scheduler->Cancel(std::exchange(*timer, 0));
+  }
+  for (Part& part : m_services) {
+    m_parts.scheduler->Cancel(std::exchange(part.retry_timer, 0));
+  }
+}
+
+}  // namespace chicoryvale
--- /dev/null
+++ b/src/routing/routed_query.h
@@ -0,0 +1,198 @@
+#ifndef CHICORYVALE_SRC_ROUTING_ROUTED_QUERY_H_
+#define CHICORYVALE_SRC_ROUTING_ROUTED_QUERY_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/counters.h"
+#include "chicoryvale/error.h"
+#include "ports/event_log.h"
+#include "ports/replica_transport.h"
+#include "ports/scheduler.h"
+#include "routing/answer_timing.h"
+#include "routing/rank_merger.h"
+#include "routing/repeat_budget.h"
+#include "routing/replica_pool.h"
+#include "routing/routing_config.h"
+#include "routing/send_tracker.h"
+
+namespace chicoryvale {
+
+enum class RoutingCounter : std::uint8_t {
+  kRequests,
+  kAnsweredWhole,
+  kAnsweredShort,
+  kPassedFailure,
+  kCallersGone,
+  kFirstSends,
+  kHedges,
+  kRetriesNotRun,
+  kRetriesWrongReplica,
+  kRetriesBroken,
+  kRetriesFailed,
+  kRepeatsOverBudget,
+  kRefusedNoConfiguration,
+  kRefusedUnknownRoute,
+  kRefusedNoReplica,
+  kRefusedReplicasBusy,
+  kFailedBroken,
+  kFailedDeadline,
+};
+
+template <>
+struct CounterNames<RoutingCounter> {
+  static constexpr std::array<std::string_view, 18> kNames = {
+      "requests",
+      "answered_whole",
+      "answered_short",
+      "passed_failure",
+      "callers_gone",
+      "first_sends",
+      "hedges",
+      "retries_not_run",
+      "retries_wrong_replica",
+      "retries_broken",
+      "retries_failed",
+      "repeats_over_budget",
+      "refused_no_configuration",
+      "refused_unknown_route",
+      "refused_no_replica",
+      "refused_replicas_busy",
+      "failed_broken",
+      "failed_deadline",
+  };
+};
+
+/// How a routed request ended.
+struct RoutedAnswer {
+  /// Set unless the request is answered with what replicas answered.
+  std::optional<Error> error;
+  /// With an error: when the caller should come again; zero for no advice.
+  Duration retry_after{};
+  /// Without an error: status and headers of the one replica; 200 for a
+  /// scattered request.
+  int status = 200;
+  std::vector<HttpHeader> headers;
+  std::string body;
+  /// Of a scattered request: the signatures of the parts that are in, and the
+  /// number of those that are not.
+  bool scattered = false;
+  std::vector<std::string> signatures;
+  std::size_t missing = 0;
+};
+
+/// What queries work with; all outlive them.
+struct RoutingParts {
+  Scheduler* scheduler = nullptr;
+  SendTracker* sends = nullptr;
+  ReplicaPool* pool = nullptr;
+  RepeatBudget* budget = nullptr;
+  EventLog* log = nullptr;
+  CounterSet<RoutingCounter>* counters = nullptr;
+};
+
+/// One routed request: sends its parts, repeats what is lost or silent, merges,
+/// and answers in time. Its shards are those of one configuration version. Not
+/// thread safe.
+class RoutedQuery {
+ public:
+  using Callback = std::function<void(RoutedAnswer answer)>;
+
+  /// What is asked.
+  struct Question {
+    std::shared_ptr<const OpaqueRequest> request;
+    /// Holds `route`.
+    std::shared_ptr<const RoutingConfig> config;
+    const Route* route = nullptr;
+    /// Services of the parts: the shards, or the one that the split drew.
+    std::vector<std::string> services;
+    /// Time within which the request has its final answer.
+    Duration time_limit{};
+  };
+
+  /// `done` is called once, possibly from within Start; it may destroy the
+  /// query.
+  RoutedQuery(const RoutingParts& parts, Question question, Callback done);
+  ~RoutedQuery();
+  RoutedQuery(const RoutedQuery&) = delete;
+  RoutedQuery& operator=(const RoutedQuery&) = delete;
+
+  void Start();
+
+  /// Ends the query whose caller has gone, and the work of its replicas.
+  void CancelForGoneCaller();
+
+ private:
+  enum class RepeatReason : std::uint8_t {
+    kSilent,
+    kNotRun,
+    kWrongReplica,
+    kBroken,
+    kFailed,
+  };
+
+  /// One send of a part.
+  struct PartSend {
+    std::uint64_t number = 0;
+    std::string replica_id;
+    TimePoint sent_at{};
+  };
+
+  /// What one service contributes.
+  struct Part {
+    std::string service;
+    std::vector<PartSend> open;
+    /// Replicas that the part was sent to.
+    std::vector<std::string> tried;
+    std::uint32_t sends = 0;
+    /// Sends that may have run.
+    std::uint32_t attempts = 0;
+    bool resolved = false;
+    std::optional<ReplicaAnswer> answer;
+    /// The last failure, for the caller of a request to one replica.
+    std::optional<ReplicaAnswer> failure;
+    TimerId retry_timer = 0;
+  };
+
+  bool SendPart(std::size_t index);
+  bool RepeatPart(std::size_t index, RepeatReason reason);
+  void RetryNotRun(std::size_t index, RepeatReason reason);
+  void OnSendEnd(std::size_t index, std::uint64_t number, ReplicaAnswer answer);
+  void OnPartFailed(std::size_t index, const ReplicaAnswer& answer);
+  void ResolveUnanswered(std::size_t index);
+  void OnHedgeTime();
+  void OnShortAnswerTime();
+  void OnDeadline();
+  void FinishIfSettled();
+  [[nodiscard]] std::size_t CountAnswered() const;
+  [[nodiscard]] bool MayHaveRun() const;
+  [[nodiscard]] Duration TimeLeft() const;
+  void FinishWithAnswers();
+  void FinishWithoutAnswer(bool deadline);
+  void Finish(RoutedAnswer answer, std::string_view outcome);
+  void LogEnd(const RoutedAnswer& answer, std::string_view outcome) const;
+  void StopTimers();
+
+  RoutingParts m_parts;
+  Question m_question;
+  Callback m_done;
+  AnswerTiming m_timing;
+  TimePoint m_started{};
+  std::vector<Part> m_services;
+  TimerId m_hedge_timer = 0;
+  TimerId m_short_timer = 0;
+  TimerId m_deadline_timer = 0;
+  bool m_short_time_passed = false;
+  bool m_finished = false;
+  std::uint32_t m_repeats = 0;
+  /// Expires with the query.
+  std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_ROUTING_ROUTED_QUERY_H_
