Spend no work on parts that can no longer be in an answer

Change: first sends end shortly after the short answer goes out; a part asked again gets all the time that is left. A hedge is left out where the other replica would clearly be late. A replica that another one answered for takes no sends until the list shows it elsewhere. Unknown replicas count as fast, so that each is tried.

--- a/src/routing/answer_timing.cc
+++ b/src/routing/answer_timing.cc
@@ -6,6 +6,9 @@
 /// Parts of the target latency.
 constexpr int kHedgePercent = 45;
 constexpr int kShortAnswerPercent = 85;
+constexpr int kFirstSendPercent = 92;
+/// The expected time is rough: a hedge is left out where it is clearly late.
+constexpr int kHopelessPercent = 130;
 constexpr int kPercent = 100;
 
 /// Rounding of a share of shards given as a decimal fraction.
@@ -21,6 +24,16 @@
   return m_route->target_latency * kShortAnswerPercent / kPercent;
 }
 
+Duration AnswerTiming::FirstSendLimit() const {
+  return m_route->IsScattered()
+             ? m_route->target_latency * kFirstSendPercent / kPercent
+             : m_route->timeout;
+}
+
+bool AnswerTiming::IsHedgeOfUse(Duration cost, Duration elapsed) const {
+  return elapsed + cost < m_route->target_latency * kHopelessPercent / kPercent;
+}
+
 bool AnswerTiming::Suffices(std::size_t parts, std::size_t all) const {
   if (parts == 0) return false;
   const double needed =
--- a/src/routing/answer_timing.h
+++ b/src/routing/answer_timing.h
@@ -25,6 +25,16 @@
   /// that are in, if they suffice. A request to one replica has none.
   [[nodiscard]] Duration ShortAnswerTime() const;
 
+  /// Time after its arrival until which the first sends of a request's parts
+  /// are of use. A replica whose queue holds a part for longer drops it, in
+  /// place of working for an answer that has gone out short of that part.
+  [[nodiscard]] Duration FirstSendLimit() const;
+
+  /// Whether another replica, expected to take `cost`, is asked for a part
+  /// after `elapsed`: only if it can answer in time. Under load that is rarely
+  /// so, and hedges would add to it.
+  [[nodiscard]] bool IsHedgeOfUse(Duration cost, Duration elapsed) const;
+
   /// Whether `parts` of `all` suffice for an answer.
   [[nodiscard]] bool Suffices(std::size_t parts, std::size_t all) const;
 
--- a/src/routing/replica_pool.cc
+++ b/src/routing/replica_pool.cc
@@ -31,16 +31,20 @@
 /// A replica that just started works slower than its mean will be.
 constexpr double kColdFactor = 3.0;
 
-/// Assumed before the first answer.
-constexpr double kUnknownLatencyUs = 10'000;
+/// Assumed before the first answer: low, so that each replica is tried.
+constexpr double kUnknownLatencyUs = 1'000;
 
 /// Way to another zone and back, and the price of the bytes on it.
 constexpr double kOtherZoneCostUs = 5'000;
 
-/// A replica that closes its connections, or is not the one at its address, is
-/// spared for about the time after which the platform's list must show it.
+/// A replica that closes its connections is spared for about the time after
+/// which the platform's list must show that it leaves.
 constexpr Duration kShunTime = seconds(2);
 
+/// A replica that is not at its address stays on the platform's list for some
+/// seconds. Should it come back there, the list shows it for longer.
+constexpr Duration kMovedTime = seconds(15);
+
 double HalfLifeFactor(Duration age, double half_life_s) {
   return std::exp2(-ToSeconds(age) / half_life_s);
 }
@@ -82,6 +86,7 @@
     if (std::ranges::find(excluded, id) != excluded.end()) continue;
     const Replica& replica = m_replicas.at(id);
     if (replica.open_sends.size() >= share) continue;
+    if (now < replica.moved_until) continue;
     const double cost = CostUs(replica, now) * jitter(m_random);
     if (best != nullptr && cost >= best_cost) continue;
     best = &replica;
@@ -157,8 +162,9 @@
   const Duration latency = now - open->second;
   replica.open_sends.erase(open);
   NoteFailure(&replica, !answer.IsSuccess(), now);
-  if (answer.end == SendEnd::kWrongReplica || answer.closes) {
-    replica.shunned_until = now + kShunTime;
+  if (answer.closes) replica.shunned_until = now + kShunTime;
+  if (answer.end == SendEnd::kWrongReplica) {
+    replica.moved_until = now + kMovedTime;
   }
   if (answer.load) {
     const double others =
--- a/src/routing/replica_pool.h
+++ b/src/routing/replica_pool.h
@@ -96,9 +96,10 @@
     double told_queue = 0;
     TimePoint told_at{};
     TimePoint warm_at{};
-    /// Takes no send until then: it says it closes, or another replica is at
-    /// its address.
+    /// Is spared until then: it says that it closes.
     TimePoint shunned_until{};
+    /// Takes no send until then: another replica answered at its address.
+    TimePoint moved_until{};
   };
 
   [[nodiscard]] std::size_t ConnectionShare(const std::string& service) const;
--- a/src/routing/routed_query.cc
+++ b/src/routing/routed_query.cc
@@ -89,7 +89,7 @@
   // The number is known only after the call; the answer never comes before.
   auto number = std::make_shared<std::uint64_t>(0);
   *number = m_parts.sends->Send(
-      {choice->address, choice->id, m_question.request, TimeLeft()},
+      {choice->address, choice->id, m_question.request, SendTime()},
       [this, alive, index, number](ReplicaAnswer answer) {
         if (!alive.expired()) OnSendEnd(index, *number, std::move(answer));
       });
@@ -104,7 +104,12 @@
     return false;
   }
   const TimePoint now = m_parts.scheduler->Now();
-  if (!m_parts.pool->Choose(part.service, part.tried, now)) return false;
+  const auto choice = m_parts.pool->Choose(part.service, part.tried, now);
+  if (!choice) return false;
+  const bool hedge = reason == RepeatReason::kSilent;
+  if (hedge && !m_timing.IsHedgeOfUse(choice->cost, now - m_started)) {
+    return false;
+  }
   if (!m_parts.budget->TryTake(part.service, now)) {
     m_parts.counters->Add(RoutingCounter::kRepeatsOverBudget);
     return false;
@@ -229,6 +234,16 @@
       m_services, [](const Part& part) { return part.attempts > 0; });
 }
 
+// A part that was not answered in time gets all the time that is left.
+Duration RoutedQuery::SendTime() const {
+  const Duration left = TimeLeft();
+  const Duration elapsed = m_parts.scheduler->Now() - m_started;
+  const Duration limit = m_timing.FirstSendLimit();
+  const bool in_time = !m_short_time_passed && elapsed < limit;
+  if (!in_time) return left;
+  return std::min(left, limit - elapsed);
+}
+
 Duration RoutedQuery::TimeLeft() const {
   return m_started + m_question.time_limit - m_parts.scheduler->Now();
 }
--- a/src/routing/routed_query.h
+++ b/src/routing/routed_query.h
@@ -173,6 +173,7 @@
   [[nodiscard]] std::size_t CountAnswered() const;
   [[nodiscard]] bool MayHaveRun() const;
   [[nodiscard]] Duration TimeLeft() const;
+  [[nodiscard]] Duration SendTime() const;
   void FinishWithAnswers();
   void FinishWithoutAnswer(bool deadline);
   void Finish(RoutedAnswer answer, std::string_view outcome);
--- /dev/null
+++ b/tests/routing/replica_pool_test.cc
@@ -0,0 +1,147 @@
+#include "routing/replica_pool.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chicoryvale {
+namespace {
+
+constexpr TimePoint kStart{seconds(1000)};
+
+ListedReplica Listed(const std::string& id, const std::string& zone = "a") {
+  ListedReplica replica;
+  replica.id = id;
+  replica.service = "s";
+  replica.address = {"10.0.0.1:" + id};
+  replica.availability_zone = zone;
+  replica.slots = 2;
+  return replica;
+}
+
+ReplicaAnswer Good() {
+  ReplicaAnswer answer;
+  answer.end = SendEnd::kAnswered;
+  answer.status = 200;
+  answer.signature = "mac";
+  return answer;
+}
+
+ReplicaAnswer Ended(SendEnd end) {
+  ReplicaAnswer answer;
+  answer.end = end;
+  return answer;
+}
+
+class ReplicaPoolTest : public testing::Test {
+ protected:
+  // Returns how often each of `draws` choices was taken, none being sent.
+  std::map<std::string, int> Draw(int draws, TimePoint now) {
+    std::map<std::string, int> taken;
+    for (int i = 0; i < draws; ++i) {
+      const auto choice = m_pool.Choose("s", {}, now);
+      if (choice) ++taken[choice->id];
+    }
+    return taken;
+  }
+
+  void Exchange(const std::string& id, TimePoint at, Duration latency,
+                const ReplicaAnswer& answer) {
+    const std::uint64_t send = m_pool.BeginSend(id, at);
+    m_pool.EndSend(id, send, answer, at + latency);
+  }
+
+  ReplicaPool m_pool{"a", 7};
+};
+
+TEST_F(ReplicaPoolTest, KnowsNothingBeforeTheFirstList) {
+  EXPECT_FALSE(m_pool.HasList());
+  EXPECT_FALSE(m_pool.Choose("s", {}, kStart));
+  EXPECT_EQ(m_pool.CountUsable("s"), 0U);
+}
+
+TEST_F(ReplicaPoolTest, LeavesOutDrainingAndExcludedReplicas) {
+  ListedReplica draining = Listed("1");
+  draining.draining = true;
+  m_pool.SetReplicas({draining, Listed("2"), Listed("3")}, kStart);
+  EXPECT_EQ(m_pool.CountUsable("s"), 2U);
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(m_pool.Choose("s", {"2"}, kStart)->id, "3");
+  }
+  EXPECT_FALSE(m_pool.Choose("s", {"2", "3"}, kStart));
+}
+
+TEST_F(ReplicaPoolTest, PrefersTheOwnZoneUntilItIsBusy) {
+  m_pool.SetReplicas({Listed("1", "a"), Listed("2", "b")}, kStart);
+  Exchange("1", kStart, milliseconds(5), Good());
+  Exchange("2", kStart, milliseconds(5), Good());
+  EXPECT_EQ(m_pool.Choose("s", {}, kStart)->id, "1");
+  for (int i = 0; i < 6; ++i) m_pool.BeginSend("1", kStart);
+  EXPECT_EQ(m_pool.Choose("s", {}, kStart)->id, "2");
+}
+
+TEST_F(ReplicaPoolTest, AvoidsAReplicaInAPauseUntilItAnswers) {
+  m_pool.SetReplicas({Listed("1", "a"), Listed("2", "b")}, kStart);
+  Exchange("1", kStart, milliseconds(5), Good());
+  Exchange("2", kStart, milliseconds(5), Good());
+  const TimePoint sent = kStart + milliseconds(10);
+  const std::uint64_t send = m_pool.BeginSend("1", sent);
+  EXPECT_EQ(m_pool.Choose("s", {}, sent + milliseconds(60))->id, "2");
+  m_pool.EndSend("1", send, Good(), sent + milliseconds(61));
+  // One late answer does not outweigh the zone for long.
+  for (int i = 0; i < 20; ++i) {
+    Exchange("1", sent + seconds(1), milliseconds(5), Good());
+  }
+  EXPECT_EQ(m_pool.Choose("s", {}, sent + seconds(2))->id, "1");
+}
+
+TEST_F(ReplicaPoolTest, LeavesAFailingReplicaAndTriesItAgainLater) {
+  m_pool.SetReplicas({Listed("1"), Listed("2")}, kStart);
+  for (int i = 0; i < 10; ++i) {
+    Exchange("1", kStart, milliseconds(1), Ended(SendEnd::kBroken));
+    Exchange("2", kStart, milliseconds(5), Good());
+  }
+  EXPECT_EQ(Draw(100, kStart + milliseconds(10))["1"], 0);
+  EXPECT_GT(Draw(100, kStart + seconds(30))["1"], 0);
+}
+
+// A replica whose address has gone to another one: each further send there
+// would arrive at a service that was not asked.
+TEST_F(ReplicaPoolTest, SendsNothingMoreToAnAddressThatHasMovedOn) {
+  m_pool.SetReplicas({Listed("1"), Listed("2")}, kStart);
+  Exchange("1", kStart, milliseconds(1), Ended(SendEnd::kWrongReplica));
+  for (int ms = 1; ms < 5000; ms += 500) {
+    const TimePoint now = kStart + milliseconds(ms);
+    m_pool.SetReplicas({Listed("1"), Listed("2")}, now);
+    EXPECT_FALSE(m_pool.Choose("s", {"2"}, now));
+  }
+  ListedReplica elsewhere = Listed("1");
+  elsewhere.address = {"10.0.0.9:9"};
+  m_pool.SetReplicas({elsewhere}, kStart + seconds(5));
+  EXPECT_TRUE(m_pool.Choose("s", {}, kStart + seconds(5)));
+}
+
+TEST_F(ReplicaPoolTest, KeepsToItsShareOfConnections) {
+  m_pool.SetReplicas({Listed("1")}, kStart);
+  m_pool.SetConnectionShare("s", 2);
+  m_pool.BeginSend("1", kStart);
+  const std::uint64_t second = m_pool.BeginSend("1", kStart);
+  EXPECT_FALSE(m_pool.Choose("s", {}, kStart));
+  m_pool.ForgetSend("1", second);
+  EXPECT_TRUE(m_pool.Choose("s", {}, kStart));
+}
+
+TEST_F(ReplicaPoolTest, BelievesAToldQueueOnlyWhileItIsFresh) {
+  m_pool.SetReplicas({Listed("1"), Listed("2")}, kStart);
+  ReplicaAnswer busy = Good();
+  busy.load = ReplicaLoad{2, 10, 2};
+  Exchange("1", kStart, milliseconds(5), busy);
+  Exchange("2", kStart, milliseconds(5), Good());
+  EXPECT_EQ(Draw(100, kStart + milliseconds(6))["1"], 0);
+  EXPECT_GT(Draw(100, kStart + seconds(3))["1"], 20);
+}
+
+}  // namespace
+}  // namespace chicoryvale
