--- a/src/adapters/beast_http_server.cc
+++ b/src/adapters/beast_http_server.cc
@@ -24,7 +24,7 @@
 constexpr int kBacklog = 1024;
 
 /// Bytes of later requests kept while one is being answered.
-constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
 
 /// Time that a caller has to read the last answer before its connection is
 /// closed with a reset.
@@ -200,8 +200,8 @@
     m_close_after = !message.keep_alive();
     HttpRequest request;
     request.connection = m_number;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
+    request.method = std::string{message.method_string()};
+    request.target = std::string{message.target()};
     request.path = request.target.substr(0, request.target.find('?'));
     for (const auto& field : message) {
       const auto name = field.name_string();
--- a/src/adapters/peer_settings.cc
+++ b/src/adapters/peer_settings.cc
@@ -13,7 +13,7 @@
 
 // The key itself, or the file that holds it.
 std::string ReadPeerKey(SettingsReader& reader) {
-  const std::string key = reader.String("keys.peer_key", "");
+  std::string key = reader.String("keys.peer_key", "");
   if (key.empty()) {
     return ReadSecretSetting(reader, "keys.peer_key_file", kMinKeyBytes);
   }
@@ -29,7 +29,7 @@
   const std::string port = own.substr(own.rfind(':') + 1);
   for (Address& address : *addresses) {
     std::string& text = address.host_port;
-    text = text.substr(0, text.rfind(':') + 1) + port;
+    text.replace(text.rfind(':') + 1, std::string::npos, port);
   }
 }
 
--- a/src/adapters/stream_socket.cc
+++ b/src/adapters/stream_socket.cc
@@ -16,7 +16,7 @@
 namespace chicoryvale {
 namespace {
 
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 
 /// A peer that acknowledges nothing for this long is taken for lost. Within the
 /// shortest time after which the rest of the system counts a node as cut off.
--- a/src/config/config_delta.cc
+++ b/src/config/config_delta.cc
@@ -66,9 +66,9 @@
   step.shared_prefix =
       static_cast<std::uint64_t>(shared.in1 - from.text.begin());
   const std::string_view old_rest =
-      std::string_view(from.text).substr(step.shared_prefix);
+      std::string_view{from.text}.substr(step.shared_prefix);
   const std::string_view new_rest =
-      std::string_view(to.text).substr(step.shared_prefix);
+      std::string_view{to.text}.substr(step.shared_prefix);
   const auto end = std::mismatch(old_rest.rbegin(), old_rest.rend(),
                                  new_rest.rbegin(), new_rest.rend());
   step.shared_suffix =
--- a/src/ports/http.h
+++ b/src/ports/http.h
@@ -22,15 +22,15 @@
   std::string method;
   /// Path without query string, for example "/macchie.EyepieceDesk/Compare".
   std::string path;
-  /// The whole target as it came, query string included; empty at servers that
-  /// do not keep it.
-  std::string target;
   std::vector<HttpHeader> headers;
   std::string body;
   /// Number of the connection within its server, from 1.
   std::uint64_t connection = 0;
   /// The body exceeded the server's limit; `body` is empty.
   bool too_large = false;
+  /// The whole target as it came, query string included; empty at servers that
+  /// do not keep it.
+  std::string target;
 };
 
 /// Returns the value of the first header called `name`, compared without
--- a/src/routing/answer_timing.cc
+++ b/src/routing/answer_timing.cc
@@ -9,6 +9,8 @@
 constexpr int kFirstSendPercent = 92;
 /// The expected time is rough: a hedge is left out where it is clearly late.
 constexpr int kHopelessPercent = 130;
+/// Late answers are of little use; those that are nearly there are not lost.
+constexpr int kWaitPercent = 100;
 constexpr int kPercent = 100;
 
 /// Rounding of a share of shards given as a decimal fraction.
@@ -30,6 +32,10 @@
              : m_route->timeout;
 }
 
+Duration AnswerTiming::WaitLimit() const {
+  return m_route->target_latency * kWaitPercent / kPercent;
+}
+
 bool AnswerTiming::IsHedgeOfUse(Duration cost, Duration elapsed) const {
   return elapsed + cost < m_route->target_latency * kHopelessPercent / kPercent;
 }
--- a/src/routing/answer_timing.h
+++ b/src/routing/answer_timing.h
@@ -35,6 +35,10 @@
   /// so, and hedges would add to it.
   [[nodiscard]] bool IsHedgeOfUse(Duration cost, Duration elapsed) const;
 
+  /// Time after its arrival until which a part that replicas refused is sent
+  /// again.
+  [[nodiscard]] Duration WaitLimit() const;
+
   /// Whether `parts` of `all` suffice for an answer.
   [[nodiscard]] bool Suffices(std::size_t parts, std::size_t all) const;
 
--- a/src/routing/repeat_budget.cc
+++ b/src/routing/repeat_budget.cc
@@ -10,6 +10,9 @@
 /// here in another window than at the replicas.
 constexpr double kUsedPart = 0.8;
 
+/// Part of what is used that hedges may take.
+constexpr double kHedgePart = 0.7;
+
 }  // namespace
 
 void RepeatBudget::SetEntries(std::uint32_t entries) {
@@ -40,7 +43,8 @@
   ++window.firsts[static_cast<std::size_t>(window.newest) % kBuckets];
 }
 
-bool RepeatBudget::TryTake(const std::string& service, TimePoint now) {
+bool RepeatBudget::TryTake(const std::string& service, Use use,
+                           TimePoint now) {
   Window& window = Advance(service, now);
   const auto sum = [](const auto& counts) {
     return std::accumulate(counts.begin(), counts.end(), 0U);
@@ -48,8 +52,8 @@
   const bool first_window = now - m_started < m_options.window;
   const double fixed =
       first_window ? 0 : static_cast<double>(m_options.fixed) / m_entries;
-  const double allowed =
-      kUsedPart * (m_options.ratio * sum(window.firsts) + fixed);
+  const double part = use == Use::kHedge ? kUsedPart * kHedgePart : kUsedPart;
+  const double allowed = part * (m_options.ratio * sum(window.firsts) + fixed);
   if (sum(window.repeats) + 1 > allowed) return false;
   ++window.repeats[static_cast<std::size_t>(window.newest) % kBuckets];
   return true;
--- a/src/routing/repeat_budget.h
+++ b/src/routing/repeat_budget.h
@@ -36,8 +36,16 @@
   /// Counts the first send of a request to `service`.
   void NoteFirst(const std::string& service, TimePoint now);
 
-  /// Takes one repeat at `service`; false if the budget has none left.
-  bool TryTake(const std::string& service, TimePoint now);
+  /// What a repeat is for.
+  enum class Use : std::uint8_t {
+    /// The part is lost without it.
+    kRetry,
+    /// The part may come without it: a part of the budget is kept from it.
+    kHedge,
+  };
+
+  /// Takes one repeat at `service`; false if the budget has none left for it.
+  bool TryTake(const std::string& service, Use use, TimePoint now);
 
  private:
   static constexpr std::size_t kBuckets = 20;
--- a/src/routing/replica_pool.h
+++ b/src/routing/replica_pool.h
@@ -89,7 +89,8 @@
     /// Recency-weighted mean time to an answer.
     double mean_latency_us = 0;
     bool has_latency = false;
-    /// Recency-weighted share of failures.
+    /// Recency-weighted share of failures, refusals included: a replica that is
+    /// full is spared as one that fails.
     double failure_share = 0;
     TimePoint failure_noted{};
     /// Others' requests in its queue when it last told its load.
--- a/src/routing/routed_query.cc
+++ b/src/routing/routed_query.cc
@@ -49,6 +49,7 @@
   for (const std::string& service : m_question.services) {
     m_services.emplace_back().service = service;
   }
+  if (!CanBeServed()) return FinishWithoutAnswer(false);
   m_deadline_timer = m_parts.scheduler->Schedule(m_question.time_limit,
                                                  [this] { OnDeadline(); });
   if (m_question.route->idempotent) {
@@ -66,6 +67,17 @@
   FinishIfSettled();
 }
 
+// Whether enough shards have a replica at all.
+bool RoutedQuery::CanBeServed() const {
+  const auto servable = static_cast<std::size_t>(
+      std::ranges::count_if(m_services, [this](const Part& part) {
+        return m_parts.pool->CountUsable(part.service) > 0;
+      }));
+  return m_question.route->IsScattered()
+             ? m_timing.Suffices(servable, m_services.size())
+             : servable > 0;
+}
+
 void RoutedQuery::SendFirst(std::size_t index) {
   Part& part = m_services[index];
   if (SendPart(index)) {
@@ -110,7 +122,9 @@
   if (hedge && !m_timing.IsHedgeOfUse(choice->cost, now - m_started)) {
     return false;
   }
-  if (!m_parts.budget->TryTake(part.service, now)) {
+  const auto use =
+      hedge ? RepeatBudget::Use::kHedge : RepeatBudget::Use::kRetry;
+  if (!m_parts.budget->TryTake(part.service, use, now)) {
     m_parts.counters->Add(RoutingCounter::kRepeatsOverBudget);
     return false;
   }
@@ -170,13 +184,19 @@
   Part& part = m_services[index];
   if (!part.open.empty()) return;
   if (RepeatPart(index, reason)) return;
-  const bool again = part.sends < kMaxSends &&
-                     part.attempts < m_question.route->max_attempts &&
-                     TimeLeft() > kBusyPause;
-  if (!again) return ResolveUnanswered(index);
+  if (!MayWaitForRoom(part)) return ResolveUnanswered(index);
   WaitForRoom(index, reason);
 }
 
+// The other parts have run or are running: giving up one that did not would
+// waste them all, and the caller would ask for them anew.
+bool RoutedQuery::MayWaitForRoom(const Part& part) const {
+  const Duration elapsed = m_parts.scheduler->Now() - m_started;
+  return part.sends < kMaxSends &&
+         part.attempts < m_question.route->max_attempts &&
+         elapsed < m_timing.WaitLimit() && TimeLeft() > kBusyPause;
+}
+
 void RoutedQuery::WaitForRoom(std::size_t index, RepeatReason reason) {
   m_services[index].retry_timer =
       m_parts.scheduler->Schedule(kBusyPause, [this, index, reason] {
@@ -188,6 +208,7 @@
           SendFirst(index);
           FinishIfSettled();
         } else if (!RepeatPart(index, reason)) {
+          if (MayWaitForRoom(part)) return WaitForRoom(index, reason);
           ResolveUnanswered(index);
         }
       });
@@ -285,10 +306,10 @@
   }
   answer.missing = m_services.size() - answer.signatures.size();
   answer.body = merger.Take();
-  m_parts.counters->Add(answer.missing == 0 ? RoutingCounter::kAnsweredWhole
-                                            : RoutingCounter::kAnsweredShort);
-  Finish(std::move(answer),
-         answer.missing == 0 ? "answered" : "answered_short");
+  const bool whole = answer.missing == 0;
+  m_parts.counters->Add(whole ? RoutingCounter::kAnsweredWhole
+                              : RoutingCounter::kAnsweredShort);
+  Finish(std::move(answer), whole ? "answered" : "answered_short");
 }
 
 void RoutedQuery::FinishWithoutAnswer(bool deadline) {
--- a/src/routing/routed_query.h
+++ b/src/routing/routed_query.h
@@ -158,8 +158,10 @@
     TimerId retry_timer = 0;
   };
 
+  [[nodiscard]] bool CanBeServed() const;
   bool SendPart(std::size_t index);
   void SendFirst(std::size_t index);
+  [[nodiscard]] bool MayWaitForRoom(const Part& part) const;
   void WaitForRoom(std::size_t index, RepeatReason reason);
   bool RepeatPart(std::size_t index, RepeatReason reason);
   void RetryNotRun(std::size_t index, RepeatReason reason);
--- a/src/routing/routing_config.h
+++ b/src/routing/routing_config.h
@@ -63,7 +63,7 @@
 /// What a caller may send, and how long it may take or stay idle.
 struct CallerLimits {
   std::uint32_t max_header_bytes = 16 * 1024;
-  std::uint64_t max_body_bytes = 256 * 1024;
+  std::uint64_t max_body_bytes = std::uint64_t{256} * 1024;
   Duration header_timeout = seconds(3);
   Duration idle_timeout = seconds(15);
 };
--- /dev/null
+++ b/tests/platform/platform_codec_test.cc
@@ -0,0 +1,147 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "platform/caller_codec.h"
+#include "platform/http_replica_directory.h"
+#include "platform/http_replica_transport.h"
+#include "platform/routing_codec.h"
+#include "platform/wire_names.h"
+
+namespace chicoryvale::platform {
+namespace {
+
+constexpr char kConfig[] = R"({"version":7,"new_field":1,"routes":[
+ {"name":"r1","host":"h","pathPrefix":"/a/","routeType":"safe",
+  "timeoutMs":1200,"targetLatencyMs":120,"priority":1,
+  "gather":["s","t"],"maxAttempts":2,"topK":10,"minShardShare":0.89},
+ {"name":"r2","host":"h","pathPrefix":"/b/","routeType":"unsafe",
+  "timeoutMs":5000,"targetLatencyMs":500,"priority":2,
+  "trafficSplit":[{"backend":"s","weight":9},{"backend":"t","weight":1}],
+  "maxAttempts":3}],
+ "backends":[{"name":"s","healthPath":"/health","maxConnections":50,
+  "protocol":"h1","tls":false},{"name":"t","healthPath":"/health",
+  "maxConnections":50}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,
+  "headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+
+TEST(RoutingCodecTest, DecodesEachField) {
+  const auto config = DecodeRoutingConfig(kConfig);
+  ASSERT_TRUE(config) << config.error().message;
+  EXPECT_EQ(config->version, 7U);
+  const Route& scattered = config->routes[0];
+  EXPECT_TRUE(scattered.IsScattered());
+  EXPECT_TRUE(scattered.idempotent);
+  EXPECT_EQ(scattered.scatter.rank_limit, 10U);
+  EXPECT_DOUBLE_EQ(scattered.scatter.min_share, 0.89);
+  EXPECT_EQ(scattered.target_latency, milliseconds(120));
+  const Route& split = config->routes[1];
+  EXPECT_FALSE(split.idempotent);
+  ASSERT_EQ(split.services.size(), 2U);
+  EXPECT_EQ(split.services[0].weight, 9U);
+  EXPECT_EQ(split.max_attempts, 3U);
+  EXPECT_EQ(config->services[1].max_connections, 50U);
+  EXPECT_EQ(config->limits.idle_timeout, seconds(15));
+}
+
+TEST(RoutingCodecTest, RefusesEveryCutAndWrongTypes) {
+  const std::string text = kConfig;
+  for (std::size_t length = 0; length < text.size(); ++length) {
+    EXPECT_FALSE(DecodeRoutingConfig(text.substr(0, length))) << length;
+  }
+  for (const char* bad :
+       {"[]", "1", "{}", R"({"version":-1,"routes":[],"backends":[]})",
+        R"({"version":1,"routes":{},"backends":[]})",
+        R"({"version":1,"routes":[1],"backends":[]})",
+        R"({"version":"1","routes":[],"backends":[]})"}) {
+    EXPECT_FALSE(DecodeRoutingConfig(bad)) << bad;
+  }
+}
+
+TEST(ReplicaPageTest, LeavesOutEntriesOfAnotherWriter) {
+  const auto page = DecodeReplicaPage(R"({"instances":[
+    {"backend":"s","address":"10.0.0.1:80","zone":"z","version":"v1",
+     "slots":2,"state":"draining","warmupLeftMs":5,"id":"i-1"},
+    {"backend":"s","address":"10.0.0.1:80","zone":"z","slots":2,
+     "state":"resting","warmupLeftMs":5,"id":"i-2"},
+    {"backend":"s","address":7,"zone":"z","slots":2,"state":"ready",
+     "warmupLeftMs":5,"id":"i-3"},
+    {"id":"i-4"}, 5, null], "nextPageToken":"p-50"})");
+  ASSERT_TRUE(page);
+  ASSERT_EQ(page->replicas.size(), 1U);
+  EXPECT_EQ(page->replicas[0].id, "i-1");
+  EXPECT_TRUE(page->replicas[0].draining);
+  EXPECT_EQ(page->replicas[0].warmup_left, milliseconds(5));
+  EXPECT_EQ(page->next_page, "p-50");
+  EXPECT_FALSE(DecodeReplicaPage("{\"instances\":["));
+  EXPECT_TRUE(DecodeReplicaPage(R"({"instances":[],"nextPageToken":null})")
+                  ->next_page.empty());
+}
+
+TEST(LoadTest, DecodesThreeNumbersOnly) {
+  EXPECT_EQ(DecodeLoad("3,0,8")->slots, 8U);
+  for (const char* bad : {"", "3", "3,0", "3,0,", "3,0,8,", "a,0,8", "3;0;8"}) {
+    EXPECT_FALSE(DecodeLoad(bad)) << bad;
+  }
+}
+
+HttpRequest MakeRequest() {
+  HttpRequest request;
+  request.method = "GET";
+  request.target = "/a/b?c";
+  request.path = "/a/b";
+  request.headers = {{"host", "h"},
+                     {"chicoryvale-request-id", "id1"},
+                     {"Chicoryvale-Deadline-Ms", "250"},
+                     {"Connection", "keep-alive"},
+                     {"X-Own", "kept"}};
+  return request;
+}
+
+TEST(CallerCodecTest, DecodesARequest) {
+  const auto routed = DecodeCallerRequest(MakeRequest());
+  ASSERT_TRUE(routed);
+  EXPECT_EQ(routed->request->id, "id1");
+  EXPECT_EQ(routed->request->target, "/a/b?c");
+  EXPECT_EQ(routed->time_left, milliseconds(250));
+  EXPECT_EQ(FindHeader(routed->request->headers, "X-Own"), "kept");
+  EXPECT_EQ(FindHeader(routed->request->headers, "Connection"), "");
+}
+
+TEST(CallerCodecTest, RefusesBadRequests) {
+  HttpRequest large = MakeRequest();
+  large.too_large = true;
+  EXPECT_EQ(DecodeCallerRequest(large).error().kind,
+            ErrorKind::kRequestTooLarge);
+  HttpRequest anonymous = MakeRequest();
+  anonymous.headers.erase(anonymous.headers.begin() + 1);
+  EXPECT_EQ(DecodeCallerRequest(anonymous).error().kind,
+            ErrorKind::kRequestIdMissing);
+  HttpRequest odd = MakeRequest();
+  odd.headers[2].value = "soon";
+  EXPECT_EQ(DecodeCallerRequest(odd).error().kind, ErrorKind::kInvalidDeadline);
+}
+
+TEST(CallerCodecTest, EncodesAScatteredAnswer) {
+  RoutedAnswer answer;
+  answer.scattered = true;
+  answer.signatures = {"m1", "m2"};
+  answer.missing = 1;
+  answer.body = "records";
+  const HttpResponse response = EncodeCallerAnswer(answer);
+  EXPECT_EQ(response.status, 200);
+  EXPECT_EQ(FindHeader(response.headers, kPartSignaturesHeader), "m1, m2");
+  EXPECT_EQ(FindHeader(response.headers, kMissingPartsHeader), "1");
+}
+
+TEST(CallerCodecTest, ARefusalTellsWhenToComeAgain) {
+  RoutedAnswer answer;
+  answer.error = Error{ErrorKind::kUpstreamUnavailable, "busy", Ran::kNo};
+  answer.retry_after = milliseconds(150);
+  const HttpResponse response = EncodeCallerAnswer(answer);
+  EXPECT_EQ(response.status, 503);
+  EXPECT_EQ(FindHeader(response.headers, kRetryAfterHeader), "0.150");
+}
+
+}  // namespace
+}  // namespace chicoryvale::platform
--- a/tests/routing/repeat_budget_test.cc
+++ b/tests/routing/repeat_budget_test.cc
@@ -13,7 +13,7 @@
 
 std::uint32_t TakeAll(RepeatBudget* budget, TimePoint now) {
   std::uint32_t taken = 0;
-  while (budget->TryTake("s", now)) ++taken;
+  while (budget->TryTake("s", RepeatBudget::Use::kRetry, now)) ++taken;
   return taken;
 }
 
@@ -57,11 +57,19 @@
   EXPECT_EQ(TakeAll(&budget, now + seconds(11)), first);
 }
 
+TEST(RepeatBudgetTest, HedgesLeaveAPartToRetries) {
+  RepeatBudget budget(kOptions, kStart);
+  const TimePoint now = kStart + seconds(30);
+  while (budget.TryTake("s", RepeatBudget::Use::kHedge, now)) {
+  }
+  EXPECT_GT(TakeAll(&budget, now), 10U);
+}
+
 TEST(RepeatBudgetTest, ServicesDoNotShare) {
   RepeatBudget budget(kOptions, kStart);
   const TimePoint now = kStart + seconds(30);
   TakeAll(&budget, now);
-  EXPECT_TRUE(budget.TryTake("other", now));
+  EXPECT_TRUE(budget.TryTake("other", RepeatBudget::Use::kRetry, now));
 }
 
 TEST(RepeatBudgetTest, TheNumberOfEntriesNeverFalls) {
--- /dev/null
+++ b/tests/routing/routed_query_test.cc
@@ -0,0 +1,331 @@
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fakes/fake_replica_transport.h"
+#include "fakes/fake_scheduler.h"
+#include "fakes/silent_log.h"
+#include "routing/router.h"
+
+namespace chicoryvale {
+namespace {
+
+constexpr std::size_t kShards = 10;
+
+std::string Record(char letter) {
+  return std::string(RankMerger::kRecordBytes, letter);
+}
+
+/// A router with a scattered route of kShards shards, one to a single service
+/// that may be repeated, and one that may not; two replicas each.
+class RoutedQueryTest : public testing::Test {
+ protected:
+  RoutedQueryTest() {
+    // The budget's first window is over.
+    m_scheduler.RunFor(seconds(100));
+    std::vector<ListedReplica> replicas;
+    auto config = std::make_shared<RoutingConfig>();
+    config->version = 7;
+    Route scattered;
+    scattered.name = "scattered";
+    scattered.host = "h";
+    scattered.path_prefix = "/all/";
+    scattered.idempotent = true;
+    scattered.timeout = milliseconds(1000);
+    scattered.target_latency = milliseconds(100);
+    scattered.max_attempts = 2;
+    scattered.scatter.rank_limit = 3;
+    scattered.scatter.min_share = 0.8;
+    for (std::size_t i = 0; i < kShards; ++i) {
+      const std::string name = "shard" + std::to_string(i);
+      scattered.scatter.shards.push_back(name);
+      config->services.push_back({name, "/", 50});
+      AddReplicas(name, &replicas);
+    }
+    config->routes.push_back(scattered);
+    for (const bool idempotent : {true, false}) {
+      Route single = scattered;
+      single.name = idempotent ? "single" : "once";
+      single.path_prefix = "/" + single.name + "/";
+      single.idempotent = idempotent;
+      single.scatter = {};
+      single.services = {{"one", 1}};
+      config->routes.push_back(single);
+    }
+    config->services.push_back({"one", "/", 50});
+    AddReplicas("one", &replicas);
+    m_pool.SetReplicas(replicas, m_scheduler.Now());
+    m_router.SetConfig(config);
+    m_transport.SetAct([](const ReplicaSend& send) {
+      return ReplicaAct{milliseconds(10), SignedAnswer(send.replica_id), false};
+    });
+  }
+
+  static void AddReplicas(const std::string& service,
+                          std::vector<ListedReplica>* replicas) {
+    for (const char* suffix : {"-a", "-b"}) {
+      ListedReplica replica;
+      replica.id = service + suffix;
+      replica.service = service;
+      replica.address = {"10.0.0.1:" + replica.id};
+      replica.availability_zone = "z";
+      replica.slots = 2;
+      replicas->push_back(replica);
+    }
+  }
+
+  // Asks `path` and returns the number of the query.
+  std::uint64_t Ask(const std::string& path,
+                    std::optional<Duration> time_left = std::nullopt) {
+    auto request = std::make_shared<OpaqueRequest>();
+    request->id = "id-" + std::to_string(++m_asked);
+    request->method = "GET";
+    request->target = path;
+    m_answer.reset();
+    m_asked_at = m_scheduler.Now();
+    return m_router.Handle({request, "h", path, time_left},
+                           [this](RoutedAnswer answer) {
+                             m_answer = std::move(answer);
+                             m_elapsed = m_scheduler.Now() - m_asked_at;
+                           });
+  }
+
+  const RoutedAnswer& Run(const std::string& path) {
+    Ask(path);
+    m_scheduler.RunUntil([this] { return m_answer.has_value(); });
+    return *m_answer;
+  }
+
+  FakeScheduler m_scheduler;
+  FakeReplicaTransport m_transport{&m_scheduler};
+  ReplicaPool m_pool{"z", 3};
+  SendTracker m_sends{&m_scheduler, &m_transport, &m_pool};
+  RepeatBudget m_budget{{.ratio = 0.2, .window = seconds(10), .fixed = 100},
+                        TimePoint{}};
+  SilentLog m_log;
+  CounterSet<RoutingCounter> m_counters;
+  Router m_router{{.scheduler = &m_scheduler,
+                   .sends = &m_sends,
+                   .pool = &m_pool,
+                   .budget = &m_budget,
+                   .log = &m_log,
+                   .counters = &m_counters},
+                  5};
+  int m_asked = 0;
+  TimePoint m_asked_at{};
+  Duration m_elapsed{};
+  std::optional<RoutedAnswer> m_answer;
+};
+
+TEST_F(RoutedQueryTest, MergesAllShardsByRank) {
+  m_transport.SetAct([](const ReplicaSend& send) {
+    const char letter = send.replica_id[5];
+    return ReplicaAct{milliseconds(10),
+                      SignedAnswer(send.replica_id, Record(letter) + "rest"),
+                      false};
+  });
+  const RoutedAnswer& answer = Run("/all/x");
+  EXPECT_FALSE(answer.error);
+  EXPECT_EQ(answer.signatures.size(), kShards);
+  EXPECT_EQ(answer.missing, 0U);
+  EXPECT_EQ(answer.body, Record('9') + Record('8') + Record('7'));
+  EXPECT_EQ(m_elapsed, milliseconds(10));
+  EXPECT_EQ(m_transport.Sends().size(), kShards);
+}
+
+TEST_F(RoutedQueryTest, AsksAnotherReplicaForASilentPart) {
+  m_transport.SetAct([](const ReplicaSend& send) {
+    const bool silent = send.replica_id.starts_with("shard3") &&
+                        send.time_left > milliseconds(60);
+    return ReplicaAct{milliseconds(10), SignedAnswer(send.replica_id), silent};
+  });
+  const RoutedAnswer& answer = Run("/all/x");
+  EXPECT_EQ(answer.missing, 0U);
+  EXPECT_EQ(m_elapsed, milliseconds(55));
+  EXPECT_EQ(m_counters.Get(RoutingCounter::kHedges), 1U);
+  EXPECT_EQ(m_log.Count("part_repeated"), 1U);
+  // The loser is given up soon after.
+  m_scheduler.RunFor(milliseconds(400));
+  EXPECT_EQ(m_transport.Open(), 0U);
+}
+
+TEST_F(RoutedQueryTest, AnswersInTimeShortOfAPart) {
+  m_transport.SetAct([](const ReplicaSend& send) {
+    return ReplicaAct{milliseconds(10), SignedAnswer(send.replica_id),
+                      send.replica_id.starts_with("shard3")};
+  });
+  const RoutedAnswer& answer = Run("/all/x");
+  EXPECT_EQ(answer.missing, 1U);
+  EXPECT_EQ(answer.signatures.size(), kShards - 1);
+  EXPECT_EQ(m_elapsed, milliseconds(85));
+}
+
+TEST_F(RoutedQueryTest, IsLateRatherThanShortOfTheLeastShare) {
+  m_transport.SetAct([](const ReplicaSend& send) {
+    const bool slow = send.replica_id[5] < '3';
+    return ReplicaAct{slow ? milliseconds(300) : milliseconds(10),
+                      SignedAnswer(send.replica_id), false};
+  });
+  const RoutedAnswer& answer = Run("/all/x");
+  EXPECT_FALSE(answer.error);
+  EXPECT_GE(answer.signatures.size(), 8U);
+  EXPECT_EQ(m_elapsed, milliseconds(300));
+}
+
+TEST_F(RoutedQueryTest, RefusesAtOnceWhatTooFewShardsCanServe) {
+  std::vector<ListedReplica> replicas;
+  for (std::size_t i = 3; i < kShards; ++i) {
+    AddReplicas("shard" + std::to_string(i), &replicas);
+  }
+  m_pool.SetReplicas(replicas, m_scheduler.Now());
+  const RoutedAnswer& answer = Run("/all/x");
+  ASSERT_TRUE(answer.error);
+  EXPECT_EQ(m_elapsed, Duration::zero());
+  EXPECT_GT(answer.retry_after, Duration::zero());
+}
+
+TEST_F(RoutedQueryTest, AReplicasFailureIsNoPart) {
+  m_transport.SetAct([](const ReplicaSend& send) {
+    if (!send.replica_id.starts_with("shard3")) {
+      return ReplicaAct{milliseconds(10), SignedAnswer(send.replica_id), false};
+    }
+    ReplicaAnswer failed = SignedAnswer(send.replica_id);
+    failed.status = 500;
+    return ReplicaAct{milliseconds(10), failed, false};
+  });
+  const RoutedAnswer& answer = Run("/all/x");
+  EXPECT_EQ(answer.missing, 1U);
+  EXPECT_EQ(m_counters.Get(RoutingCounter::kRetriesFailed), 1U);
+  EXPECT_EQ(m_elapsed, milliseconds(20));
+}
+
+// A part runs on no more replicas than the route allows, whatever they do.
+TEST_F(RoutedQueryTest, RunsAPartOnNoMoreReplicasThanAllowed) {
+  m_transport.SetAct([](const ReplicaSend&) {
+    return ReplicaAct{milliseconds(1), FailedAnswer(SendEnd::kBroken), false};
+  });
+  const RoutedAnswer& answer = Run("/all/x");
+  ASSERT_TRUE(answer.error);
+  EXPECT_EQ(answer.error->ran, Ran::kMaybe);
+  EXPECT_LE(m_transport.Sends().size(), 2 * kShards);
+}
+
+TEST_F(RoutedQueryTest, ARefusalSaysNotRunOnlyIfNothingRan) {
+  m_transport.SetAct([](const ReplicaSend&) {
+    return ReplicaAct{milliseconds(1), FailedAnswer(SendEnd::kNotRun), false};
+  });
+  const RoutedAnswer refused = Run("/single/x");
+  ASSERT_TRUE(refused.error);
+  EXPECT_EQ(refused.error->ran, Ran::kNo);
+  int sends = 0;
+  m_transport.SetAct([&sends](const ReplicaSend&) {
+    const SendEnd end = ++sends == 1 ? SendEnd::kBroken : SendEnd::kNotRun;
+    return ReplicaAct{milliseconds(1), FailedAnswer(end), false};
+  });
+  const RoutedAnswer& failed = Run("/single/x");
+  ASSERT_TRUE(failed.error);
+  EXPECT_EQ(failed.error->ran, Ran::kMaybe);
+}
+
+TEST_F(RoutedQueryTest, NeverSendsTwiceWhatMayHaveRunOnce) {
+  for (const SendEnd end :
+       {SendEnd::kBroken, SendEnd::kTimedOut, SendEnd::kAnswered}) {
+    const std::size_t before = m_transport.Sends().size();
+    m_transport.SetAct([end](const ReplicaSend&) {
+      return ReplicaAct{milliseconds(1), FailedAnswer(end, 500), false};
+    });
+    Run("/once/x");
+    EXPECT_EQ(m_transport.Sends().size(), before + 1);
+  }
+  m_transport.SetAct([](const ReplicaSend&) {
+    return ReplicaAct{milliseconds(1), {}, true};
+  });
+  const std::size_t before = m_transport.Sends().size();
+  EXPECT_EQ(Run("/once/x").error->ran, Ran::kMaybe);
+  EXPECT_EQ(m_transport.Sends().size(), before + 1);
+}
+
+TEST_F(RoutedQueryTest, SendsAgainWhatDidNotRun) {
+  int sends = 0;
+  m_transport.SetAct([&sends](const ReplicaSend& send) {
+    const bool refuse = ++sends == 1;
+    return ReplicaAct{milliseconds(1),
+                      refuse ? FailedAnswer(SendEnd::kNotRun)
+                             : SignedAnswer(send.replica_id, "body"),
+                      false};
+  });
+  EXPECT_EQ(Run("/once/x").body, "body");
+  EXPECT_EQ(sends, 2);
+}
+
+TEST_F(RoutedQueryTest, PassesAFailureOfTheOneReplicaOn) {
+  m_transport.SetAct([](const ReplicaSend& send) {
+    ReplicaAnswer failed = SignedAnswer(send.replica_id, "why");
+    failed.status = 418;
+    return ReplicaAct{milliseconds(1), failed, false};
+  });
+  const RoutedAnswer& answer = Run("/once/x");
+  EXPECT_FALSE(answer.error);
+  EXPECT_EQ(answer.status, 418);
+  EXPECT_EQ(answer.body, "why");
+}
+
+TEST_F(RoutedQueryTest, EndsAtTheTimeLimitAndCancelsTheWork) {
+  m_transport.SetAct([](const ReplicaSend&) {
+    return ReplicaAct{{}, {}, true};
+  });
+  Ask("/all/x", milliseconds(250));
+  m_scheduler.RunUntil([this] { return m_answer.has_value(); });
+  EXPECT_EQ(m_elapsed, milliseconds(250));
+  EXPECT_EQ(m_answer->error->kind, ErrorKind::kDeadlineExceeded);
+  EXPECT_EQ(m_transport.Open(), 0U);
+}
+
+TEST_F(RoutedQueryTest, CancelsTheWorkOfACallerThatHasGone) {
+  m_transport.SetAct([](const ReplicaSend&) {
+    return ReplicaAct{{}, {}, true};
+  });
+  const std::uint64_t query = Ask("/all/x");
+  m_scheduler.RunFor(milliseconds(5));
+  m_router.CancelForGoneCaller(query);
+  EXPECT_EQ(m_transport.Open(), 0U);
+  EXPECT_EQ(m_transport.Cancels(), kShards);
+  const std::size_t sends = m_transport.Sends().size();
+  m_scheduler.RunFor(seconds(2));
+  EXPECT_FALSE(m_answer);
+  EXPECT_EQ(m_transport.Sends().size(), sends);
+  EXPECT_EQ(m_log.Lines().back().fields.at("outcome"), "caller_gone");
+}
+
+TEST_F(RoutedQueryTest, TheTimeHandedOnIsNeverMoreThanTheCallerHas) {
+  Ask("/single/x", milliseconds(40));
+  EXPECT_LE(m_transport.Sends().back().time_left, milliseconds(40));
+  Ask("/single/x", seconds(100));
+  EXPECT_LE(m_transport.Sends().back().time_left, milliseconds(1000));
+}
+
+TEST_F(RoutedQueryTest, RefusesUnknownRoutesAndSaysSo) {
+  const RoutedAnswer& answer = Run("/none/x");
+  EXPECT_EQ(answer.error->kind, ErrorKind::kUnknownEndpoint);
+  EXPECT_EQ(m_log.Count("request_refused"), 1U);
+}
+
+TEST_F(RoutedQueryTest, KeepsTheShardsOfItsConfiguration) {
+  Ask("/all/x");
+  auto next = std::make_shared<RoutingConfig>();
+  next->version = 8;
+  EXPECT_TRUE(m_router.SetConfig(next));
+  auto older = std::make_shared<RoutingConfig>();
+  older->version = 7;
+  EXPECT_FALSE(m_router.SetConfig(older));
+  m_scheduler.RunUntil([this] { return m_answer.has_value(); });
+  EXPECT_EQ(m_answer->signatures.size(), kShards);
+  EXPECT_EQ(m_log.Lines().back().fields.at("config_version"), "7");
+}
+
+}  // namespace
+}  // namespace chicoryvale
--- /dev/null
+++ b/tests/routing/routing_config_test.cc
@@ -0,0 +1,108 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "routing/rank_merger.h"
+#include "routing/route_table.h"
+#include "routing/routing_rules.h"
+#include "routing/split_picker.h"
+
+namespace chicoryvale {
+namespace {
+
+Route MakeRoute(const std::string& prefix) {
+  Route route;
+  route.name = prefix;
+  route.host = "Example.org";
+  route.path_prefix = prefix;
+  route.timeout = seconds(1);
+  route.services = {{"s", 1}};
+  return route;
+}
+
+RoutingConfig MakeConfig() {
+  RoutingConfig config;
+  config.version = 3;
+  config.routes = {MakeRoute("/"), MakeRoute("/a/"), MakeRoute("/a/b/")};
+  config.services = {{"s", "/health", 50}, {"t", "/health", 50}};
+  return config;
+}
+
+TEST(RouteTableTest, TakesTheLongestPrefixOfTheHost) {
+  const RouteTable table(std::make_shared<const RoutingConfig>(MakeConfig()));
+  EXPECT_EQ(table.Find("example.org", "/a/b/c")->name, "/a/b/");
+  EXPECT_EQ(table.Find("EXAMPLE.org:80", "/a/bc")->name, "/a/");
+  EXPECT_EQ(table.Find("example.org", "/a")->name, "/");
+  EXPECT_EQ(table.Find("other.org", "/a/"), nullptr);
+  EXPECT_EQ(table.Find("example.org", "*"), nullptr);
+}
+
+TEST(RoutingRulesTest, AcceptsAGoodConfiguration) {
+  EXPECT_FALSE(FindRoutingFault(MakeConfig()));
+}
+
+TEST(RoutingRulesTest, NamesTheFault) {
+  const std::map<std::string, void (*)(RoutingConfig&)> faults = {
+      {"the version is 0", [](RoutingConfig& c) { c.version = 0; }},
+      {"unknown", [](RoutingConfig& c) { c.routes[0].services[0].name = "x"; }},
+      {"add up to 0",
+       [](RoutingConfig& c) { c.routes[0].services[0].weight = 0; }},
+      {"timeout is 0", [](RoutingConfig& c) { c.routes[0].timeout = {}; }},
+      {"has its host and path prefix",
+       [](RoutingConfig& c) { c.routes[0].path_prefix = "/a/"; }},
+      {"slash", [](RoutingConfig& c) { c.routes[0].path_prefix = "/a"; }},
+      {"no host", [](RoutingConfig& c) { c.routes[0].host.clear(); }},
+      {"no attempt", [](RoutingConfig& c) { c.routes[0].max_attempts = 0; }},
+      {"both shards and services",
+       [](RoutingConfig& c) { c.routes[0].scatter.shards = {"s"}; }},
+      {"named twice",
+       [](RoutingConfig& c) {
+         c.routes[0].services.clear();
+         c.routes[0].scatter.shards = {"s", "s"};
+       }},
+      {"listed twice",
+       [](RoutingConfig& c) { c.services.push_back(c.services[0]); }},
+  };
+  for (const auto& [text, spoil] : faults) {
+    RoutingConfig config = MakeConfig();
+    spoil(config);
+    const auto fault = FindRoutingFault(config);
+    ASSERT_TRUE(fault) << text;
+    EXPECT_NE(fault->find(text), std::string::npos) << *fault;
+  }
+}
+
+TEST(RankMergerTest, KeepsTheGreatestAndDropsRemainders) {
+  RankMerger merger(2);
+  const std::string low(RankMerger::kRecordBytes, 'a');
+  const std::string high(RankMerger::kRecordBytes, '\xff');
+  merger.Add(low + low + "short");
+  merger.Add(high);
+  EXPECT_EQ(merger.Take(), high + low);
+}
+
+TEST(RankMergerTest, CountsEqualRecords) {
+  RankMerger merger(3);
+  const std::string record(RankMerger::kRecordBytes, 'a');
+  merger.Add(record + record);
+  merger.Add("");
+  EXPECT_EQ(merger.Take(), record + record);
+}
+
+TEST(SplitPickerTest, GivesEachServiceItsShareOverAnyStretch) {
+  Route route = MakeRoute("/");
+  route.services = {{"s", 70}, {"t", 25}, {"u", 5}, {"never", 0}};
+  SplitPicker picker(9);
+  std::map<std::string, int> taken;
+  constexpr int kDraws = 300;
+  for (int i = 0; i < kDraws; ++i) ++taken[picker.Pick(route)];
+  EXPECT_NEAR(taken["s"], 210, 2);
+  EXPECT_NEAR(taken["t"], 75, 2);
+  EXPECT_NEAR(taken["u"], 15, 2);
+  EXPECT_EQ(taken["never"], 0);
+}
+
+}  // namespace
+}  // namespace chicoryvale
