--- a/src/routing/repeat_budget.cc
+++ b/src/routing/repeat_budget.cc
@@ -43,8 +43,7 @@
   ++window.firsts[static_cast<std::size_t>(window.newest) % kBuckets];
 }
 
-bool RepeatBudget::TryTake(const std::string& service, Use use,
-                           TimePoint now) {
+bool RepeatBudget::TryTake(const std::string& service, Use use, TimePoint now) {
   Window& window = Advance(service, now);
   const auto sum = [](const auto& counts) {
     return std::accumulate(counts.begin(), counts.end(), 0U);
--- a/src/routing/replica_pool.cc
+++ b/src/routing/replica_pool.cc
@@ -35,7 +35,7 @@
 constexpr double kUnknownLatencyUs = 1'000;
 
 /// Way to another zone and back, and the price of the bytes on it.
-constexpr double kOtherZoneCostUs = 5'000;
+constexpr double kOtherZoneCostUs = 20'000;
 
 /// A replica that closes its connections is spared for about the time after
 /// which the platform's list must show that it leaves.
