--- a/src/routing/routed_query.cc
+++ b/src/routing/routed_query.cc
@@ -118,7 +118,9 @@
   const TimePoint now = m_parts.scheduler->Now();
   const auto choice = m_parts.pool->Choose(part.service, part.tried, now);
   if (!choice) return false;
-  const bool hedge = reason == RepeatReason::kSilent;
+  // Past the target latency a silent part is as good as lost.
+  const bool hedge = reason == RepeatReason::kSilent &&
+                     now - m_started < m_question.route->target_latency;
   if (hedge && !m_timing.IsHedgeOfUse(choice->cost, now - m_started)) {
     return false;
   }
@@ -222,7 +224,10 @@
 }
 
 void RoutedQuery::OnHedgeTime() {
-  m_hedge_timer = 0;
+  // A replica that is gone may never answer: parts that are still silent, or
+  // found no budget, are looked at again.
+  m_hedge_timer = m_parts.scheduler->Schedule(m_timing.HedgeDelay(),
+                                              [this] { OnHedgeTime(); });
   for (std::size_t i = 0; i < m_services.size(); ++i) {
     const Part& part = m_services[i];
     if (part.resolved || part.open.size() != 1) continue;
--- /dev/null
+++ b/tests/adapters/beast_http_server_test.cc
@@ -0,0 +1,171 @@
+#include "adapters/beast_http_server.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "adapters/glib_scheduler.h"
+#include "fakes/main_context.h"
+#include "fakes/raw_socket.h"
+
+namespace chicoryvale {
+namespace {
+
+constexpr std::size_t kMaxBody = 1000;
+
+class BeastHttpServerTest : public testing::Test {
+ protected:
+  BeastHttpServerTest() {
+    BeastHttpServerOptions options;
+    options.poller = &m_poller;
+    options.scheduler = &m_scheduler;
+    options.bind = {"127.0.0.1:0"};
+    options.limits.max_body_bytes = kMaxBody;
+    options.limits.max_header_bytes = 4096;
+    options.limits.idle_timeout = seconds(20);
+    m_server = std::move(*BeastHttpServer::Make(options));
+    m_server->SetHandler(
+        [this](HttpRequest request, const HttpResponder& respond) {
+          m_requests.push_back(std::move(request));
+          if (m_hold) {
+            m_held = respond;
+            return;
+          }
+          HttpResponse response;
+          response.body = "ok" + std::to_string(m_requests.size());
+          respond(response);
+        });
+  }
+
+  // Sends `parts` and returns all that comes until the server closes.
+  std::string Talk(const std::vector<std::string>& parts) {
+    std::string answer;
+    RunBeside([&] {
+      RawSocket caller(m_server->LocalAddress());
+      for (const std::string& part : parts) {
+        if (!caller.Send(part)) break;
+      }
+      answer = caller.ReceiveAll();
+    });
+    return answer;
+  }
+
+  GlibScheduler m_scheduler;
+  FdPoller m_poller;
+  std::unique_ptr<BeastHttpServer> m_server;
+  std::vector<HttpRequest> m_requests;
+  bool m_hold = false;
+  HttpResponder m_held;
+};
+
+constexpr char kGet[] = "GET /a%20b/?x=%2F HTTP/1.1\r\nHost: h\r\n\r\n";
+constexpr char kLast[] =
+    "GET /z HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+
+TEST_F(BeastHttpServerTest, PassesTheTargetOnAsItCame) {
+  Talk({"GET /a%20", "b/?x=%2F HTTP/1.1\r\nHo",
+        "st: h\r\nConnection: close\r\n\r\n"});
+  ASSERT_EQ(m_requests.size(), 1U);
+  EXPECT_EQ(m_requests[0].target, "/a%20b/?x=%2F");
+  EXPECT_EQ(m_requests[0].path, "/a%20b/");
+}
+
+TEST_F(BeastHttpServerTest, AnswersPipelinedRequestsInOrder) {
+  const std::string answer = Talk({std::string(kGet) + kGet + kLast});
+  EXPECT_EQ(m_requests.size(), 3U);
+  EXPECT_LT(answer.find("ok1"), answer.find("ok2"));
+  EXPECT_LT(answer.find("ok2"), answer.find("ok3"));
+}
+
+TEST_F(BeastHttpServerTest, JoinsChunks) {
+  Talk(
+      {"POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+       "Connection: close\r\n\r\n3\r\nabc\r\n",
+       "2\r\nde\r\n0\r\n\r\n"});
+  ASSERT_EQ(m_requests.size(), 1U);
+  EXPECT_EQ(m_requests[0].body, "abcde");
+}
+
+TEST_F(BeastHttpServerTest, RefusesWhatIsNoProperRequest) {
+  const std::string head = "POST /p HTTP/1.1\r\nHost: h\r\n";
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"nonsense\r\n\r\n", "400"},
+      {"GET /p HTTP/1.1\r\n\r\n", "400"},
+      {head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400"},
+      {head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\nabcd",
+       "400"},
+      {head + "Content-Length: -5\r\n\r\n", "400"},
+      {head + "Content-Length: 1001\r\n\r\n", "413"},
+      {head + "X: " + std::string(8192, 'h') + "\r\n\r\n", "431"},
+      {std::string("\x16\x03\x01\0\x05\r\n\r\n", 9), "400"},
+  };
+  for (const auto& [sent, status] : cases) {
+    EXPECT_EQ(Talk({sent}).substr(9, 3), status) << sent.substr(0, 80);
+  }
+  EXPECT_TRUE(m_requests.empty());
+}
+
+TEST_F(BeastHttpServerTest, TellsThatACallerHasGoneWhileItsRequestRuns) {
+  m_hold = true;
+  std::vector<std::uint64_t> gone;
+  m_server->SetGoneHandler(
+      [&](std::uint64_t connection) { gone.push_back(connection); });
+  {
+    RawSocket caller(m_server->LocalAddress());
+    caller.Send(kGet);
+    IterateUntil([&] { return m_requests.size() == 1; });
+    EXPECT_EQ(m_server->InFlight(), 1U);
+  }
+  IterateUntil([&] { return !gone.empty(); });
+  EXPECT_EQ(gone.front(), m_requests.front().connection);
+  EXPECT_EQ(m_server->InFlight(), 0U);
+  // An answer that comes now finds nobody.
+  m_held({});
+  EXPECT_EQ(m_server->Counters().Get(BeastServerCounter::kAnswersUndeliverable),
+            1U);
+}
+
+TEST_F(BeastHttpServerTest, ClosesAfterTheAnswersInFlight) {
+  m_hold = true;
+  RawSocket busy(m_server->LocalAddress());
+  busy.Send(kGet);
+  RawSocket idle(m_server->LocalAddress());
+  IterateUntil([&] {
+    return m_requests.size() == 1 &&
+           m_server->Counters().Get(BeastServerCounter::kConnections) == 2;
+  });
+  m_server->CloseAfterAnswers();
+  HttpResponse response;
+  response.body = "late";
+  m_held(response);
+  std::string answer;
+  RunBeside([&] {
+    answer = busy.ReceiveAll();
+    EXPECT_EQ(idle.ReceiveAll(), "");
+  });
+  EXPECT_NE(answer.find("late"), std::string::npos);
+  EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+}
+
+TEST_F(BeastHttpServerTest, AsksForABodyThatWaitsToBeAskedFor) {
+  std::string interim;
+  RunBeside([&] {
+    RawSocket caller(m_server->LocalAddress());
+    caller.Send(
+        "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+        "Expect: 100-continue\r\nConnection: close\r\n\r\n");
+    interim = caller.ReceiveUntil("\r\n\r\n");
+    caller.Send("hi");
+    caller.ReceiveAll();
+  });
+  EXPECT_EQ(interim.substr(9, 3), "100");
+  ASSERT_EQ(m_requests.size(), 1U);
+  EXPECT_EQ(m_requests[0].body, "hi");
+}
+
+}  // namespace
+}  // namespace chicoryvale
--- a/tests/routing/routed_query_test.cc
+++ b/tests/routing/routed_query_test.cc
@@ -274,6 +274,25 @@
   EXPECT_EQ(answer.body, "why");
 }
 
+// The replica crashed after it had taken the request, and the first hedge found
+// no budget.
+TEST_F(RoutedQueryTest, AsksAgainForASilentPartOnceThereIsBudget) {
+  m_transport.SetAct([this](const ReplicaSend& send) {
+    return ReplicaAct{milliseconds(10), SignedAnswer(send.replica_id),
+                      m_transport.Sends().size() == 1};
+  });
+  Ask("/single/x");
+  TimePoint now = m_scheduler.Now();
+  while (m_budget.TryTake("one", RepeatBudget::Use::kRetry, now)) {
+  }
+  m_scheduler.RunFor(milliseconds(200));
+  EXPECT_FALSE(m_answer);
+  for (int i = 0; i < 20; ++i) m_budget.NoteFirst("one", m_scheduler.Now());
+  m_scheduler.RunFor(milliseconds(100));
+  ASSERT_TRUE(m_answer);
+  EXPECT_FALSE(m_answer->error);
+}
+
 TEST_F(RoutedQueryTest, EndsAtTheTimeLimitAndCancelsTheWork) {
   m_transport.SetAct([](const ReplicaSend&) {
     return ReplicaAct{{}, {}, true};
