Ask one entry of another zone for the parts that lie there

Change: two-level merge through a relay (docs/design/relay.md): PlanRelays, RelayClient, RelayService over peer calls; RoutedQuery answers for another entry by a given time. Zones whose relays miss parts are sent to directly. A part sent too late to be in time gets all the time that is left.

--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -85,13 +85,20 @@
                                           m_pool.get());
   m_budget =
       std::make_unique<RepeatBudget>(m_settings.budget, m_scheduler.Now());
-  m_router = std::make_unique<Router>(RoutingParts{.scheduler = &m_scheduler,
-                                                   .sends = m_sends.get(),
-                                                   .pool = m_pool.get(),
-                                                   .budget = m_budget.get(),
-                                                   .log = &m_log,
-                                                   .counters = &m_counters},
-                                      RandomSeed());
+  m_relay = std::make_unique<RelayClient>(
+      RelayClient::Ports{.scheduler = &m_scheduler,
+                         .peers = m_peers->Calls(),
+                         .members = m_peers->Members()},
+      RandomSeed());
+  const RoutingParts parts{.scheduler = &m_scheduler,
+                           .sends = m_sends.get(),
+                           .pool = m_pool.get(),
+                           .budget = m_budget.get(),
+                           .log = &m_log,
+                           .counters = &m_counters,
+                           .relay = m_relay.get()};
+  m_router = std::make_unique<Router>(parts, RandomSeed());
+  m_relay_service = std::make_unique<RelayService>(parts, m_peers->Calls());
   m_feed = std::make_unique<ReplicaFeed>(
       ReplicaFeed::Ports{.scheduler = &m_scheduler,
                          .directory = m_directory.get(),
@@ -236,8 +243,12 @@
   steps.stop_accepting = [this] {
     m_callers->StopAccepting();
     m_peers->Leave();
+    m_relay_service->StopAccepting();
+  };
+  steps.in_flight = [this] {
+    return m_callers->InFlight() +
+           static_cast<std::uint32_t>(m_relay_service->InFlight());
   };
-  steps.in_flight = [this] { return m_callers->InFlight(); };
   return steps;
 }
 
--- a/programs/chicory-gatewayd/gateway_daemon.h
+++ b/programs/chicory-gatewayd/gateway_daemon.h
@@ -16,6 +16,8 @@
 #include "chicory-gatewayd/gateway_settings.h"
 #include "platform/http_replica_directory.h"
 #include "platform/http_replica_transport.h"
+#include "routing/relay_client.h"
+#include "routing/relay_service.h"
 #include "routing/repeat_budget.h"
 #include "routing/replica_feed.h"
 #include "routing/replica_pool.h"
@@ -63,6 +65,8 @@
   std::unique_ptr<ReplicaPool> m_pool;
   std::unique_ptr<SendTracker> m_sends;
   std::unique_ptr<RepeatBudget> m_budget;
+  std::unique_ptr<RelayClient> m_relay;
+  std::unique_ptr<RelayService> m_relay_service;
   std::unique_ptr<Router> m_router;
   std::unique_ptr<ReplicaFeed> m_feed;
   std::unique_ptr<BeastHttpServer> m_callers;
--- a/src/ports/http.h
+++ b/src/ports/http.h
@@ -30,7 +30,7 @@
   bool too_large = false;
   /// The whole target as it came, query string included; empty at servers that
   /// do not keep it.
-  std::string target;
+  std::string target{};
 };
 
 /// Returns the value of the first header called `name`, compared without
--- a/src/ports/peer_transport.h
+++ b/src/ports/peer_transport.h
@@ -40,6 +40,7 @@
   kConfig,
   kClaims,
   kRouting,
+  kRelay,
 };
 
 /// Port: request and answer between the system's own processes, over a
--- /dev/null
+++ b/src/ports/relay.h
@@ -0,0 +1,92 @@
+#ifndef CHICORYVALE_SRC_PORTS_RELAY_H_
+#define CHICORYVALE_SRC_PORTS_RELAY_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/time.h"
+#include "chicoryvale/error.h"
+#include "ports/replica_transport.h"
+
+namespace chicoryvale {
+
+/// Identifies an open question to a relay; 0 is never used.
+using RelayId = std::uint64_t;
+
+/// Parts of a scattered request that an entry of another zone is asked for.
+struct RelayQuestion {
+  std::shared_ptr<const OpaqueRequest> request;
+  std::vector<std::string> services;
+  std::uint32_t rank_limit = 0;
+  /// Replicas that may run each part.
+  std::uint32_t max_attempts = 1;
+  /// Of the whole request.
+  Duration target_latency{};
+  /// Time within which the relay answers with the parts that are in.
+  Duration answer_within{};
+  /// Time that the replicas get.
+  Duration time_left{};
+};
+
+/// A part that is in.
+struct RelayedPart {
+  /// Place among the services that were asked for.
+  std::uint32_t index = 0;
+  std::string signature;
+};
+
+/// A part that is not in.
+struct RelayMissing {
+  /// Place among the services that were asked for.
+  std::uint32_t index = 0;
+  /// Replicas that may run it, or have.
+  std::uint32_t attempts = 0;
+};
+
+/// What a relay has.
+struct RelayAnswer {
+  std::vector<RelayedPart> parts;
+  /// The greatest records of these parts.
+  std::string body;
+  std::vector<RelayMissing> missing;
+};
+
+/// Port: asks entries of other zones. A relay may use every attempt that a part
+/// has; the entry that asks uses what is left of them. Not thread safe.
+class Relay {
+ public:
+  using Callback = std::function<void(Result<RelayAnswer>)>;
+  virtual ~Relay() = default;
+
+  /// Returns the other zones that have an entry to ask, the order changing from
+  /// call to call.
+  [[nodiscard]] std::vector<std::string> Zones() { return OnZones(); }
+
+  /// Asks an entry of `zone`; calls `callback` once, never from within this
+  /// call, unless it is cancelled: with its answer, or with
+  /// kUpstreamUnavailable (nothing ran) or kDeadlineExceeded (each part may
+  /// have run).
+  RelayId Ask(const std::string& zone, const RelayQuestion& question,
+              Callback callback) {
+    return OnAsk(zone, question, std::move(callback));
+  }
+
+  /// Ends a question whose caller has gone, and the work for it. Does nothing
+  /// if it has ended.
+  void Cancel(RelayId id) { OnCancel(id); }
+
+ protected:
+  [[nodiscard]] virtual std::vector<std::string> OnZones() = 0;
+  virtual RelayId OnAsk(const std::string& zone, const RelayQuestion& question,
+                        Callback callback) = 0;
+  virtual void OnCancel(RelayId id) = 0;
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_PORTS_RELAY_H_
--- a/src/routing/answer_timing.cc
+++ b/src/routing/answer_timing.cc
@@ -1,5 +1,7 @@
 #include "routing/answer_timing.h"
 
+#include <algorithm>
+
 namespace chicoryvale {
 namespace {
 
@@ -7,10 +9,13 @@
 constexpr int kHedgePercent = 45;
 constexpr int kShortAnswerPercent = 85;
 constexpr int kFirstSendPercent = 92;
+constexpr int kLeastSendPercent = 25;
 /// The expected time is rough: a hedge is left out where it is clearly late.
 constexpr int kHopelessPercent = 130;
 /// Late answers are of little use; those that are nearly there are not lost.
 constexpr int kWaitPercent = 100;
+/// Way of a relay's answer between zones, and the work for it.
+constexpr Duration kRelayHop = milliseconds(6);
 constexpr int kPercent = 100;
 
 /// Rounding of a share of shards given as a decimal fraction.
@@ -26,12 +31,20 @@
   return m_route->target_latency * kShortAnswerPercent / kPercent;
 }
 
+Duration AnswerTiming::RelayTime() const {
+  return std::max(ShortAnswerTime() - kRelayHop, HedgeDelay());
+}
+
 Duration AnswerTiming::FirstSendLimit() const {
   return m_route->IsScattered()
              ? m_route->target_latency * kFirstSendPercent / kPercent
              : m_route->timeout;
 }
 
+Duration AnswerTiming::LeastSendTime() const {
+  return m_route->target_latency * kLeastSendPercent / kPercent;
+}
+
 Duration AnswerTiming::WaitLimit() const {
   return m_route->target_latency * kWaitPercent / kPercent;
 }
--- a/src/routing/answer_timing.h
+++ b/src/routing/answer_timing.h
@@ -25,11 +25,18 @@
   /// that are in, if they suffice. A request to one replica has none.
   [[nodiscard]] Duration ShortAnswerTime() const;
 
+  /// Time within which a relay answers with the parts that are in: before the
+  /// request is answered short of them.
+  [[nodiscard]] Duration RelayTime() const;
+
   /// Time after its arrival until which the first sends of a request's parts
   /// are of use. A replica whose queue holds a part for longer drops it, in
   /// place of working for an answer that has gone out short of that part.
   [[nodiscard]] Duration FirstSendLimit() const;
 
+  /// Shortest time that a replica is given for a part that is to be in time.
+  [[nodiscard]] Duration LeastSendTime() const;
+
   /// Whether another replica, expected to take `cost`, is asked for a part
   /// after `elapsed`: only if it can answer in time. Under load that is rarely
   /// so, and hedges would add to it.
--- /dev/null
+++ b/src/routing/relay_service.h
@@ -0,0 +1,48 @@
+#ifndef CHICORYVALE_SRC_ROUTING_RELAY_SERVICE_H_
+#define CHICORYVALE_SRC_ROUTING_RELAY_SERVICE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <utility>
+
+#include "ports/peer_transport.h"
+#include "routing/relay_messages.h"
+#include "routing/routed_query.h"
+
+namespace chicoryvale {
+
+/// Answers the questions of entries in other zones: scatters over replicas,
+/// merges, and answers in time with the parts that are in. Not thread safe.
+class RelayService {
+ public:
+  /// `peers` and what `parts` names outlive the service.
+  RelayService(const RoutingParts& parts, PeerTransport* peers);
+  ~RelayService();
+  RelayService(const RelayService&) = delete;
+  RelayService& operator=(const RelayService&) = delete;
+
+  /// Refuses questions from now on; those taken are finished.
+  void StopAccepting() { m_stopping = true; }
+
+  [[nodiscard]] std::size_t InFlight() const { return m_queries.size(); }
+
+ private:
+  /// The asking process and its number of the question.
+  using Key = std::pair<Address, std::uint64_t>;
+
+  void Handle(const Address& from, const std::string& bytes,
+              const PeerTransport::Responder& respond);
+  void Start(const Key& key, RelayRequestMessage message,
+             const PeerTransport::Responder& respond);
+  void End(const Key& key);
+
+  RoutingParts m_parts;
+  PeerTransport* m_peers;
+  bool m_stopping = false;
+  std::map<Key, std::unique_ptr<RoutedQuery>> m_queries;
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_ROUTING_RELAY_SERVICE_H_
--- a/src/routing/replica_pool.cc
+++ b/src/routing/replica_pool.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -94,7 +95,24 @@
   }
   if (best == nullptr) return std::nullopt;
   return ReplicaChoice{best->listed.id, best->listed.address,
-                       Duration(static_cast<Duration::rep>(best_cost))};
+                       Duration(static_cast<Duration::rep>(best_cost)),
+                       best->listed.availability_zone};
+}
+
+std::vector<std::string> ReplicaPool::RemoteZones(const std::string& service,
+                                                  TimePoint now) {
+  const auto choice = Choose(service, {}, now);
+  if (!choice || choice->availability_zone == m_own_zone) return {};
+  std::vector<std::string> zones;
+  for (const std::string& id : m_usable.at(service)) {
+    const Replica& replica = m_replicas.at(id);
+    const std::string& zone = replica.listed.availability_zone;
+    const bool other = zone != m_own_zone && now >= replica.moved_until &&
+                       !LooksPaused(replica, now) &&
+                       std::ranges::find(zones, zone) == zones.end();
+    if (other) zones.push_back(zone);
+  }
+  return zones;
 }
 
 std::size_t ReplicaPool::ConnectionShare(const std::string& service) const {
--- a/src/routing/replica_pool.h
+++ b/src/routing/replica_pool.h
@@ -36,6 +36,7 @@
   Address address;
   /// Expected time to its answer, in which failures and pauses count.
   Duration cost{};
+  std::string availability_zone;
 };
 
 /// What this process knows of the replicas: the platform's list, and its own
@@ -67,6 +68,11 @@
                                       const std::vector<std::string>& excluded,
                                       TimePoint now);
 
+  /// Returns the other zones with a replica of `service` that takes sends, if
+  /// the replica that Choose would return is in one of them; else nothing.
+  std::vector<std::string> RemoteZones(const std::string& service,
+                                       TimePoint now);
+
   /// Notes a send to the replica `id`; returns what EndSend takes.
   std::uint64_t BeginSend(const std::string& id, TimePoint now);
 
--- a/src/routing/routed_query.cc
+++ b/src/routing/routed_query.cc
@@ -4,6 +4,8 @@
 #include <array>
 #include <utility>
 
+#include "routing/relay_plan.h"
+
 namespace chicoryvale {
 namespace {
 
@@ -49,7 +51,7 @@
   for (const std::string& service : m_question.services) {
     m_services.emplace_back().service = service;
   }
-  if (!CanBeServed()) return FinishWithoutAnswer(false);
+  if (!IsForRelay() && !CanBeServed()) return FinishWithoutAnswer(false);
   m_deadline_timer = m_parts.scheduler->Schedule(m_question.time_limit,
                                                  [this] { OnDeadline(); });
   if (m_question.route->idempotent) {
@@ -58,9 +60,12 @@
   }
   if (m_question.route->IsScattered()) {
     m_short_timer = m_parts.scheduler->Schedule(
-        m_timing.ShortAnswerTime(), [this] { OnShortAnswerTime(); });
+        m_question.answer_within.value_or(m_timing.ShortAnswerTime()),
+        [this] { OnShortAnswerTime(); });
   }
+  AskRelays();
   for (std::size_t i = 0; i < m_services.size(); ++i) {
+    if (m_services[i].relayed) continue;
     m_parts.budget->NoteFirst(m_services[i].service, m_started);
     SendFirst(i);
   }
@@ -78,6 +83,116 @@
              : servable > 0;
 }
 
+void RoutedQuery::AskRelays() {
+  const bool may_relay = m_parts.relay != nullptr && !IsForRelay() &&
+                         m_question.route->IsScattered();
+  if (!may_relay) return;
+  std::vector<RemotePart> remote;
+  for (std::size_t i = 0; i < m_services.size(); ++i) {
+    std::vector<std::string> zones =
+        m_parts.pool->RemoteZones(m_services[i].service, m_started);
+    if (!zones.empty()) remote.push_back({i, std::move(zones)});
+  }
+  if (remote.empty()) return;
+  for (RelayGroup& group :
+       PlanRelays(std::move(remote), m_parts.relay->Zones())) {
+    AskRelay({0, std::move(group.zone), std::move(group.parts)});
+  }
+}
+
+void RoutedQuery::AskRelay(RelayCall call) {
+  RelayQuestion question;
+  question.request = m_question.request;
+  for (const std::size_t index : call.parts) {
+    Part& part = m_services[index];
+    part.relayed = true;
+    part.attempts = 1;
+    part.sends = 1;
+    question.services.push_back(part.service);
+  }
+  question.rank_limit = m_question.route->scatter.rank_limit;
+  question.max_attempts = m_question.route->max_attempts;
+  question.target_latency = m_question.route->target_latency;
+  question.answer_within = std::min(m_timing.RelayTime(), TimeLeft());
+  question.time_left = SendTime();
+  m_parts.counters->Add(RoutingCounter::kRelayed, call.parts.size());
+  const std::weak_ptr<int> alive = m_alive;
+  const std::size_t place = m_relays.size();
+  call.id = m_parts.relay->Ask(
+      call.zone, question,
+      [this, alive, place](const Result<RelayAnswer>& answer) {
+        if (alive.expired() || m_finished) return;
+        m_relays[place].id = 0;
+        OnRelayEnd(m_relays[place], answer);
+      });
+  m_relays.push_back(std::move(call));
+}
+
+void RoutedQuery::OnRelayEnd(const RelayCall& call,
+                             const Result<RelayAnswer>& answer) {
+  for (const std::size_t index : call.parts) m_services[index].relayed = false;
+  if (answer) {
+    TakeRelayedParts(call, *answer);
+    return FinishIfSettled();
+  }
+  m_parts.counters->Add(RoutingCounter::kRelaysFailed);
+  m_parts.log->Write(LogLevel::kWarning, "relay_failed",
+                     {{"id", m_question.request->id},
+                      {"zone", call.zone},
+                      {"parts", std::to_string(call.parts.size())},
+                      {"reason", answer.error().message}});
+  const bool not_run = answer.error().kind == ErrorKind::kUpstreamUnavailable;
+  for (const std::size_t index : call.parts) {
+    Part& part = m_services[index];
+    if (not_run) {
+      part.attempts = 0;
+      part.sends = 0;
+      m_parts.budget->NoteFirst(part.service, m_parts.scheduler->Now());
+      SendFirst(index);
+    } else {
+      // The relay may have used every attempt that the part has.
+      part.resolved = true;
+    }
+  }
+  FinishIfSettled();
+}
+
+void RoutedQuery::TakeRelayedParts(const RelayCall& call,
+                                   const RelayAnswer& answer) {
+  m_relay_bodies.push_back(answer.body);
+  for (const RelayedPart& relayed : answer.parts) {
+    if (relayed.index >= call.parts.size()) continue;
+    Part& part = m_services[call.parts[relayed.index]];
+    part.resolved = true;
+    part.answer.emplace().signature = relayed.signature;
+  }
+  for (const RelayMissing& missing : answer.missing) {
+    if (missing.index >= call.parts.size()) continue;
+    m_services[call.parts[missing.index]].attempts = missing.attempts;
+  }
+  for (const std::size_t index : call.parts) {
+    if (!m_services[index].resolved) RepeatRelayedPart(index);
+  }
+}
+
+// Only if the answer needs it: a part that the relay did not bring in time is
+// mostly late elsewhere too.
+void RoutedQuery::RepeatRelayedPart(std::size_t index) {
+  Part& part = m_services[index];
+  const bool needed = !m_timing.Suffices(CountAnswered(), m_services.size());
+  if (needed && RepeatPart(index, RepeatReason::kBroken)) return;
+  if (needed && MayWaitForRoom(part)) {
+    return WaitForRoom(index, RepeatReason::kNotRun);
+  }
+  part.resolved = true;
+}
+
+void RoutedQuery::CancelRelays() {
+  for (RelayCall& call : m_relays) {
+    if (call.id != 0) m_parts.relay->Cancel(std::exchange(call.id, 0));
+  }
+}
+
 void RoutedQuery::SendFirst(std::size_t index) {
   Part& part = m_services[index];
   if (SendPart(index)) {
@@ -243,6 +358,7 @@
 
 void RoutedQuery::OnDeadline() {
   m_deadline_timer = 0;
+  if (IsForRelay()) return FinishWithAnswers();
   if (m_question.route->IsScattered() &&
       m_timing.Suffices(CountAnswered(), m_services.size())) {
     return FinishWithAnswers();
@@ -260,14 +376,13 @@
       m_services, [](const Part& part) { return part.attempts > 0; });
 }
 
-// A part that was not answered in time gets all the time that is left.
+// A part that is sent too late for the answer in time gets all that is left.
 Duration RoutedQuery::SendTime() const {
   const Duration left = TimeLeft();
   const Duration elapsed = m_parts.scheduler->Now() - m_started;
-  const Duration limit = m_timing.FirstSendLimit();
-  const bool in_time = !m_short_time_passed && elapsed < limit;
-  if (!in_time) return left;
-  return std::min(left, limit - elapsed);
+  const Duration in_time = m_timing.FirstSendLimit() - elapsed;
+  if (IsForRelay() || in_time < m_timing.LeastSendTime()) return left;
+  return std::min(left, in_time);
 }
 
 Duration RoutedQuery::TimeLeft() const {
@@ -279,6 +394,10 @@
   const std::size_t answered = CountAnswered();
   const auto unresolved = static_cast<std::size_t>(std::ranges::count_if(
       m_services, [](const Part& part) { return !part.resolved; }));
+  if (IsForRelay()) {
+    if (unresolved == 0 || m_short_time_passed) FinishWithAnswers();
+    return;
+  }
   const bool suffices = m_question.route->IsScattered()
                             ? m_timing.Suffices(answered, m_services.size())
                             : answered > 0;
@@ -304,8 +423,12 @@
   }
   answer.scattered = true;
   RankMerger merger(m_question.route->scatter.rank_limit);
-  for (const Part& part : m_services) {
+  for (const std::string& body : m_relay_bodies) merger.Add(body);
+  for (std::uint32_t i = 0; i < m_services.size(); ++i) {
+    const Part& part = m_services[i];
+    if (!part.answer) answer.missing_parts.push_back({i, part.attempts});
     if (!part.answer) continue;
+    answer.part_indices.push_back(i);
     answer.signatures.push_back(part.answer->signature);
     merger.Add(part.answer->body);
   }
@@ -354,6 +477,7 @@
 void RoutedQuery::Finish(RoutedAnswer answer, std::string_view outcome) {
   m_finished = true;
   StopTimers();
+  CancelRelays();
   for (Part& part : m_services) {
     for (const PartSend& send : part.open) {
       // A deadline that passed ends the work; a loser may finish.
@@ -373,6 +497,7 @@
 void RoutedQuery::CancelForGoneCaller() {
   if (std::exchange(m_finished, true)) return;
   StopTimers();
+  CancelRelays();
   for (Part& part : m_services) {
     for (const PartSend& send : part.open) m_parts.sends->Cancel(send.number);
     part.open.clear();
--- a/src/routing/routed_query.h
+++ b/src/routing/routed_query.h
@@ -11,6 +11,7 @@
 #include "base/counters.h"
 #include "chicoryvale/error.h"
 #include "ports/event_log.h"
+#include "ports/relay.h"
 #include "ports/replica_transport.h"
 #include "ports/scheduler.h"
 #include "routing/answer_timing.h"
@@ -29,6 +30,8 @@
   kPassedFailure,
   kCallersGone,
   kFirstSends,
+  kRelayed,
+  kRelaysFailed,
   kHedges,
   kRetriesNotRun,
   kRetriesWrongReplica,
@@ -45,13 +48,15 @@
 
 template <>
 struct CounterNames<RoutingCounter> {
-  static constexpr std::array<std::string_view, 18> kNames = {
+  static constexpr std::array<std::string_view, 20> kNames = {
       "requests",
       "answered_whole",
       "answered_short",
       "passed_failure",
       "callers_gone",
       "first_sends",
+      "relayed",
+      "relays_failed",
       "hedges",
       "retries_not_run",
       "retries_wrong_replica",
@@ -83,6 +88,9 @@
   bool scattered = false;
   std::vector<std::string> signatures;
   std::size_t missing = 0;
+  /// Places of the parts that are in.
+  std::vector<std::uint32_t> part_indices;
+  std::vector<RelayMissing> missing_parts;
 };
 
 /// What queries work with; all outlive them.
@@ -93,6 +101,8 @@
   RepeatBudget* budget = nullptr;
   EventLog* log = nullptr;
   CounterSet<RoutingCounter>* counters = nullptr;
+  /// Asks entries of other zones for parts; null sends all directly.
+  Relay* relay = nullptr;
 };
 
 /// One routed request: sends its parts, repeats what is lost or silent, merges,
@@ -112,6 +122,9 @@
     std::vector<std::string> services;
     /// Time within which the request has its final answer.
     Duration time_limit{};
+    /// Set for a question of another entry: it is answered by then with the
+    /// parts that are in, whatever they are.
+    std::optional<Duration> answer_within;
   };
 
   /// `done` is called once, possibly from within Start; it may destroy the
@@ -142,6 +155,13 @@
     TimePoint sent_at{};
   };
 
+  /// Parts that an entry of another zone was asked for.
+  struct RelayCall {
+    RelayId id = 0;
+    std::string zone;
+    std::vector<std::size_t> parts;
+  };
+
   /// What one service contributes.
   struct Part {
     std::string service;
@@ -156,9 +176,20 @@
     /// The last failure, for the caller of a request to one replica.
     std::optional<ReplicaAnswer> failure;
     TimerId retry_timer = 0;
+    /// A relay was asked and has not answered.
+    bool relayed = false;
   };
 
   [[nodiscard]] bool CanBeServed() const;
+  [[nodiscard]] bool IsForRelay() const {
+    return m_question.answer_within.has_value();
+  }
+  void AskRelays();
+  void AskRelay(RelayCall call);
+  void OnRelayEnd(const RelayCall& call, const Result<RelayAnswer>& answer);
+  void RepeatRelayedPart(std::size_t index);
+  void TakeRelayedParts(const RelayCall& call, const RelayAnswer& answer);
+  void CancelRelays();
   bool SendPart(std::size_t index);
   void SendFirst(std::size_t index);
   [[nodiscard]] bool MayWaitForRoom(const Part& part) const;
@@ -188,6 +219,9 @@
   AnswerTiming m_timing;
   TimePoint m_started{};
   std::vector<Part> m_services;
+  std::vector<RelayCall> m_relays;
+  /// Merged records of the parts that relays answered.
+  std::vector<std::string> m_relay_bodies;
   TimerId m_hedge_timer = 0;
   TimerId m_short_timer = 0;
   TimerId m_deadline_timer = 0;
--- /dev/null
+++ b/tests/routing/relay_test.cc
@@ -0,0 +1,339 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fakes/fake_network.h"
+#include "fakes/fake_replica_transport.h"
+#include "fakes/fake_scheduler.h"
+#include "fakes/silent_log.h"
+#include "routing/relay_client.h"
+#include "routing/relay_plan.h"
+#include "routing/relay_service.h"
+#include "routing/router.h"
+
+namespace chicoryvale {
+namespace {
+
+TEST(RelayPlanTest, TakesTheZoneThatServesMost) {
+  const std::vector<RemotePart> parts = {
+      {0, {"b"}}, {1, {"b", "c"}}, {4, {"c"}}, {5, {"b", "c"}}, {6, {"c"}}};
+  const auto groups = PlanRelays(parts, {"b", "c"});
+  ASSERT_EQ(groups.size(), 1U);
+  EXPECT_EQ(groups[0], (RelayGroup{"c", {1, 4, 5, 6}}));
+}
+
+TEST(RelayPlanTest, TheOrderOfZonesDecidesBetweenEquals) {
+  const std::vector<RemotePart> parts = {{0, {"b", "c"}}, {1, {"b", "c"}}};
+  EXPECT_EQ(PlanRelays(parts, {"b", "c"})[0].zone, "b");
+  EXPECT_EQ(PlanRelays(parts, {"c", "b"})[0].zone, "c");
+}
+
+TEST(RelayPlanTest, LeavesOutSinglePartsAndZonesWithoutEntries) {
+  EXPECT_TRUE(PlanRelays({{0, {"b"}}, {1, {"c"}}}, {"b", "c"}).empty());
+  EXPECT_TRUE(PlanRelays({{0, {"b"}}, {1, {"b"}}}, {}).empty());
+  EXPECT_TRUE(PlanRelays({{0, {"b"}}, {1, {"b"}}}, {"c"}).empty());
+}
+
+/// Members as a test sets them.
+class FixedMembers : public MemberView {
+ public:
+  FixedMembers(MemberInfo self, std::vector<Member> members)
+      : m_self(std::move(self)), m_members(std::move(members)) {}
+
+ protected:
+  [[nodiscard]] std::vector<Member> OnMembers() const override {
+    return m_members;
+  }
+  [[nodiscard]] const MemberInfo& OnSelf() const override { return m_self; }
+  [[nodiscard]] bool OnOwnLeaseHeld() const override { return true; }
+  void OnAddListener(Listener /*listener*/) override {}
+
+ private:
+  MemberInfo m_self;
+  std::vector<Member> m_members;
+};
+
+MemberInfo EntryIn(const std::string& zone) {
+  return {zone, {"10.0.0.1:" + zone}, zone, MemberRole::kEntry};
+}
+
+std::string Record(char letter) {
+  return std::string(RankMerger::kRecordBytes, letter);
+}
+
+/// What one entry consists of.
+struct TestEntry {
+  TestEntry(FakeScheduler* scheduler, FakeNetwork* network,
+            const std::string& zone, const std::vector<Member>& members)
+      : transport(scheduler),
+        pool(zone, 3),
+        sends(scheduler, &transport, &pool),
+        budget({.ratio = 0.2, .window = seconds(10), .fixed = 40}, {}),
+        peers(network, EntryIn(zone).address, scheduler),
+        view(EntryIn(zone), members),
+        relay({scheduler, &peers, &view}, 5),
+        parts{.scheduler = scheduler,
+              .sends = &sends,
+              .pool = &pool,
+              .budget = &budget,
+              .log = &log,
+              .counters = &counters,
+              .relay = &relay},
+        router(parts, 5),
+        service(parts, &peers) {}
+
+  FakeReplicaTransport transport;
+  ReplicaPool pool;
+  SendTracker sends;
+  RepeatBudget budget;
+  FakePeerTransport peers;
+  FixedMembers view;
+  RelayClient relay;
+  SilentLog log;
+  CounterSet<RoutingCounter> counters;
+  RoutingParts parts;
+  Router router;
+  RelayService service;
+};
+
+/// Two entries in zones a and b. Shards 0 and 1 have replicas in zone a, the
+/// other four in zone b; the first entry is asked.
+class RelayTest : public testing::Test {
+ protected:
+  static constexpr std::size_t kShards = 6;
+
+  RelayTest() {
+    m_scheduler.RunFor(seconds(100));
+    const std::vector<Member> members = {
+        {EntryIn("a"), MemberState::kAlive, 1},
+        {EntryIn("b"), MemberState::kAlive, 1}};
+    m_near =
+        std::make_unique<TestEntry>(&m_scheduler, &m_network, "a", members);
+    m_far = std::make_unique<TestEntry>(&m_scheduler, &m_network, "b", members);
+    auto config = std::make_shared<RoutingConfig>();
+    config->version = 1;
+    Route route;
+    route.name = "all";
+    route.host = "h";
+    route.path_prefix = "/";
+    route.idempotent = true;
+    route.timeout = milliseconds(1000);
+    route.target_latency = milliseconds(100);
+    route.max_attempts = 2;
+    route.scatter.rank_limit = 4;
+    route.scatter.min_share = 0.9;
+    std::vector<ListedReplica> replicas;
+    for (std::size_t i = 0; i < kShards; ++i) {
+      const std::string name = "s" + std::to_string(i);
+      route.scatter.shards.push_back(name);
+      config->services.push_back({name, "/", 50});
+      for (const char* copy : {"x", "y"}) {
+        ListedReplica replica;
+        replica.id = name + copy;
+        replica.service = name;
+        replica.address = {replica.id};
+        replica.availability_zone = i < 2 ? "a" : "b";
+        replica.slots = 2;
+        replicas.push_back(replica);
+      }
+    }
+    config->routes.push_back(route);
+    for (TestEntry* entry : {m_near.get(), m_far.get()}) {
+      entry->pool.SetReplicas(replicas, m_scheduler.Now());
+      entry->router.SetConfig(config);
+      entry->transport.SetAct(Good);
+    }
+  }
+
+  static ReplicaAct Good(const ReplicaSend& send) {
+    return {milliseconds(10),
+            SignedAnswer(send.replica_id, Record(send.replica_id[1])), false};
+  }
+
+  std::uint64_t Ask() {
+    auto request = std::make_shared<OpaqueRequest>();
+    request->id = "id1";
+    request->method = "GET";
+    request->target = "/q";
+    request->headers = {{"X", "y"}};
+    m_asked_at = m_scheduler.Now();
+    return m_near->router.Handle({request, "h", "/q", std::nullopt},
+                                 [this](RoutedAnswer answer) {
+                                   m_answer = std::move(answer);
+                                   m_elapsed = m_scheduler.Now() - m_asked_at;
+                                 });
+  }
+
+  const RoutedAnswer& Run() {
+    Ask();
+    m_scheduler.RunUntil([this] { return m_answer.has_value(); });
+    return *m_answer;
+  }
+
+  FakeScheduler m_scheduler;
+  FakeNetwork m_network{&m_scheduler, 1};
+  std::unique_ptr<TestEntry> m_near;
+  std::unique_ptr<TestEntry> m_far;
+  TimePoint m_asked_at{};
+  Duration m_elapsed{};
+  std::optional<RoutedAnswer> m_answer;
+};
+
+TEST_F(RelayTest, OneMessageBringsThePartsOfAZone) {
+  const RoutedAnswer& answer = Run();
+  EXPECT_FALSE(answer.error);
+  EXPECT_EQ(answer.signatures.size(), kShards);
+  EXPECT_EQ(answer.missing, 0U);
+  EXPECT_EQ(answer.body, Record('5') + Record('4') + Record('3') + Record('2'));
+  EXPECT_EQ(m_near->transport.Sends().size(), 2U);
+  EXPECT_EQ(m_far->transport.Sends().size(), 4U);
+  EXPECT_EQ(m_network.calls, 1U);
+  const OpaqueRequest& relayed = *m_far->transport.Sends().front().request;
+  EXPECT_EQ(relayed.id, "id1");
+  EXPECT_EQ(relayed.target, "/q");
+  EXPECT_EQ(FindHeader(relayed.headers, "X"), "y");
+  EXPECT_GE(m_elapsed, milliseconds(12));
+  EXPECT_LT(m_elapsed, milliseconds(14));
+}
+
+TEST_F(RelayTest, TheRelayHedgesItsOwnParts) {
+  m_far->transport.SetAct([](const ReplicaSend& send) {
+    ReplicaAct act = Good(send);
+    act.silent = send.replica_id[1] == '3' && send.time_left > milliseconds(70);
+    return act;
+  });
+  EXPECT_EQ(Run().missing, 0U);
+  EXPECT_LT(m_elapsed, milliseconds(80));
+}
+
+// What the relay does not bring is asked for again only within the attempts and
+// the budget that the part has left.
+TEST_F(RelayTest, APartTheRelayMissesIsSentAgainWithinItsAttempts) {
+  m_far->transport.SetAct([](const ReplicaSend& send) {
+    ReplicaAct act = Good(send);
+    act.silent = send.replica_id[1] >= '4';
+    return act;
+  });
+  // No hedge at the relay: its budget is used up.
+  for (const char* service : {"s4", "s5"}) {
+    while (m_far->budget.TryTake(service, RepeatBudget::Use::kRetry,
+                                 m_scheduler.Now())) {
+    }
+  }
+  EXPECT_EQ(Run().missing, 0U);
+  EXPECT_EQ(m_near->transport.Sends().size(), 4U);
+  EXPECT_EQ(m_near->counters.Get(RoutingCounter::kRetriesBroken), 2U);
+}
+
+TEST_F(RelayTest, APartTheRelayMissesTakesBudget) {
+  m_far->transport.SetAct([](const ReplicaSend&) {
+    return ReplicaAct{milliseconds(1), FailedAnswer(SendEnd::kNotRun), false};
+  });
+  for (TestEntry* entry : {m_near.get(), m_far.get()}) {
+    for (std::size_t i = 2; i < kShards; ++i) {
+      while (entry->budget.TryTake("s" + std::to_string(i),
+                                   RepeatBudget::Use::kRetry,
+                                   m_scheduler.Now())) {
+      }
+    }
+  }
+  EXPECT_TRUE(Run().error);
+  EXPECT_EQ(m_near->transport.Sends().size(), 2U);
+  EXPECT_EQ(m_far->transport.Sends().size(), 4U);
+}
+
+TEST_F(RelayTest, AllAttemptsOfTheRelayCount) {
+  m_far->transport.SetAct([](const ReplicaSend& send) {
+    ReplicaAct act = Good(send);
+    act.silent = send.replica_id[1] >= '4';
+    return act;
+  });
+  Run();
+  const auto ran = [](const TestEntry& entry, char shard) {
+    return std::ranges::count_if(entry.transport.Sends(),
+                                 [shard](const ReplicaSend& send) {
+                                   return send.replica_id[1] == shard;
+                                 });
+  };
+  for (const char shard : {'4', '5'}) {
+    EXPECT_EQ(ran(*m_near, shard) + ran(*m_far, shard), 2);
+  }
+}
+
+TEST_F(RelayTest, ARelayThatDiesCostsItsPartsAndIsSpared) {
+  m_network.SetCut(EntryIn("b").address, EntryIn("a").address, true);
+  EXPECT_TRUE(Run().error);
+  EXPECT_EQ(m_near->transport.Sends().size(), 2U);
+  EXPECT_LE(m_elapsed, milliseconds(150));
+  m_answer.reset();
+  EXPECT_EQ(Run().signatures.size(), kShards);
+  EXPECT_EQ(m_near->counters.Get(RoutingCounter::kRelaysFailed), 1U);
+}
+
+TEST_F(RelayTest, ARelayThatLeavesTakesNothingAndAllIsSentDirectly) {
+  m_far->service.StopAccepting();
+  EXPECT_EQ(Run().signatures.size(), kShards);
+  EXPECT_EQ(m_near->transport.Sends().size(), kShards);
+  EXPECT_EQ(m_far->transport.Sends().size(), 0U);
+}
+
+// Overload: replicas of the other zone refuse. Direct sends go on trying there,
+// which one relay after the other would not.
+TEST_F(RelayTest, AZoneWhoseRelaysMissPartsIsMostlySentToDirectly) {
+  m_far->transport.SetAct([](const ReplicaSend&) {
+    return ReplicaAct{milliseconds(1), FailedAnswer(SendEnd::kNotRun), false};
+  });
+  constexpr int kRequests = 16;
+  for (int i = 0; i < kRequests; ++i) {
+    m_answer.reset();
+    Run();
+    m_scheduler.RunFor(milliseconds(500));
+  }
+  const std::uint64_t relayed = m_near->counters.Get(RoutingCounter::kRelayed);
+  EXPECT_GE(relayed, 4U);
+  EXPECT_LE(relayed, 4U * 4);
+  m_far->transport.SetAct(Good);
+  for (int i = 0; i < 20 * kRequests; ++i) {
+    m_answer.reset();
+    Run();
+  }
+  m_near->transport.SetAct(Good);
+  const std::size_t before = m_near->transport.Sends().size();
+  m_answer.reset();
+  Run();
+  EXPECT_EQ(m_near->transport.Sends().size(), before + 2);
+}
+
+TEST_F(RelayTest, WorkEndsEverywhereWhenTheCallerHasGone) {
+  const auto silent = [](const ReplicaSend&) {
+    return ReplicaAct{{}, {}, true};
+  };
+  m_near->transport.SetAct(silent);
+  m_far->transport.SetAct(silent);
+  const std::uint64_t query = Ask();
+  m_scheduler.RunFor(milliseconds(5));
+  EXPECT_EQ(m_far->transport.Open(), 4U);
+  m_near->router.CancelForGoneCaller(query);
+  m_scheduler.RunFor(milliseconds(5));
+  EXPECT_EQ(m_near->transport.Open(), 0U);
+  EXPECT_EQ(m_far->transport.Open(), 0U);
+  EXPECT_EQ(m_far->service.InFlight(), 0U);
+}
+
+TEST_F(RelayTest, DamagedQuestionsAreRefused) {
+  std::optional<std::string> answer;
+  m_near->peers.Call(
+      EntryIn("b").address, PeerChannel::kRelay, "damaged", seconds(1),
+      [&](const Result<std::string>& bytes) { answer = bytes.value(); });
+  m_scheduler.RunFor(seconds(1));
+  RelayReplyMessage reply;
+  ASSERT_TRUE(answer && Decode(*answer, &reply));
+  EXPECT_FALSE(reply.taken);
+}
+
+}  // namespace
+}  // namespace chicoryvale
--- a/tests/routing/routed_query_test.cc
+++ b/tests/routing/routed_query_test.cc
@@ -113,7 +113,8 @@
                    .pool = &m_pool,
                    .budget = &m_budget,
                    .log = &m_log,
-                   .counters = &m_counters},
+                   .counters = &m_counters,
+                   .relay = nullptr},
                   5};
   int m_asked = 0;
   TimePoint m_asked_at{};
