--- a/tests/adapters/line_writer_test.cc
+++ b/tests/adapters/line_writer_test.cc
@@ -37,8 +37,9 @@
   const std::string line(1000, 'x');
   int written = 0;
   constexpr int kLines = 500;
-  for (int i = 0; i < kLines; ++i)
+  for (int i = 0; i < kLines; ++i) {
     written += writer.Write(line, kStart) ? 1 : 0;
+  }
   EXPECT_GT(written, 0);
   EXPECT_LT(written, kLines);
   EXPECT_EQ(writer.TakeLeftOut(), static_cast<std::uint64_t>(kLines - written));
--- a/tests/control/group_keeper_test.cc
+++ b/tests/control/group_keeper_test.cc
@@ -60,6 +60,7 @@
 TEST(GroupKeeperTest, AFullGroupGrowsNoMore) {
   const std::vector<std::string> seven = {"a", "b", "c", "d", "e", "f", "g"};
   std::vector<Member> members;
+  members.reserve(seven.size() + 1);
   for (const std::string& address : seven) members.push_back(Seen(address));
   members.push_back(Seen("h"));
   EXPECT_FALSE(PlanGroupChange(members, Group(seven)));
