Split the routed query by job; count latencies in a histogram

Metrics had no latencies: callers' requests are counted by the time they took (LatencyHistogram, test RoutedQueryTest.CountsTheLatencyOfEachRequest).

--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -96,6 +96,7 @@
                            .budget = m_budget.get(),
                            .log = &m_log,
                            .counters = &m_counters,
+                           .latencies = &m_latencies,
                            .relay = m_relay.get()};
   m_router = std::make_unique<Router>(parts, RandomSeed());
   m_relay_service = std::make_unique<RelayService>(parts, m_peers->Calls());
@@ -228,6 +229,9 @@
       .Add("gateway", m_counters)
       .Add("callers", m_callers->Counters())
       .Add("replicas", m_client->Counters());
+  m_latencies.Visit([&page](const std::string& name, std::uint64_t count) {
+    page.AddValue("gateway", "request_latency_" + name, count);
+  });
   m_peers->AddMetrics(&page);
   return page.Response();
 }
--- a/programs/chicory-gatewayd/gateway_daemon.h
+++ b/programs/chicory-gatewayd/gateway_daemon.h
@@ -73,6 +73,7 @@
   std::unique_ptr<BeastHttpServer> m_ready_server;
   std::unique_ptr<BeastHttpServer> m_metrics;
   CounterSet<RoutingCounter> m_counters;
+  LatencyHistogram m_latencies;
   std::shared_ptr<const RoutingConfig> m_config;
   /// The query that each caller's connection waits for.
   std::unordered_map<std::uint64_t, std::uint64_t> m_query_by_connection;
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -2,6 +2,7 @@
 #define CHICORYVALE_SRC_BASE_TIME_H_
 
 #include <chrono>
+#include <string>
 
 namespace chicoryvale {
 
@@ -20,6 +21,12 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+/// Returns the whole milliseconds of `duration`, for a log line.
+inline std::string MillisecondsText(Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
 }  // namespace chicoryvale
 
 #endif  // CHICORYVALE_SRC_BASE_TIME_H_
--- a/src/routing/relay_service.cc
+++ b/src/routing/relay_service.cc
@@ -46,6 +46,8 @@
     : m_parts(parts), m_peers(peers) {
   // A relay asks no further one.
   m_parts.relay = nullptr;
+  // Latencies are those of callers.
+  m_parts.latencies = nullptr;
   m_peers->SetHandler(PeerChannel::kRelay,
                       [this](const Address& from, const std::string& bytes,
                              const PeerTransport::Responder& respond) {
--- a/src/routing/routed_query.cc
+++ b/src/routing/routed_query.cc
@@ -4,8 +4,6 @@
 #include <array>
 #include <utility>
 
-#include "routing/relay_plan.h"
-
 namespace chicoryvale {
 namespace {
 
@@ -15,13 +13,6 @@
 /// Pause before a replica that had no room is asked again: about one work.
 constexpr Duration kBusyPause = milliseconds(15);
 
-/// When callers whose request had no room should come again.
-constexpr Duration kRetryAfterBusy = milliseconds(150);
-
-/// When callers should come again whose service has no replica: about the time
-/// in which one that crashed is back.
-constexpr Duration kRetryAfterNoReplica = seconds(1);
-
 constexpr std::array<std::string_view, 5> kReasonNames = {
     "silent", "not_run", "wrong_replica", "broken", "failed"};
 
@@ -30,11 +21,6 @@
     RoutingCounter::kRetriesWrongReplica, RoutingCounter::kRetriesBroken,
     RoutingCounter::kRetriesFailed};
 
-std::string Milliseconds(Duration duration) {
-  return std::to_string(
-      std::chrono::duration_cast<milliseconds>(duration).count());
-}
-
 }  // namespace
 
 RoutedQuery::RoutedQuery(const RoutingParts& parts, Question question,
@@ -83,116 +69,6 @@
              : servable > 0;
 }
 
-void RoutedQuery::AskRelays() {
-  const bool may_relay = m_parts.relay != nullptr && !IsForRelay() &&
-                         m_question.route->IsScattered();
-  if (!may_relay) return;
-  std::vector<RemotePart> remote;
-  for (std::size_t i = 0; i < m_services.size(); ++i) {
-    std::vector<std::string> zones =
-        m_parts.pool->RemoteZones(m_services[i].service, m_started);
-    if (!zones.empty()) remote.push_back({i, std::move(zones)});
-  }
-  if (remote.empty()) return;
-  for (RelayGroup& group :
-       PlanRelays(std::move(remote), m_parts.relay->Zones())) {
-    AskRelay({0, std::move(group.zone), std::move(group.parts)});
-  }
-}
-
-void RoutedQuery::AskRelay(RelayCall call) {
-  RelayQuestion question;
-  question.request = m_question.request;
-  for (const std::size_t index : call.parts) {
-    Part& part = m_services[index];
-    part.relayed = true;
-    part.attempts = 1;
-    part.sends = 1;
-    question.services.push_back(part.service);
-  }
-  question.rank_limit = m_question.route->scatter.rank_limit;
-  question.max_attempts = m_question.route->max_attempts;
-  question.target_latency = m_question.route->target_latency;
-  question.answer_within = std::min(m_timing.RelayTime(), TimeLeft());
-  question.time_left = SendTime();
-  m_parts.counters->Add(RoutingCounter::kRelayed, call.parts.size());
-  const std::weak_ptr<int> alive = m_alive;
-  const std::size_t place = m_relays.size();
-  call.id = m_parts.relay->Ask(
-      call.zone, question,
-      [this, alive, place](const Result<RelayAnswer>& answer) {
-        if (alive.expired() || m_finished) return;
-        m_relays[place].id = 0;
-        OnRelayEnd(m_relays[place], answer);
-      });
-  m_relays.push_back(std::move(call));
-}
-
-void RoutedQuery::OnRelayEnd(const RelayCall& call,
-                             const Result<RelayAnswer>& answer) {
-  for (const std::size_t index : call.parts) m_services[index].relayed = false;
-  if (answer) {
-    TakeRelayedParts(call, *answer);
-    return FinishIfSettled();
-  }
-  m_parts.counters->Add(RoutingCounter::kRelaysFailed);
-  m_parts.log->Write(LogLevel::kWarning, "relay_failed",
-                     {{"id", m_question.request->id},
-                      {"zone", call.zone},
-                      {"parts", std::to_string(call.parts.size())},
-                      {"reason", answer.error().message}});
-  const bool not_run = answer.error().kind == ErrorKind::kUpstreamUnavailable;
-  for (const std::size_t index : call.parts) {
-    Part& part = m_services[index];
-    if (not_run) {
-      part.attempts = 0;
-      part.sends = 0;
-      m_parts.budget->NoteFirst(part.service, m_parts.scheduler->Now());
-      SendFirst(index);
-    } else {
-      // The relay may have used every attempt that the part has.
-      part.resolved = true;
-    }
-  }
-  FinishIfSettled();
-}
-
-void RoutedQuery::TakeRelayedParts(const RelayCall& call,
-                                   const RelayAnswer& answer) {
-  m_relay_bodies.push_back(answer.body);
-  for (const RelayedPart& relayed : answer.parts) {
-    if (relayed.index >= call.parts.size()) continue;
-    Part& part = m_services[call.parts[relayed.index]];
-    part.resolved = true;
-    part.answer.emplace().signature = relayed.signature;
-  }
-  for (const RelayMissing& missing : answer.missing) {
-    if (missing.index >= call.parts.size()) continue;
-    m_services[call.parts[missing.index]].attempts = missing.attempts;
-  }
-  for (const std::size_t index : call.parts) {
-    if (!m_services[index].resolved) RepeatRelayedPart(index);
-  }
-}
-
-// Only if the answer needs it: a part that the relay did not bring in time is
-// mostly late elsewhere too.
-void RoutedQuery::RepeatRelayedPart(std::size_t index) {
-  Part& part = m_services[index];
-  const bool needed = !m_timing.Suffices(CountAnswered(), m_services.size());
-  if (needed && RepeatPart(index, RepeatReason::kBroken)) return;
-  if (needed && MayWaitForRoom(part)) {
-    return WaitForRoom(index, RepeatReason::kNotRun);
-  }
-  part.resolved = true;
-}
-
-void RoutedQuery::CancelRelays() {
-  for (RelayCall& call : m_relays) {
-    if (call.id != 0) m_parts.relay->Cancel(std::exchange(call.id, 0));
-  }
-}
-
 void RoutedQuery::SendFirst(std::size_t index) {
   Part& part = m_services[index];
   if (SendPart(index)) {
@@ -256,7 +132,7 @@
                       {"reason", std::string(kReasonNames[reason_index])},
                       {"from", from},
                       {"to", part.tried.back()},
-                      {"after_ms", Milliseconds(now - m_started)}});
+                      {"after_ms", MillisecondsText(now - m_started)}});
   return true;
 }
 
@@ -411,125 +287,6 @@
   if (!can_suffice) FinishWithoutAnswer(false);
 }
 
-void RoutedQuery::FinishWithAnswers() {
-  RoutedAnswer answer;
-  if (!m_question.route->IsScattered()) {
-    ReplicaAnswer& whole = *m_services.front().answer;
-    answer.status = whole.status;
-    answer.headers = std::move(whole.headers);
-    answer.body = std::move(whole.body);
-    m_parts.counters->Add(RoutingCounter::kAnsweredWhole);
-    return Finish(std::move(answer), "answered");
-  }
-  answer.scattered = true;
-  RankMerger merger(m_question.route->scatter.rank_limit);
-  for (const std::string& body : m_relay_bodies) merger.Add(body);
-  for (std::uint32_t i = 0; i < m_services.size(); ++i) {
-    const Part& part = m_services[i];
-    if (!part.answer) answer.missing_parts.push_back({i, part.attempts});
-    if (!part.answer) continue;
-    answer.part_indices.push_back(i);
-    answer.signatures.push_back(part.answer->signature);
-    merger.Add(part.answer->body);
-  }
-  answer.missing = m_services.size() - answer.signatures.size();
-  answer.body = merger.Take();
-  const bool whole = answer.missing == 0;
-  m_parts.counters->Add(whole ? RoutingCounter::kAnsweredWhole
-                              : RoutingCounter::kAnsweredShort);
-  Finish(std::move(answer), whole ? "answered" : "answered_short");
-}
-
-void RoutedQuery::FinishWithoutAnswer(bool deadline) {
-  RoutedAnswer answer;
-  Part& only = m_services.front();
-  if (!m_question.route->IsScattered() && only.failure) {
-    answer.status = only.failure->status;
-    answer.headers = std::move(only.failure->headers);
-    answer.body = std::move(only.failure->body);
-    m_parts.counters->Add(RoutingCounter::kPassedFailure);
-    return Finish(std::move(answer), "passed_failure");
-  }
-  if (MayHaveRun()) {
-    m_parts.counters->Add(deadline ? RoutingCounter::kFailedDeadline
-                                   : RoutingCounter::kFailedBroken);
-    answer.error = deadline
-                       ? Error{ErrorKind::kDeadlineExceeded,
-                               "the time of the request is over", Ran::kMaybe}
-                       : Error{ErrorKind::kMayHaveRun,
-                               "too few replicas answered", Ran::kMaybe};
-    return Finish(std::move(answer), deadline ? "deadline" : "broken");
-  }
-  const bool no_replica =
-      std::ranges::any_of(m_services, [this](const Part& part) {
-        return !part.answer && m_parts.pool->CountUsable(part.service) == 0;
-      });
-  m_parts.counters->Add(no_replica ? RoutingCounter::kRefusedNoReplica
-                                   : RoutingCounter::kRefusedReplicasBusy);
-  answer.error = Error{ErrorKind::kUpstreamUnavailable,
-                       no_replica ? "too few shards have a replica"
-                                  : "the replicas have no room",
-                       Ran::kNo};
-  answer.retry_after = no_replica ? kRetryAfterNoReplica : kRetryAfterBusy;
-  Finish(std::move(answer), no_replica ? "no_replica" : "replicas_busy");
-}
-
-void RoutedQuery::Finish(RoutedAnswer answer, std::string_view outcome) {
-  m_finished = true;
-  StopTimers();
-  CancelRelays();
-  for (Part& part : m_services) {
-    for (const PartSend& send : part.open) {
-      // A deadline that passed ends the work; a loser may finish.
-      if (answer.error) {
-        m_parts.sends->Cancel(send.number);
-      } else {
-        m_parts.sends->Release(send.number);
-      }
-    }
-    part.open.clear();
-  }
-  LogEnd(answer, outcome);
-  const Callback done = std::move(m_done);
-  done(std::move(answer));
-}
-
-void RoutedQuery::CancelForGoneCaller() {
-  if (std::exchange(m_finished, true)) return;
-  StopTimers();
-  CancelRelays();
-  for (Part& part : m_services) {
-    for (const PartSend& send : part.open) m_parts.sends->Cancel(send.number);
-    part.open.clear();
-  }
-  m_parts.counters->Add(RoutingCounter::kCallersGone);
-  LogEnd({}, "caller_gone");
-}
-
-void RoutedQuery::LogEnd(const RoutedAnswer& answer,
-                         std::string_view outcome) const {
-  std::string missing;
-  for (const Part& part : m_services) {
-    if (part.answer) continue;
-    if (!missing.empty()) missing += ' ';
-    missing += part.service;
-    if (!part.tried.empty()) missing += "@" + part.tried.back();
-  }
-  m_parts.log->Write(
-      answer.error ? LogLevel::kWarning : LogLevel::kInfo, "request_ended",
-      {{"id", m_question.request->id},
-       {"route", m_question.route->name},
-       {"config_version", std::to_string(m_question.config->version)},
-       {"outcome", std::string(outcome)},
-       {"status", std::to_string(answer.status)},
-       {"parts", std::to_string(CountAnswered()) + "/" +
-                     std::to_string(m_services.size())},
-       {"repeats", std::to_string(m_repeats)},
-       {"missing", missing},
-       {"elapsed_ms", Milliseconds(m_parts.scheduler->Now() - m_started)},
-       {"limit_ms", Milliseconds(m_question.time_limit)}});
-}
-
 void RoutedQuery::StopTimers() {
   for (TimerId* timer : {&m_hedge_timer, &m_short_timer, &m_deadline_timer}) {
     m_parts.scheduler->Cancel(std::exchange(*timer, 0));
--- a/src/routing/routed_query.h
+++ b/src/routing/routed_query.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/counters.h"
+#include "base/latency_histogram.h"
 #include "chicoryvale/error.h"
 #include "ports/event_log.h"
 #include "ports/relay.h"
@@ -101,6 +102,8 @@
   RepeatBudget* budget = nullptr;
   EventLog* log = nullptr;
   CounterSet<RoutingCounter>* counters = nullptr;
+  /// Of requests that came from callers; null counts none.
+  LatencyHistogram* latencies = nullptr;
   /// Asks entries of other zones for parts; null sends all directly.
   Relay* relay = nullptr;
 };
@@ -210,7 +213,7 @@
   void FinishWithAnswers();
   void FinishWithoutAnswer(bool deadline);
   void Finish(RoutedAnswer answer, std::string_view outcome);
-  void LogEnd(const RoutedAnswer& answer, std::string_view outcome) const;
+  void NoteEnd(const RoutedAnswer& answer, std::string_view outcome) const;
   void StopTimers();
 
   RoutingParts m_parts;
--- a/tests/routing/relay_test.cc
+++ b/tests/routing/relay_test.cc
@@ -82,6 +82,7 @@
               .budget = &budget,
               .log = &log,
               .counters = &counters,
+              .latencies = nullptr,
               .relay = &relay},
         router(parts, 5),
         service(parts, &peers) {}
--- a/tests/routing/routed_query_test.cc
+++ b/tests/routing/routed_query_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -108,12 +109,14 @@
                         TimePoint{}};
   SilentLog m_log;
   CounterSet<RoutingCounter> m_counters;
+  LatencyHistogram m_latencies;
   Router m_router{{.scheduler = &m_scheduler,
                    .sends = &m_sends,
                    .pool = &m_pool,
                    .budget = &m_budget,
                    .log = &m_log,
                    .counters = &m_counters,
+                   .latencies = &m_latencies,
                    .relay = nullptr},
                   5};
   int m_asked = 0;
@@ -154,6 +157,18 @@
   EXPECT_EQ(m_transport.Open(), 0U);
 }
 
+TEST_F(RoutedQueryTest, CountsTheLatencyOfEachRequest) {
+  Run("/all/x");
+  Run("/single/x");
+  std::map<std::string, std::uint64_t> buckets;
+  m_latencies.Visit([&](const std::string& name, std::uint64_t count) {
+    buckets[name] = count;
+  });
+  EXPECT_EQ(buckets["le_5_ms"], 0U);
+  EXPECT_EQ(buckets["le_10_ms"], 2U);
+  EXPECT_EQ(buckets["le_inf"], 2U);
+}
+
 TEST_F(RoutedQueryTest, AnswersInTimeShortOfAPart) {
   m_transport.SetAct([](const ReplicaSend& send) {
     return ReplicaAct{milliseconds(10), SignedAnswer(send.replica_id),
