Read the platform's list by one entry and pass it on

Change: one entry, found by rendezvous hashing, reads; one of each zone follows it, the others follow theirs. A question stays open until there is something newer and is answered with what changed. A list that has become too old is read from the platform by whoever holds it, so a zone that is cut off depends on nobody. ReplicaFeed is gone.

Also: nothing is sent to a replica when no time is left. The test failed before.

--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -55,7 +55,7 @@
   StartRouting();
   if (auto ok = StartServers(); !ok) return ok;
   m_peers->Start();
-  m_feed->Start();
+  m_list->Start();
   return {};
 }
 
@@ -100,12 +100,14 @@
                            .relay = m_relay.get()};
   m_router = std::make_unique<Router>(parts, RandomSeed());
   m_relay_service = std::make_unique<RelayService>(parts, m_peers->Calls());
-  m_feed = std::make_unique<ReplicaFeed>(
-      ReplicaFeed::Ports{.scheduler = &m_scheduler,
-                         .directory = m_directory.get(),
-                         .log = &m_log},
+  m_list = std::make_unique<ReplicaListSync>(
+      ReplicaListSync::Ports{.scheduler = &m_scheduler,
+                             .directory = m_directory.get(),
+                             .peers = m_peers->Calls(),
+                             .members = m_peers->Members(),
+                             .log = &m_log},
       m_settings.replica_list_period, RandomSeed());
-  m_feed->SetListener([this](const std::vector<ListedReplica>& replicas) {
+  m_list->SetListener([this](const std::vector<ListedReplica>& replicas) {
     m_pool->SetReplicas(replicas, m_scheduler.Now());
   });
   ShareLimits();
--- a/programs/chicory-gatewayd/gateway_daemon.h
+++ b/programs/chicory-gatewayd/gateway_daemon.h
@@ -19,7 +19,7 @@
 #include "routing/relay_client.h"
 #include "routing/relay_service.h"
 #include "routing/repeat_budget.h"
-#include "routing/replica_feed.h"
+#include "routing/replica_list_sync.h"
 #include "routing/replica_pool.h"
 #include "routing/router.h"
 #include "routing/send_tracker.h"
@@ -68,7 +68,7 @@
   std::unique_ptr<RelayClient> m_relay;
   std::unique_ptr<RelayService> m_relay_service;
   std::unique_ptr<Router> m_router;
-  std::unique_ptr<ReplicaFeed> m_feed;
+  std::unique_ptr<ReplicaListSync> m_list;
   std::unique_ptr<BeastHttpServer> m_callers;
   std::unique_ptr<BeastHttpServer> m_ready_server;
   std::unique_ptr<BeastHttpServer> m_metrics;
--- a/src/ports/peer_transport.h
+++ b/src/ports/peer_transport.h
@@ -41,6 +41,7 @@
   kClaims,
   kRouting,
   kRelay,
+  kReplicaList,
 };
 
 /// Port: request and answer between the system's own processes, over a
--- a/src/routing/routed_query.cc
+++ b/src/routing/routed_query.cc
@@ -10,6 +10,9 @@
 /// Sends of one part, refused ones included.
 constexpr std::uint32_t kMaxSends = 4;
 
+/// Shortest time that a replica is told: it is told whole milliseconds.
+constexpr Duration kLeastTime = milliseconds(1);
+
 /// Pause before a replica that had no room is asked again: about one work.
 constexpr Duration kBusyPause = milliseconds(15);
 
@@ -83,6 +86,8 @@
 bool RoutedQuery::SendPart(std::size_t index) {
   Part& part = m_services[index];
   const TimePoint now = m_parts.scheduler->Now();
+  const Duration send_time = SendTime();
+  if (send_time < kLeastTime) return false;
   auto choice = m_parts.pool->Choose(part.service, part.tried, now);
   if (!choice) return false;
   part.tried.push_back(choice->id);
@@ -92,7 +97,7 @@
   // The number is known only after the call; the answer never comes before.
   auto number = std::make_shared<std::uint64_t>(0);
   *number = m_parts.sends->Send(
-      {choice->address, choice->id, m_question.request, SendTime()},
+      {choice->address, choice->id, m_question.request, send_time},
       [this, alive, index, number](ReplicaAnswer answer) {
         if (!alive.expired()) OnSendEnd(index, *number, std::move(answer));
       });
--- a/tests/routing/routed_query_test.cc
+++ b/tests/routing/routed_query_test.cc
@@ -125,6 +125,16 @@
   std::optional<RoutedAnswer> m_answer;
 };
 
+// A process that is behind may come to a request when its time is over; a
+// replica would take the lack of time for the lack of a limit.
+TEST_F(RoutedQueryTest, SendsNothingWithoutTimeLeft) {
+  Ask("/all/x", Duration::zero());
+  m_scheduler.RunUntil([this] { return m_answer.has_value(); });
+  EXPECT_TRUE(m_transport.Sends().empty());
+  ASSERT_TRUE(m_answer->error);
+  EXPECT_EQ(m_answer->error->ran, Ran::kNo);
+}
+
 TEST_F(RoutedQueryTest, MergesAllShardsByRank) {
   m_transport.SetAct([](const ReplicaSend& send) {
     const char letter = send.replica_id[5];
