Share the parts of a large request among entries of the zone

Cause: an entry of a grown deployment has 0.084 of a core; sending 90 parts is 36 ms of work there, 430 ms of waiting, while 100 other entries are idle. And 104 entries that each first try all 270 replicas open a connection for 44% of sends.

Change: more than 12 parts are asked of entries of the own zone, in messages of up to 10 parts; groups for other zones are split alike. Messages of one place go to the same three entries, which keep their connections. A replica that an entry never asked is thought to be like its siblings. Two entries of a zone must fail in a row before the zone is taken for cut off.

--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -23,6 +23,10 @@
 /// count there.
 constexpr std::uint32_t kUsedConnectionsPercent = 90;
 
+/// Connections to a replica that an entry may have in a large group. There a
+/// replica is mostly used by the few entries that own its parts (RelayClient).
+constexpr std::uint32_t kFewestConnections = 4;
+
 std::uint64_t RandomSeed() {
   std::random_device device;
   constexpr int kHalfBits = 32;
@@ -128,7 +132,7 @@
     if (service.max_connections == 0) continue;
     const auto share = service.max_connections * kUsedConnectionsPercent /
                        kPercent / static_cast<std::uint32_t>(entries);
-    m_pool->SetConnectionShare(service.name, std::max(share, 1U));
+    m_pool->SetConnectionShare(service.name, std::max(share, kFewestConnections));
   }
 }
 
--- a/src/ports/relay.h
+++ b/src/ports/relay.h
@@ -31,6 +31,9 @@
   Duration answer_within{};
   /// Time that the replicas get.
   Duration time_left{};
+  /// Questions with the same value go to the same few entries of a zone, so
+  /// that these keep their connections to the replicas and see their queues.
+  std::uint64_t affinity = 0;
 };
 
 /// A part that is in.
@@ -56,16 +59,28 @@
   std::vector<RelayMissing> missing;
 };
 
-/// Port: asks entries of other zones. A relay may use every attempt that a part
+/// Port: asks other entries. A relay may use every attempt that a part
 /// has; the entry that asks uses what is left of them. Not thread safe.
 class Relay {
  public:
   using Callback = std::function<void(Result<RelayAnswer>)>;
   virtual ~Relay() = default;
 
+  /// Which zones Zones returns.
+  enum class ZoneChoice : std::uint8_t {
+    /// Those whose relays have mostly brought all parts of late.
+    kProven,
+    kAny,
+  };
+
   /// Returns the other zones that have an entry to ask, the order changing from
   /// call to call.
-  [[nodiscard]] std::vector<std::string> Zones() { return OnZones(); }
+  [[nodiscard]] std::vector<std::string> Zones(ZoneChoice choice) {
+    return OnZones(choice);
+  }
+
+  /// Returns whether the own zone has another entry to ask.
+  [[nodiscard]] bool HasNeighbor() const { return OnHasNeighbor(); }
 
   /// Asks an entry of `zone`; calls `callback` once, never from within this
   /// call, unless it is cancelled: with its answer, or with
@@ -81,7 +96,8 @@
   void Cancel(RelayId id) { OnCancel(id); }
 
  protected:
-  [[nodiscard]] virtual std::vector<std::string> OnZones() = 0;
+  [[nodiscard]] virtual std::vector<std::string> OnZones(ZoneChoice choice) = 0;
+  [[nodiscard]] virtual bool OnHasNeighbor() const = 0;
   virtual RelayId OnAsk(const std::string& zone, const RelayQuestion& question,
                         Callback callback) = 0;
   virtual void OnCancel(RelayId id) = 0;
--- a/src/routing/relay_client.cc
+++ b/src/routing/relay_client.cc
@@ -1,9 +1,11 @@
 #include "routing/relay_client.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <utility>
 
+#include "base/rendezvous.h"
 #include "routing/relay_messages.h"
 
 namespace chicoryvale {
@@ -11,7 +13,7 @@
 
 /// Way there and back, and the work of both processes, beyond the time that
 /// the relay has.
-constexpr Duration kHopTime = milliseconds(15);
+constexpr Duration kHopTime = milliseconds(50);
 
 /// Time in which a cancel is of use.
 constexpr Duration kCancelTime = milliseconds(500);
@@ -30,8 +32,16 @@
 /// the same, to see whether it has recovered.
 constexpr std::uint32_t kAskAgainEach = 8;
 
-/// What one more open question counts against a mean delay.
-constexpr double kOpenCostUs = 2'000;
+/// What one more open question counts against a mean delay: about the work for
+/// one.
+constexpr double kOpenCostUs = 10'000;
+
+/// Entries of a zone among which questions of one affinity are shared.
+constexpr std::size_t kOwners = 3;
+
+/// Entries of another zone that fail one after the other, from which the zone is
+/// taken to be cut off.
+constexpr std::uint32_t kFailuresOfCut = 2;
 
 std::uint32_t ToMilliseconds(Duration duration) {
   const auto count = std::chrono::duration_cast<milliseconds>(duration).count();
@@ -76,7 +86,7 @@
     const MemberInfo& info = member.info;
     const bool usable = info.role == MemberRole::kEntry &&
                         member.state == MemberState::kAlive &&
-                        info.availability_zone != self.availability_zone;
+                        info.address != self.address;
     if (!usable) continue;
     Entry entry;
     entry.address = info.address;
@@ -86,6 +96,7 @@
     if (old != known.end()) entry = *old;
     Zone& next = zones[info.availability_zone];
     next.missing_share = zone.missing_share;
+    next.failed_in_row = zone.failed_in_row;
     next.entries.push_back(entry);
   }
   m_zones = std::move(zones);
@@ -95,12 +106,24 @@
   return m_ports.scheduler->Now() >= entry.spared_until;
 }
 
-std::vector<std::string> RelayClient::OnZones() {
+bool RelayClient::HasUsable(const Zone& zone) const {
+  return std::ranges::any_of(zone.entries, [this](const Entry& entry) {
+    return IsUsable(entry);
+  });
+}
+
+bool RelayClient::OnHasNeighbor() const {
+  const auto own = m_zones.find(m_ports.members->Self().availability_zone);
+  return own != m_zones.end() && HasUsable(own->second);
+}
+
+std::vector<std::string> RelayClient::OnZones(ZoneChoice choice) {
+  const std::string& own = m_ports.members->Self().availability_zone;
   std::vector<std::string> zones;
   for (auto& [name, zone] : m_zones) {
-    const bool usable = std::ranges::any_of(
-        zone.entries, [this](const Entry& entry) { return IsUsable(entry); });
-    if (usable && !IsInDoubt(&zone)) zones.push_back(name);
+    if (name == own || !HasUsable(zone)) continue;
+    if (choice == ZoneChoice::kProven && IsInDoubt(&zone)) continue;
+    zones.push_back(name);
   }
   std::ranges::shuffle(zones, m_random);
   return zones;
@@ -122,7 +145,9 @@
   mean += kNewWeight * (share - mean);
 }
 
-RelayClient::Entry* RelayClient::Draw(const std::string& zone) {
+// Of the entries that own the affinity, the sooner of two drawn by lot.
+RelayClient::Entry* RelayClient::Draw(const std::string& zone,
+                                      std::uint64_t affinity) {
   const auto found = m_zones.find(zone);
   if (found == m_zones.end()) return nullptr;
   std::vector<Entry*> usable;
@@ -130,7 +155,13 @@
     if (IsUsable(entry)) usable.push_back(&entry);
   }
   if (usable.empty()) return nullptr;
-  std::uniform_int_distribution<std::size_t> index(0, usable.size() - 1);
+  const std::size_t owners = std::min(kOwners, usable.size());
+  std::ranges::partial_sort(
+      usable, usable.begin() + static_cast<std::ptrdiff_t>(owners),
+      std::ranges::greater{}, [affinity](const Entry* entry) {
+        return RendezvousWeight(entry->address.host_port, affinity);
+      });
+  std::uniform_int_distribution<std::size_t> index(0, owners - 1);
   Entry* first = usable[index(m_random)];
   Entry* second = usable[index(m_random)];
   const auto cost = [](const Entry* entry) {
@@ -142,7 +173,7 @@
 RelayId RelayClient::OnAsk(const std::string& zone,
                            const RelayQuestion& question, Callback callback) {
   const RelayId id = ++m_last_id;
-  Entry* entry = Draw(zone);
+  Entry* entry = Draw(zone, question.affinity);
   Question& open = m_open[id];
   open.zone = zone;
   open.parts = question.services.size();
@@ -173,7 +204,6 @@
   Question& question = node.mapped();
   RelayReplyMessage reply;
   const bool readable = bytes && Decode(*bytes, &reply);
-  if (!readable) SpareZone(question.zone);
   NoteEnd(question, !readable || !reply.taken);
   if (!bytes) return question.callback(tl::unexpected<Error>(bytes.error()));
   if (!readable) {
@@ -196,12 +226,9 @@
   question.callback(std::move(answer));
 }
 
-// An entry that does not answer may be cut off with its zone: further requests
-// are not put at risk to find out.
-void RelayClient::SpareZone(const std::string& name) {
-  const auto zone = m_zones.find(name);
-  if (zone == m_zones.end()) return;
-  for (Entry& entry : zone->second.entries) {
+// The zone may be cut off: further requests are not put at risk to find out.
+void RelayClient::SpareZone(Zone* zone) {
+  for (Entry& entry : zone->entries) {
     entry.spared_until = m_ports.scheduler->Now() + kSpareTime;
   }
 }
@@ -216,7 +243,14 @@
   if (entry->open > 0) --entry->open;
   const auto delay = static_cast<double>((now - question.asked_at).count());
   entry->mean_delay_us += kNewWeight * (delay - entry->mean_delay_us);
-  if (failed) entry->spared_until = now + kSpareTime;
+  if (!failed) {
+    zone->second.failed_in_row = 0;
+    return;
+  }
+  entry->spared_until = now + kSpareTime;
+  const bool own = zone->first == m_ports.members->Self().availability_zone;
+  const bool cut = ++zone->second.failed_in_row >= kFailuresOfCut;
+  if (!own && cut) SpareZone(&zone->second);
 }
 
 void RelayClient::OnCancel(RelayId id) {
--- a/src/routing/relay_client.h
+++ b/src/routing/relay_client.h
@@ -34,7 +34,8 @@
   RelayClient(const Ports& ports, std::uint64_t seed);
 
  protected:
-  [[nodiscard]] std::vector<std::string> OnZones() override;
+  [[nodiscard]] std::vector<std::string> OnZones(ZoneChoice choice) override;
+  [[nodiscard]] bool OnHasNeighbor() const override;
   RelayId OnAsk(const std::string& zone, const RelayQuestion& question,
                 Callback callback) override;
   void OnCancel(RelayId id) override;
@@ -56,6 +57,8 @@
     double missing_share = 0;
     /// Requests that passed the zone by since it was last asked.
     std::uint32_t passed_by = 0;
+    /// Entries that failed since one last answered.
+    std::uint32_t failed_in_row = 0;
   };
 
   struct Question {
@@ -67,12 +70,13 @@
   };
 
   void ReadMembers();
-  Entry* Draw(const std::string& zone);
+  Entry* Draw(const std::string& zone, std::uint64_t affinity);
+  [[nodiscard]] bool HasUsable(const Zone& zone) const;
   [[nodiscard]] bool IsUsable(const Entry& entry) const;
   bool IsInDoubt(Zone* zone);
   void NoteMissing(const Question& question, std::size_t missing);
   void OnReply(RelayId id, const Result<std::string>& bytes);
-  void SpareZone(const std::string& name);
+  void SpareZone(Zone* zone);
   void NoteEnd(const Question& question, bool failed);
 
   Ports m_ports;
--- a/src/routing/relay_plan.cc
+++ b/src/routing/relay_plan.cc
@@ -9,6 +9,10 @@
 /// Parts for which a message pays.
 constexpr std::size_t kLeastParts = 2;
 
+/// Parts of one message. Asking an entry costs this process about what sending
+/// one part does; more parts a message make the asked entry the slower of both.
+constexpr std::size_t kMostParts = 10;
+
 bool CanServe(const RemotePart& part, const std::string& zone) {
   return std::ranges::find(part.zones, zone) != part.zones.end();
 }
@@ -38,4 +42,18 @@
   return groups;
 }
 
+std::vector<RelayGroup> SplitGroup(const RelayGroup& group) {
+  const std::size_t size = group.parts.size();
+  const std::size_t count = (size + kMostParts - 1) / kMostParts;
+  std::vector<RelayGroup> groups;
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto from = group.parts.begin() +
+                      static_cast<std::ptrdiff_t>(i * size / count);
+    const auto to = group.parts.begin() +
+                    static_cast<std::ptrdiff_t>((i + 1) * size / count);
+    groups.push_back({group.zone, {from, to}});
+  }
+  return groups;
+}
+
 }  // namespace chicoryvale
--- a/src/routing/relay_plan.h
+++ b/src/routing/relay_plan.h
@@ -15,7 +15,7 @@
   std::vector<std::string> zones;
 };
 
-/// Parts that one entry of another zone is asked for together.
+/// Parts that one entry of a zone is asked for together.
 struct RelayGroup {
   std::string zone;
   std::vector<std::size_t> parts;
@@ -31,6 +31,17 @@
 std::vector<RelayGroup> PlanRelays(std::vector<RemotePart> parts,
                                    const std::vector<std::string>& zones);
 
+/// Parts that an entry sends itself; more of them are shared among entries of
+/// its zone. Answers the load in which one request is so much work that an
+/// entry with a small part of a core would be late with it alone, while its
+/// neighbors are idle.
+inline constexpr std::size_t kMostDirectParts = 12;
+
+/// Splits a group into messages of about equal size that one entry can work on
+/// in time. Parts keep their order, so that a message for the same place in the
+/// group holds about the same parts in each request. Thread safe.
+std::vector<RelayGroup> SplitGroup(const RelayGroup& group);
+
 }  // namespace chicoryvale
 
 #endif  // CHICORYVALE_SRC_ROUTING_RELAY_PLAN_H_
--- a/src/routing/replica_pool.cc
+++ b/src/routing/replica_pool.cc
@@ -32,7 +32,7 @@
 /// A replica that just started works slower than its mean will be.
 constexpr double kColdFactor = 3.0;
 
-/// Assumed before the first answer: low, so that each replica is tried.
+/// Assumed before the first answer of a service: low, so that one is tried.
 constexpr double kUnknownLatencyUs = 1'000;
 
 /// Way to another zone and back, and the price of the bytes on it.
@@ -122,9 +122,17 @@
              : share->second;
 }
 
+// A replica that was not asked yet is thought to be like its siblings. Many
+// entries over many replicas would else spend most sends on first looks.
+double ReplicaPool::ExpectedLatencyUs(const Replica& replica) const {
+  if (replica.has_latency) return replica.mean_latency_us;
+  const auto service = m_service_latency_us.find(replica.listed.service);
+  return service == m_service_latency_us.end() ? kUnknownLatencyUs
+                                               : service->second;
+}
+
 double ReplicaPool::CostUs(const Replica& replica, TimePoint now) const {
-  double latency =
-      replica.has_latency ? replica.mean_latency_us : kUnknownLatencyUs;
+  double latency = ExpectedLatencyUs(replica);
   if (now < replica.warm_at) latency *= kColdFactor;
   const double told = replica.told_queue *
                       HalfLifeFactor(now - replica.told_at, kToldHalfLifeS);
@@ -194,6 +202,11 @@
   if (answer.end != SendEnd::kAnswered) return;
   replica.last_answer = now;
   const auto latency_us = static_cast<double>(latency.count());
+  if (answer.IsSuccess()) {
+    const auto [service, first] = m_service_latency_us.try_emplace(
+        replica.listed.service, latency_us);
+    if (!first) service->second += kNewWeight * (latency_us - service->second);
+  }
   if (!replica.has_latency) {
     replica.mean_latency_us = latency_us;
     replica.has_latency = true;
--- a/src/routing/replica_pool.h
+++ b/src/routing/replica_pool.h
@@ -53,6 +53,8 @@
   /// what is known of the others stays.
   void SetReplicas(const std::vector<ListedReplica>& replicas, TimePoint now);
 
+  [[nodiscard]] const std::string& OwnZone() const { return m_own_zone; }
+
   /// Returns whether a list was ever set.
   [[nodiscard]] bool HasList() const { return m_has_list; }
 
@@ -114,6 +116,7 @@
   [[nodiscard]] bool LooksPaused(const Replica& replica, TimePoint now) const;
   [[nodiscard]] double FailureShare(const Replica& replica,
                                     TimePoint now) const;
+  [[nodiscard]] double ExpectedLatencyUs(const Replica& replica) const;
   static void NoteFailure(Replica* replica, bool failed, TimePoint now);
 
   std::string m_own_zone;
@@ -124,6 +127,8 @@
   /// Ids of the replicas that take sends, for each service.
   std::unordered_map<std::string, std::vector<std::string>> m_usable;
   std::unordered_map<std::string, std::uint32_t> m_connection_shares;
+  /// Recency-weighted mean time to an answer of all replicas of a service.
+  std::unordered_map<std::string, double> m_service_latency_us;
 };
 
 }  // namespace chicoryvale
--- a/src/routing/routed_query.h
+++ b/src/routing/routed_query.h
@@ -17,6 +17,7 @@
 #include "ports/scheduler.h"
 #include "routing/answer_timing.h"
 #include "routing/rank_merger.h"
+#include "routing/relay_plan.h"
 #include "routing/repeat_budget.h"
 #include "routing/replica_pool.h"
 #include "routing/routing_config.h"
@@ -158,7 +159,7 @@
     TimePoint sent_at{};
   };
 
-  /// Parts that an entry of another zone was asked for.
+  /// Parts that another entry was asked for.
   struct RelayCall {
     RelayId id = 0;
     std::string zone;
@@ -188,7 +189,9 @@
     return m_question.answer_within.has_value();
   }
   void AskRelays();
-  void AskRelay(RelayCall call);
+  void AskNeighbors();
+  void AskRelaysOf(const RelayGroup& group);
+  void AskRelay(RelayCall call, std::uint64_t affinity);
   void OnRelayEnd(const RelayCall& call, const Result<RelayAnswer>& answer);
   void RepeatRelayedPart(std::size_t index);
   void TakeRelayedParts(const RelayCall& call, const RelayAnswer& answer);
--- a/src/routing/routed_query_relay.cc
+++ b/src/routing/routed_query_relay.cc
@@ -18,14 +18,33 @@
         m_parts.pool->RemoteZones(m_services[i].service, m_started);
     if (!zones.empty()) remote.push_back({i, std::move(zones)});
   }
-  if (remote.empty()) return;
-  for (RelayGroup& group :
-       PlanRelays(std::move(remote), m_parts.relay->Zones())) {
-    AskRelay({0, std::move(group.zone), std::move(group.parts)});
+  // Too many parts to send alone go to relays even if these miss some.
+  const bool large = m_services.size() > kMostDirectParts;
+  const auto zones = m_parts.relay->Zones(large ? Relay::ZoneChoice::kAny
+                                                : Relay::ZoneChoice::kProven);
+  for (const RelayGroup& group : PlanRelays(std::move(remote), zones)) {
+    AskRelaysOf(group);
   }
+  AskNeighbors();
 }
 
-void RoutedQuery::AskRelay(RelayCall call) {
+void RoutedQuery::AskNeighbors() {
+  RelayGroup group{m_parts.pool->OwnZone(), {}};
+  for (std::size_t i = 0; i < m_services.size(); ++i) {
+    if (!m_services[i].relayed) group.parts.push_back(i);
+  }
+  const bool share = group.parts.size() > kMostDirectParts;
+  if (share && m_parts.relay->HasNeighbor()) AskRelaysOf(group);
+}
+
+void RoutedQuery::AskRelaysOf(const RelayGroup& group) {
+  std::uint64_t place = 0;
+  for (RelayGroup& message : SplitGroup(group)) {
+    AskRelay({0, std::move(message.zone), std::move(message.parts)}, place++);
+  }
+}
+
+void RoutedQuery::AskRelay(RelayCall call, std::uint64_t affinity) {
   RelayQuestion question;
   question.request = m_question.request;
   for (const std::size_t index : call.parts) {
@@ -40,6 +59,7 @@
   question.target_latency = m_question.route->target_latency;
   question.answer_within = std::min(m_timing.RelayTime(), TimeLeft());
   question.time_left = SendTime();
+  question.affinity = affinity;
   m_parts.counters->Add(RoutingCounter::kRelayed, call.parts.size());
   const std::weak_ptr<int> alive = m_alive;
   const std::size_t place = m_relays.size();
