Leave the caller's way out of the time for shards; let relays answer at one time

Relays had their whole time from when they were asked, however late that was, so the last of nine answered after the short answer was due.

Change: the short answer leaves 18 ms of the target (at most 30%) for the caller's connection, the ways and the work; the time already gone is taken off a relay's time.

--- a/bench/entry_path.cc
+++ b/bench/entry_path.cc
@@ -125,11 +125,11 @@
 }  // namespace chicoryvale
 
 int main() {
-  using namespace chicoryvale;
-  InitLog("entry_path", LogLevel::kInfo, LogTarget::kStandardError);
-  const double send = MeasureSend();
-  const double question = MeasureQuestion();
-  const double line = MeasureLine();
+  chicoryvale::InitLog("entry_path", chicoryvale::LogLevel::kInfo,
+                       chicoryvale::LogTarget::kStandardError);
+  const double send = chicoryvale::MeasureSend();
+  const double question = chicoryvale::MeasureQuestion();
+  const double line = chicoryvale::MeasureLine();
   std::printf("%-20s %10s %8s\n", "", "us", "ratio");
   std::printf("%-20s %10.1f %8.2f\n", "send to a replica", send, 1.0);
   std::printf("%-20s %10.1f %8.2f\n", "question to a relay", question,
--- a/src/routing/answer_timing.cc
+++ b/src/routing/answer_timing.cc
@@ -16,6 +16,11 @@
 constexpr int kWaitPercent = 100;
 /// Way of a relay's answer between zones, and the work for it.
 constexpr Duration kRelayHop = milliseconds(6);
+/// A caller's new connection and its request's way, the way back of the answer,
+/// and the work for it: the target latency runs for the caller.
+constexpr Duration kCallerWay = milliseconds(18);
+/// Part of the target latency that is always left for shards.
+constexpr int kLeastShortAnswerPercent = 70;
 constexpr int kPercent = 100;
 
 /// Rounding of a share of shards given as a decimal fraction.
@@ -28,7 +33,10 @@
 }
 
 Duration AnswerTiming::ShortAnswerTime() const {
-  return m_route->target_latency * kShortAnswerPercent / kPercent;
+  const Duration target = m_route->target_latency;
+  const Duration usual = target * kShortAnswerPercent / kPercent;
+  const Duration least = target * kLeastShortAnswerPercent / kPercent;
+  return std::min(usual, std::max(target - kCallerWay, least));
 }
 
 Duration AnswerTiming::RelayTime() const {
--- a/src/routing/routed_query_relay.cc
+++ b/src/routing/routed_query_relay.cc
@@ -57,7 +57,11 @@
   question.rank_limit = m_question.route->scatter.rank_limit;
   question.max_attempts = m_question.route->max_attempts;
   question.target_latency = m_question.route->target_latency;
-  question.answer_within = std::min(m_timing.RelayTime(), TimeLeft());
+  // Asking many entries takes time too: all of them answer at one time.
+  const Duration elapsed = m_parts.scheduler->Now() - m_started;
+  question.answer_within =
+      std::min(std::max(m_timing.RelayTime() - elapsed, m_timing.HedgeDelay()),
+               TimeLeft());
   question.time_left = SendTime();
   question.affinity = affinity;
   m_parts.counters->Add(RoutingCounter::kRelayed, call.parts.size());
