Send up to 32 parts directly; keep small groups' connection shares

Change: parts are shared among neighbors, and doubtful zones asked, only for requests of more than 32 parts; the larger connection share holds in groups of 40 entries or more.

--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -23,8 +23,10 @@
 /// count there.
 constexpr std::uint32_t kUsedConnectionsPercent = 90;
 
-/// Connections to a replica that an entry may have in a large group. There a
-/// replica is mostly used by the few entries that own its parts (RelayClient).
+/// Connections to a replica that an entry may have in a group of so many
+/// entries. There a replica is mostly used by the few entries that own its parts
+/// (RelayClient).
+constexpr std::uint32_t kLargeGroup = 40;
 constexpr std::uint32_t kFewestConnections = 4;
 
 std::uint64_t RandomSeed() {
@@ -130,12 +132,13 @@
   });
   m_budget->SetEntries(static_cast<std::uint32_t>(entries));
   if (!m_config) return;
+  const std::uint32_t fewest = entries < kLargeGroup ? 1 : kFewestConnections;
   for (const RoutedService& service : m_config->services) {
     if (service.max_connections == 0) continue;
     const auto share = service.max_connections * kUsedConnectionsPercent /
                        kPercent / static_cast<std::uint32_t>(entries);
     m_pool->SetConnectionShare(service.name,
-                               std::max(share, kFewestConnections));
+                               std::max(share, fewest));
   }
 }
 
--- a/src/routing/relay_plan.h
+++ b/src/routing/relay_plan.h
@@ -35,7 +35,7 @@
 /// its zone. Answers the load in which one request is so much work that an
 /// entry with a small part of a core would be late with it alone, while its
 /// neighbors are idle.
-inline constexpr std::size_t kMostDirectParts = 12;
+inline constexpr std::size_t kMostDirectParts = 32;
 
 /// Splits a group into messages of about equal size that one entry can work on
 /// in time. Parts keep their order, so that a message for the same place in the
