Have the list within half a second of a start

Change: an entry may read the platform 0.2 s after its start if it ranks first, later the lower it ranks; only where all start for the first time (the platform says so) do they wait 3 s to know each other. Callers of an entry without a list are told to come again after 300 ms.

--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -24,8 +24,8 @@
 constexpr std::uint32_t kUsedConnectionsPercent = 90;
 
 /// Connections to a replica that an entry may have in a group of so many
-/// entries. There a replica is mostly used by the few entries that own its parts
-/// (RelayClient).
+/// entries. There a replica is mostly used by the few entries that own its
+/// parts (RelayClient).
 constexpr std::uint32_t kLargeGroup = 40;
 constexpr std::uint32_t kFewestConnections = 4;
 
@@ -86,7 +86,7 @@
   m_transport =
       std::make_unique<platform::HttpReplicaTransport>(m_client.get());
   m_directory = std::make_unique<platform::HttpReplicaDirectory>(
-      m_client.get(), Address{m_settings.replica_list});
+      m_client.get(), Address{m_settings.replica_list_address});
   m_pool = std::make_unique<ReplicaPool>(m_settings.peers.availability_zone,
                                          RandomSeed());
   m_sends = std::make_unique<SendTracker>(&m_scheduler, m_transport.get(),
@@ -114,7 +114,7 @@
                              .peers = m_peers->Calls(),
                              .members = m_peers->Members(),
                              .log = &m_log},
-      m_settings.replica_list_period, RandomSeed());
+      m_settings.replica_list, RandomSeed());
   m_list->SetListener([this](const std::vector<ListedReplica>& replicas) {
     m_pool->SetReplicas(replicas, m_scheduler.Now());
   });
@@ -137,8 +137,7 @@
     if (service.max_connections == 0) continue;
     const auto share = service.max_connections * kUsedConnectionsPercent /
                        kPercent / static_cast<std::uint32_t>(entries);
-    m_pool->SetConnectionShare(service.name,
-                               std::max(share, fewest));
+    m_pool->SetConnectionShare(service.name, std::max(share, fewest));
   }
 }
 
--- a/programs/chicory-gatewayd/gateway_settings.cc
+++ b/programs/chicory-gatewayd/gateway_settings.cc
@@ -36,8 +36,11 @@
   settings.listen_callers = reader.RequiredAddress("listen.callers");
   settings.listen_ready = reader.RequiredAddress("listen.ready");
   settings.listen_metrics = reader.RequiredAddress("listen.metrics");
-  settings.replica_list = reader.RequiredAddress("platform.replica_list");
-  settings.replica_list_period =
+  settings.replica_list_address =
+      reader.RequiredAddress("platform.replica_list");
+  settings.replica_list.first_start =
+      reader.Bool("platform.first_start", false);
+  settings.replica_list.period =
       reader.Milliseconds("platform.replica_list_period_ms", kDefaultListPeriod,
                           kListPeriodRangeMs);
   settings.budget = ReadBudget(reader);
--- a/programs/chicory-gatewayd/gateway_settings.h
+++ b/programs/chicory-gatewayd/gateway_settings.h
@@ -7,6 +7,7 @@
 #include "adapters/peer_stack.h"
 #include "base/time.h"
 #include "routing/repeat_budget.h"
+#include "routing/replica_list_sync.h"
 
 namespace chicoryvale {
 
@@ -21,8 +22,8 @@
   std::string listen_ready;
   std::string listen_metrics;
   /// The platform's list of replicas.
-  std::string replica_list;
-  Duration replica_list_period{};
+  std::string replica_list_address;
+  ReplicaListOptions replica_list;
   RepeatBudgetOptions budget;
   std::uint32_t max_connections = 0;
   /// Time between the end of readiness and the refusal of new connections.
--- a/src/routing/replica_list_sync.cc
+++ b/src/routing/replica_list_sync.cc
@@ -29,12 +29,22 @@
 /// membership shows it gone.
 constexpr Duration kSpareTime = seconds(3);
 
-/// Time after the start in which the members become known: until then this
-/// entry does not take itself for the reader.
-constexpr Duration kJoinTime = seconds(2);
+/// Times after the start in which the members become known. Until then an entry
+/// does not read the platform: the later, the less it is the one that should.
+constexpr Duration kJoinTimeOfReader = milliseconds(200);
+constexpr Duration kJoinTimeOfZoneReader = milliseconds(700);
+constexpr Duration kJoinTime = milliseconds(1200);
+
+/// The same where all processes start for the first time: the members become
+/// known over seconds, and callers come later.
+constexpr Duration kFirstJoinTime = seconds(3);
 
 /// Pause after an answer that held nothing, and while members are not known.
-constexpr Duration kShortPause = milliseconds(200);
+constexpr Duration kShortPause = milliseconds(100);
+
+/// Longest time for which a question is kept open that comes from an entry
+/// without a list.
+constexpr Duration kFirstListWait = milliseconds(400);
 
 /// Key of the entry that reads the platform, in rendezvous hashing.
 constexpr std::uint64_t kReaderKey = 1;
@@ -66,9 +76,10 @@
 
 }  // namespace
 
-ReplicaListSync::ReplicaListSync(const Ports& ports, Duration period,
+ReplicaListSync::ReplicaListSync(const Ports& ports,
+                                 const ReplicaListOptions& options,
                                  std::uint64_t seed)
-    : m_ports(ports), m_period(period), m_random(seed) {
+    : m_ports(ports), m_options(options), m_random(seed) {
   m_ports.peers->SetHandler(
       PeerChannel::kReplicaList,
       [this, alive = std::weak_ptr<int>(m_alive)](
@@ -104,14 +115,18 @@
   const Source source = PickSource();
   const Duration left = TimeUntilStale(source);
   const bool stale = left <= Duration::zero();
-  if (MayReadYet() && stale && !peers_first) return ReadPlatform();
+  const bool may_read = MayRead(source);
+  if (may_read && stale && !peers_first) return ReadPlatform();
   if (source.entry) return Ask(*source.entry, left);
-  if (!MayReadYet()) return StepAfter(kShortPause);
+  if (!may_read) return StepAfter(kShortPause);
   ReadPlatform();
 }
 
-bool ReplicaListSync::MayReadYet() const {
-  return m_ports.scheduler->Now() - m_started >= kJoinTime;
+bool ReplicaListSync::MayRead(const Source& source) const {
+  const Duration since_start = m_ports.scheduler->Now() - m_started;
+  if (m_options.first_start) return since_start >= kFirstJoinTime;
+  if (!source.entry) return since_start >= kJoinTimeOfReader;
+  return since_start >= (source.leads_zone ? kJoinTimeOfZoneReader : kJoinTime);
 }
 
 Duration ReplicaListSync::TimeUntilStale(const Source& source) const {
@@ -134,10 +149,8 @@
     const bool usable = member.info.role == MemberRole::kEntry &&
                         member.state == MemberState::kAlive &&
                         !IsSpared(member.info.address);
-    // An entry that has just started follows others whatever its rank.
-    if (is_self ? MayReadYet() : usable) entries.push_back(member.info);
+    if (is_self || usable) entries.push_back(member.info);
   }
-  if (entries.empty()) return {};
   const auto weight = [](const MemberInfo& info) {
     return RendezvousWeight(info.address.host_port, kReaderKey);
   };
@@ -172,7 +185,7 @@
                          {{"reason", replicas.error().message}});
     }
     m_peers_first = true;
-    return StepAfter(m_period / 2);
+    return StepAfter(m_options.period / 2);
   }
   if (std::exchange(m_platform_failing, false)) {
     m_ports.log->Write(LogLevel::kInfo, "replica_list_regained",
@@ -181,13 +194,14 @@
   const TimePoint held = m_list.ReadAt();
   const bool changed = m_list.Replace(*replicas, asked_at);
   if (m_list.ReadAt() != held) OnNewRead(changed);
-  StepAfter(m_period);
+  StepAfter(m_options.period);
 }
 
 void ReplicaListSync::Ask(const Address& source, Duration left) {
   NoteSource(source.host_port);
   const TimePoint now = m_ports.scheduler->Now();
-  const Duration wait = m_period + kOpenMargin;
+  const Duration wait =
+      m_list.IsSet() ? m_options.period + kOpenMargin : kFirstListWait;
   ReplicaListQuestion question;
   question.version = m_ask_whole ? 0 : m_list.Version();
   question.age_ms = ToMilliseconds(now - m_list.ReadAt());
--- a/src/routing/replica_list_sync.h
+++ b/src/routing/replica_list_sync.h
@@ -21,6 +21,14 @@
 
 namespace chicoryvale {
 
+/// Settings of a ReplicaListSync.
+struct ReplicaListOptions {
+  /// Time between two reads of the platform.
+  Duration period = seconds(1);
+  /// All processes start for the first time.
+  bool first_start = false;
+};
+
 /// Keeps this entry's list of replicas fresh while few entries read the
 /// platform. One entry of the group reads it; one of each zone follows that
 /// one, and the others of the zone follow the zone's. Both are found by
@@ -44,8 +52,8 @@
     EventLog* log = nullptr;
   };
 
-  /// `period` is the time between two reads of the platform.
-  ReplicaListSync(const Ports& ports, Duration period, std::uint64_t seed);
+  ReplicaListSync(const Ports& ports, const ReplicaListOptions& options,
+                  std::uint64_t seed);
   ~ReplicaListSync();
   ReplicaListSync(const ReplicaListSync&) = delete;
   ReplicaListSync& operator=(const ReplicaListSync&) = delete;
@@ -81,7 +89,7 @@
   void Step();
   [[nodiscard]] Source PickSource() const;
   [[nodiscard]] bool IsSpared(const Address& entry) const;
-  [[nodiscard]] bool MayReadYet() const;
+  [[nodiscard]] bool MayRead(const Source& source) const;
   [[nodiscard]] Duration TimeUntilStale(const Source& source) const;
   void ReadPlatform();
   void OnPlatformRead(const Result<std::vector<ListedReplica>>& replicas,
@@ -98,7 +106,7 @@
   void NoteSource(const std::string& source);
 
   Ports m_ports;
-  Duration m_period;
+  ReplicaListOptions m_options;
   std::mt19937_64 m_random;
   Listener m_listener;
   TimePoint m_started{};
--- a/src/routing/routed_query_end.cc
+++ b/src/routing/routed_query_end.cc
@@ -16,6 +16,10 @@
 /// in which one that crashed is back.
 constexpr Duration kRetryAfterNoReplica = seconds(1);
 
+/// When callers should come again to an entry that does not have the list of
+/// replicas yet: about the time in which it learns it.
+constexpr Duration kRetryAfterNoList = milliseconds(300);
+
 }  // namespace
 
 void RoutedQuery::FinishWithAnswers() {
@@ -78,6 +82,7 @@
                                   : "the replicas have no room",
                        Ran::kNo};
   answer.retry_after = no_replica ? kRetryAfterNoReplica : kRetryAfterBusy;
+  if (!m_parts.pool->HasList()) answer.retry_after = kRetryAfterNoList;
   Finish(std::move(answer), no_replica ? "no_replica" : "replicas_busy");
 }
 
--- a/tests/routing/replica_list_test.cc
+++ b/tests/routing/replica_list_test.cc
@@ -127,7 +127,7 @@
       : directory(scheduler, replicas),
         peers(network, self.address, scheduler),
         view(self, members),
-        sync({scheduler, &directory, &peers, &view, &log}, seconds(1), seed) {
+        sync({scheduler, &directory, &peers, &view, &log}, {}, seed) {
     sync.Start();
   }
 
@@ -237,6 +237,19 @@
   EXPECT_TRUE(AllKnow(3));
 }
 
+// Load: a power loss of the whole system, while callers are there.
+TEST_F(ReplicaListSyncTest, AllThatStartAgainHaveTheListWithinHalfASecond) {
+  for (auto& entry : m_entries) entry.reset();
+  m_scheduler.RunFor(milliseconds(500));
+  for (int i = 0; i < kZones * kPerZone; ++i) {
+    m_entries[i] = std::make_unique<ListEntry>(
+        &m_scheduler, &m_network, Info(i), &m_members, &m_replicas, i + 50);
+  }
+  m_scheduler.RunFor(milliseconds(500));
+  EXPECT_TRUE(AllKnow(2));
+  EXPECT_LE(Reads(), 3U);
+}
+
 TEST_F(ReplicaListSyncTest, AnEntryThatStartsAgainFollowsAtOnce) {
   const int number = 4;
   m_entries[number].reset();
