Prefer near sources of configuration; let sends within the slots not wait

Sends left the zone because a replica with one of two slots taken was held to answer half a latency later than a free one.

Change: a configuration is pulled from a source of the own zone if one has it; a send beside another in a free slot weighs 0.4 of one that waits.

--- a/src/adapters/peer_stack.cc
+++ b/src/adapters/peer_stack.cc
@@ -80,6 +80,7 @@
   distributor.recovery.scheduler = options.scheduler;
   distributor.recovery.transport = m_tcp.get();
   distributor.recovery.gossip = m_membership.get();
+  distributor.availability_zone = options.availability_zone;
   distributor.random_seed = RandomSeed();
   auto made = ConfigDistributor::Make(std::move(distributor));
   if (!made) return tl::unexpected(made.error());
--- a/src/config/config_distributor.cc
+++ b/src/config/config_distributor.cc
@@ -34,7 +34,7 @@
       m_recovery(
           m_options.recovery,
           [this](const Address& from, const ConfigDigest& have) {
-            NoteSource(from, have);
+            NoteSource(from, false, have);
           },
           [this](const RecoveryRound& round) { OnRecoveryRound(round); }),
       m_history(m_options.max_history_bytes),
@@ -53,7 +53,9 @@
   if (m_options.role == MemberRole::kControl) return;
   m_options.recovery.gossip->AddDigestListener(
       [this, alive](const MemberInfo& from, const ConfigDigest& digest) {
-        if (!alive.expired()) NoteSource(from.address, digest);
+        if (alive.expired()) return;
+        const bool near = from.availability_zone == m_options.availability_zone;
+        NoteSource(from.address, near, digest);
       });
   m_recovery.Start();
 }
@@ -84,7 +86,7 @@
   m_digest = {config.version, hash};
   m_config = std::move(config);
   std::erase_if(m_sources, [this](const auto& source) {
-    return source.second.version <= m_digest.version;
+    return source.second.digest.version <= m_digest.version;
   });
   m_options.recovery.gossip->SetOwnDigest(m_digest);
   Announce();
@@ -121,7 +123,7 @@
   }
 }
 
-void ConfigDistributor::NoteSource(const Address& from,
+void ConfigDistributor::NoteSource(const Address& from, bool near,
                                    const ConfigDigest& digest) {
   if (digest.version == m_digest.version && digest.hash != m_digest.hash) {
     m_counters.Add(DistributionCounter::kConflictingHash);
@@ -131,16 +133,15 @@
   if (!known && m_sources.size() >= kMaxSources) {
     m_sources.erase(m_sources.begin());
   }
-  m_sources[from] = digest;
+  Source& source = m_sources[from];
+  source.digest = digest;
+  source.near = source.near || near;
   PullIfBehind();
 }
 
 void ConfigDistributor::PullIfBehind() {
   if (m_pulling || m_retry_timer != 0 || m_sources.empty()) return;
-  std::uniform_int_distribution<std::size_t> index(0, m_sources.size() - 1);
-  const Address from =
-      std::next(m_sources.begin(), static_cast<std::ptrdiff_t>(index(m_random)))
-          ->first;
+  const Address from = PickSource();
   m_pulling = true;
   m_counters.Add(DistributionCounter::kPulls);
   const DistributionRequest request{
@@ -153,6 +154,23 @@
       });
 }
 
+Address ConfigDistributor::PickSource() {
+  std::uint64_t highest = 0;
+  for (const auto& [address, source] : m_sources) {
+    highest = std::max(highest, source.digest.version);
+  }
+  std::vector<Address> all;
+  std::vector<Address> near;
+  for (const auto& [address, source] : m_sources) {
+    all.push_back(address);
+    const bool newest = source.digest.version == highest;
+    if (source.near && newest) near.push_back(address);
+  }
+  const std::vector<Address>& from = near.empty() ? all : near;
+  std::uniform_int_distribution<std::size_t> index(0, from.size() - 1);
+  return from[index(m_random)];
+}
+
 void ConfigDistributor::OnPulled(const Address& from,
                                  const Result<std::string>& bytes) {
   m_pulling = false;
--- a/src/config/config_distributor.h
+++ b/src/config/config_distributor.h
@@ -78,6 +78,8 @@
 struct DistributorOptions {
   MemberRole role = MemberRole::kEntry;
   RecoveryOptions recovery;
+  /// Of this process: sources in it are preferred.
+  std::string availability_zone;
   std::uint64_t random_seed = 0;
   Duration pull_timeout = seconds(2);
   /// Mean pause after a pull that failed.
@@ -90,9 +92,10 @@
 
 /// Keeps the highest configuration and spreads it: each process gossips the
 /// digest of what it has; one that lacks it pulls the steps, or the whole, from
-/// a random peer that has it. Control VMs only offer what is committed and pull
-/// nothing. Versions only rise. An entry has no configuration in force until
-/// ConfigRecovery says which version it must reach and it has reached it.
+/// a random peer that has it, of the own availability zone if there is one,
+/// since bytes between zones are dear. Control VMs only offer what is committed
+/// and pull nothing. Versions only rise. An entry has no configuration in force
+/// until ConfigRecovery says which version it must reach and it has reached it.
 /// Source: Demers et al., "Epidemic Algorithms for Replicated Database
 /// Maintenance", 1987. Not thread safe: used only on the event loop.
 class ConfigDistributor {
@@ -135,6 +138,13 @@
   }
 
  private:
+  /// A process that has a higher version.
+  struct Source {
+    ConfigDigest digest;
+    /// It is in the own availability zone, as far as is known.
+    bool near = false;
+  };
+
   explicit ConfigDistributor(DistributorOptions options);
 
   // Adopting.
@@ -145,7 +155,8 @@
   void FinishRecovery();
 
   // Pulling.
-  void NoteSource(const Address& from, const ConfigDigest& digest);
+  void NoteSource(const Address& from, bool near, const ConfigDigest& digest);
+  [[nodiscard]] Address PickSource();
   void PullIfBehind();
   void OnPulled(const Address& from, const Result<std::string>& bytes);
   bool AdoptAnswer(const DistributionAnswer& answer);
@@ -173,7 +184,7 @@
   KnownVersion m_known_version;
   Listener m_listener;
   /// Peers that had a higher version when last heard.
-  std::map<Address, ConfigDigest> m_sources;
+  std::map<Address, Source> m_sources;
   bool m_pulling = false;
   bool m_ask_for_whole = false;
   TimerId m_retry_timer = 0;
--- a/src/routing/replica_pool.cc
+++ b/src/routing/replica_pool.cc
@@ -29,6 +29,9 @@
 constexpr double kPauseFloorUs = 25'000;
 constexpr double kPauseCostUs = 100'000;
 
+/// Weight of a send that runs beside another against one that waits for it.
+constexpr double kBesideWeight = 0.4;
+
 /// A replica that just started works slower than its mean will be.
 constexpr double kColdFactor = 3.0;
 
@@ -138,7 +141,10 @@
                       HalfLifeFactor(now - replica.told_at, kToldHalfLifeS);
   const double queue = static_cast<double>(replica.open_sends.size()) + told;
   const double slots = std::max<std::uint32_t>(replica.listed.slots, 1);
-  double cost = latency * (1 + queue / slots);
+  // Sends beyond the free slots wait; those within them only share the replica.
+  const double waiting = std::max(queue + 1 - slots, 0.0);
+  const double beside = queue - waiting;
+  double cost = latency * (1 + (waiting + kBesideWeight * beside) / slots);
   cost += FailureShare(replica, now) * kFailureCostUs;
   if (LooksPaused(replica, now)) cost += kPauseCostUs;
   if (replica.listed.availability_zone != m_own_zone) cost += kOtherZoneCostUs;
