Take one pause for no failure; let what is known of a latency fade

And a random part of 10% of a long latency outweighed the zone.

Change: the first send without an answer is a pause, the next a failure; a latency counts for at most three times the mean; what a latency has over its siblings' halves in two seconds without news; another zone costs at least a fifth of the latency.

--- a/src/routing/replica_pool.cc
+++ b/src/routing/replica_pool.cc
@@ -38,8 +38,18 @@
 /// Assumed before the first answer of a service: low, so that one is tried.
 constexpr double kUnknownLatencyUs = 1'000;
 
-/// Way to another zone and back, and the price of the bytes on it.
+/// Way to another zone and back, and the price of the bytes on it: at least the
+/// first, and more than the random part of a long latency.
 constexpr double kOtherZoneCostUs = 20'000;
+constexpr double kOtherZoneShare = 0.2;
+
+/// An answer's latency counts for at most this many times the mean so far: one
+/// pause is no slowness, which shows in further answers.
+constexpr double kMostLatencyFactor = 3.0;
+
+/// What a replica's latency has over its siblings' halves in this time without
+/// news, so that one that is passed over is tried again.
+constexpr double kLatencyHalfLifeS = 2.0;
 
 /// A replica that closes its connections is spared for about the time after
 /// which the platform's list must show that it leaves.
@@ -127,15 +137,22 @@
 
 // A replica that was not asked yet is thought to be like its siblings. Many
 // entries over many replicas would else spend most sends on first looks.
-double ReplicaPool::ExpectedLatencyUs(const Replica& replica) const {
-  if (replica.has_latency) return replica.mean_latency_us;
+double ReplicaPool::ExpectedLatencyUs(const Replica& replica,
+                                      TimePoint now) const {
   const auto service = m_service_latency_us.find(replica.listed.service);
-  return service == m_service_latency_us.end() ? kUnknownLatencyUs
-                                               : service->second;
+  const bool known = service != m_service_latency_us.end();
+  if (!replica.has_latency) return known ? service->second : kUnknownLatencyUs;
+  if (!known) return replica.mean_latency_us;
+  const double excess =
+      std::max(replica.mean_latency_us - service->second, 0.0);
+  const double faded =
+      excess * (1 - HalfLifeFactor(now - *replica.last_answer,
+                                   kLatencyHalfLifeS));
+  return replica.mean_latency_us - faded;
 }
 
 double ReplicaPool::CostUs(const Replica& replica, TimePoint now) const {
-  double latency = ExpectedLatencyUs(replica);
+  double latency = ExpectedLatencyUs(replica, now);
   if (now < replica.warm_at) latency *= kColdFactor;
   const double told = replica.told_queue *
                       HalfLifeFactor(now - replica.told_at, kToldHalfLifeS);
@@ -147,7 +164,9 @@
   double cost = latency * (1 + (waiting + kBesideWeight * beside) / slots);
   cost += FailureShare(replica, now) * kFailureCostUs;
   if (LooksPaused(replica, now)) cost += kPauseCostUs;
-  if (replica.listed.availability_zone != m_own_zone) cost += kOtherZoneCostUs;
+  if (replica.listed.availability_zone != m_own_zone) {
+    cost += std::max(kOtherZoneCostUs, kOtherZoneShare * latency);
+  }
   if (now < replica.shunned_until) cost += kFailureCostUs;
   return cost;
 }
@@ -193,7 +212,10 @@
   if (open == replica.open_sends.end()) return;
   const Duration latency = now - open->second;
   replica.open_sends.erase(open);
-  NoteFailure(&replica, !answer.IsSuccess(), now);
+  // One send without an answer fell into a pause; the next will not.
+  const bool silent = answer.end == SendEnd::kTimedOut;
+  const bool in_row = std::exchange(replica.last_silent, silent);
+  if (!silent || in_row) NoteFailure(&replica, !answer.IsSuccess(), now);
   if (answer.closes) replica.shunned_until = now + kShunTime;
   if (answer.end == SendEnd::kWrongReplica) {
     replica.moved_until = now + kMovedTime;
@@ -217,8 +239,9 @@
     replica.mean_latency_us = latency_us;
     replica.has_latency = true;
   } else {
-    replica.mean_latency_us +=
-        kNewWeight * (latency_us - replica.mean_latency_us);
+    const double counted =
+        std::min(latency_us, kMostLatencyFactor * replica.mean_latency_us);
+    replica.mean_latency_us += kNewWeight * (counted - replica.mean_latency_us);
   }
 }
 
--- a/src/routing/replica_pool.h
+++ b/src/routing/replica_pool.h
@@ -101,6 +101,8 @@
     /// full is spared as one that fails.
     double failure_share = 0;
     TimePoint failure_noted{};
+    /// The last send that ended had no answer.
+    bool last_silent = false;
     /// Others' requests in its queue when it last told its load.
     double told_queue = 0;
     TimePoint told_at{};
@@ -116,7 +118,8 @@
   [[nodiscard]] bool LooksPaused(const Replica& replica, TimePoint now) const;
   [[nodiscard]] double FailureShare(const Replica& replica,
                                     TimePoint now) const;
-  [[nodiscard]] double ExpectedLatencyUs(const Replica& replica) const;
+  [[nodiscard]] double ExpectedLatencyUs(const Replica& replica,
+                                         TimePoint now) const;
   static void NoteFailure(Replica* replica, bool failed, TimePoint now);
 
   std::string m_own_zone;
