Let one entry read the list when all start for the first time

Change: the times by rank hold then too, counted from the three seconds in which the members become known. Test: one start of 24 entries, at most three reads.

--- a/src/routing/replica_list_sync.cc
+++ b/src/routing/replica_list_sync.cc
@@ -35,8 +35,8 @@
 constexpr Duration kJoinTimeOfZoneReader = milliseconds(700);
 constexpr Duration kJoinTime = milliseconds(1200);
 
-/// The same where all processes start for the first time: the members become
-/// known over seconds, and callers come later.
+/// Added to these where all processes start for the first time: the members
+/// become known over seconds, and callers come later.
 constexpr Duration kFirstJoinTime = seconds(3);
 
 /// Pause after an answer that held nothing, and while members are not known.
@@ -123,8 +123,10 @@
 }
 
 bool ReplicaListSync::MayRead(const Source& source) const {
-  const Duration since_start = m_ports.scheduler->Now() - m_started;
-  if (m_options.first_start) return since_start >= kFirstJoinTime;
+  const Duration join_time =
+      m_options.first_start ? kFirstJoinTime : Duration::zero();
+  const Duration since_start =
+      m_ports.scheduler->Now() - m_started - join_time;
   if (!source.entry) return since_start >= kJoinTimeOfReader;
   return since_start >= (source.leads_zone ? kJoinTimeOfZoneReader : kJoinTime);
 }
--- a/tests/routing/replica_list_test.cc
+++ b/tests/routing/replica_list_test.cc
@@ -123,11 +123,13 @@
 struct ListEntry {
   ListEntry(FakeScheduler* scheduler, FakeNetwork* network,
             const MemberInfo& self, const std::vector<Member>* members,
-            std::vector<ListedReplica>* replicas, std::uint64_t seed)
+            std::vector<ListedReplica>* replicas, std::uint64_t seed,
+            bool first_start = false)
       : directory(scheduler, replicas),
         peers(network, self.address, scheduler),
         view(self, members),
-        sync({scheduler, &directory, &peers, &view, &log}, {}, seed) {
+        sync({scheduler, &directory, &peers, &view, &log},
+             {.first_start = first_start}, seed) {
     sync.Start();
   }
 
@@ -250,6 +252,18 @@
   EXPECT_LE(Reads(), 3U);
 }
 
+TEST_F(ReplicaListSyncTest, OneEntryReadsWhenAllStartForTheFirstTime) {
+  for (auto& entry : m_entries) entry.reset();
+  for (int i = 0; i < kZones * kPerZone; ++i) {
+    m_entries[i] =
+        std::make_unique<ListEntry>(&m_scheduler, &m_network, Info(i),
+                                    &m_members, &m_replicas, i + 50, true);
+  }
+  m_scheduler.RunFor(milliseconds(3500));
+  EXPECT_TRUE(AllKnow(2));
+  EXPECT_LE(Reads(), 3U);
+}
+
 TEST_F(ReplicaListSyncTest, AnEntryThatStartsAgainFollowsAtOnce) {
   const int number = 4;
   m_entries[number].reset();
