Reread settings that change; tidy tests and benchmarks

Cause: SIGHUP was logged and nothing reread, and a file that changed without a signal was unseen (seeds are exchanged for other VMs on the platform).

Change: a gateway looks at its file on SIGHUP and each two seconds; contacts, repeat amounts, the list's address and period are adopted, a file with a fault changes nothing and is logged with its line, what needs a restart is named. A recovery round counts its quorum over the control VMs it asked.

Also: neighbors' tests and the shared test entry in files of their own, one copy of the benchmarks' processor time, the relayed state of a part set in one place; pages brought up to date.

--- a/bench/entry_path.cc
+++ b/bench/entry_path.cc
@@ -17,6 +17,7 @@
 #include "adapters/glib_scheduler.h"
 #include "adapters/log.h"
 #include "adapters/tcp_peer_transport.h"
+#include "processor_time.h"
 
 namespace chicoryvale {
 namespace {
@@ -28,17 +29,6 @@
 constexpr std::size_t kPartBytes = 200;
 constexpr std::size_t kQuestionBytes = 600;
 
-double ProcessMicroseconds() {
-  rusage usage{};
-  getrusage(RUSAGE_SELF, &usage);
-  constexpr double kMicrosecondsPerSecond = 1e6;
-  const auto micros = [](const timeval& time) {
-    return static_cast<double>(time.tv_sec) * kMicrosecondsPerSecond +
-           static_cast<double>(time.tv_usec);
-  };
-  return micros(usage.ru_utime) + micros(usage.ru_stime);
-}
-
 /// Runs `start_one` kRounds times, kConcurrent at once; it calls its argument
 /// at the end of each. Returns microseconds a round.
 double Measure(
@@ -53,10 +43,10 @@
       next();
     });
   };
-  const double before = ProcessMicroseconds();
+  const double before = ProcessorMicroseconds(RUSAGE_SELF);
   for (int i = 0; i < kConcurrent; ++i) next();
   while (ended < kRounds) g_main_context_iteration(nullptr, TRUE);
-  return (ProcessMicroseconds() - before) / kRounds;
+  return (ProcessorMicroseconds(RUSAGE_SELF) - before) / kRounds;
 }
 
 double MeasureSend() {
@@ -109,7 +99,7 @@
 }
 
 double MeasureLine() {
-  const double before = ProcessMicroseconds();
+  const double before = ProcessorMicroseconds(RUSAGE_SELF);
   for (int i = 0; i < kRounds; ++i) {
     Log(LogLevel::kInfo, "request_ended",
         {{"id", "9c41d07be2a35f68"},
@@ -118,7 +108,7 @@
          {"parts", "10/10"},
          {"elapsed_ms", "31.250"}});
   }
-  return (ProcessMicroseconds() - before) / kRounds;
+  return (ProcessorMicroseconds(RUSAGE_SELF) - before) / kRounds;
 }
 
 }  // namespace
--- a/bench/http_adapter.cc
+++ b/bench/http_adapter.cc
@@ -14,23 +14,13 @@
 #include "adapters/glib_scheduler.h"
 #include "adapters/soup_http_server.h"
 #include "adapters/soup_upstream_transport.h"
+#include "processor_time.h"
 
 namespace chicoryvale {
 namespace {
 
 constexpr std::size_t kBodyBytes = 200;
 
-double ThreadMicroseconds() {
-  rusage usage{};
-  getrusage(RUSAGE_THREAD, &usage);
-  constexpr double kMicrosecondsPerSecond = 1e6;
-  const auto micros = [](const timeval& time) {
-    return static_cast<double>(time.tv_sec) * kMicrosecondsPerSecond +
-           static_cast<double>(time.tv_usec);
-  };
-  return micros(usage.ru_utime) + micros(usage.ru_stime);
-}
-
 /// A SoupHttpServer on a thread of its own, which answers at once.
 class ServerThread {
  public:
@@ -65,9 +55,9 @@
         respond(response);
       });
       address->set_value(server->LocalAddress());
-      const double start = ThreadMicroseconds();
+      const double start = ProcessorMicroseconds(RUSAGE_THREAD);
       while (!m_stopping) g_main_context_iteration(m_context, TRUE);
-      m_microseconds = ThreadMicroseconds() - start;
+      m_microseconds = ProcessorMicroseconds(RUSAGE_THREAD) - start;
     }
     g_main_context_pop_thread_default(m_context);
   }
@@ -110,10 +100,10 @@
       if (last_id < static_cast<SubRequestId>(row.requests)) send();
     });
   };
-  const double start = ThreadMicroseconds();
+  const double start = ProcessorMicroseconds(RUSAGE_THREAD);
   for (int i = 0; i < row.concurrent; ++i) send();
   while (done < row.requests) g_main_context_iteration(nullptr, TRUE);
-  const double client = ThreadMicroseconds() - start;
+  const double client = ProcessorMicroseconds(RUSAGE_THREAD) - start;
   const double served = server.Stop();
   std::printf("%-28s %9d %7d %12llu %11.1f %11.1f\n", row.name, row.requests,
               failed,
--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -37,8 +37,14 @@
 
 }  // namespace
 
-GatewayDaemon::GatewayDaemon(GatewaySettings settings)
-    : m_settings(std::move(settings)) {}
+GatewayDaemon::GatewayDaemon(GatewaySettings settings, std::string config_path)
+    : m_settings(std::move(settings)),
+      m_watch(
+          &m_scheduler, std::move(config_path),
+          [this](SettingsReader& reader) {
+            m_reread = ReadGatewaySettings(reader);
+          },
+          [this] { AdoptSettings(); }) {}
 
 GatewayDaemon::~GatewayDaemon() = default;
 
@@ -62,6 +68,7 @@
   if (auto ok = StartServers(); !ok) return ok;
   m_peers->Start();
   m_list->Start();
+  m_watch.Start();
   return {};
 }
 
@@ -180,6 +187,26 @@
   return server;
 }
 
+// Takes what can change without a restart.
+void GatewayDaemon::AdoptSettings() {
+  const GatewaySettings& next = m_reread;
+  const bool same_places =
+      next.listen_callers == m_settings.listen_callers &&
+      next.listen_ready == m_settings.listen_ready &&
+      next.listen_metrics == m_settings.listen_metrics &&
+      next.peers.listen == m_settings.peers.listen &&
+      next.peers.availability_zone == m_settings.peers.availability_zone &&
+      next.peers.key == m_settings.peers.key;
+  m_peers->SetContacts(next.peers.seeds, next.peers.controls);
+  m_budget->SetAmounts(next.budget.ratio, next.budget.fixed);
+  m_list->SetPeriod(next.replica_list.period);
+  m_directory->SetAddress({next.replica_list_address});
+  Log(LogLevel::kInfo, "settings_adopted",
+      {{"controls", std::to_string(next.peers.controls.size())},
+       {"replica_list", next.replica_list_address},
+       {"needs_restart", same_places ? "" : "listen, peers, zone or key"}});
+}
+
 void GatewayDaemon::ApplyConfig(const ClusterConfig& config) {
   if (config.routing.version <= m_router->ConfigVersion()) return;
   auto routing = platform::DecodeRoutingConfig(config.routing.text);
@@ -239,6 +266,7 @@
       .AddValue("gateway", "in_flight", m_router->InFlight())
       .Add("gateway", m_counters)
       .Add("callers", m_callers->Counters())
+      .Add("settings", m_watch.Counters())
       .Add("replicas", m_client->Counters());
   m_latencies.Visit([&page](const std::string& name, std::uint64_t count) {
     page.AddValue("gateway", "request_latency_" + name, count);
@@ -253,6 +281,7 @@
     m_stopping = true;
     m_callers->CloseAfterAnswers();
   };
+  steps.reload = [this] { m_watch.LookNow(); };
   steps.linger = m_settings.linger;
   steps.max_time = m_settings.grace * kUsedGracePercent / kPercent;
   steps.stop_accepting = [this] {
--- a/programs/chicory-gatewayd/gateway_daemon.h
+++ b/programs/chicory-gatewayd/gateway_daemon.h
@@ -13,6 +13,7 @@
 #include "adapters/glib_scheduler.h"
 #include "adapters/log.h"
 #include "adapters/peer_stack.h"
+#include "adapters/settings_watch.h"
 #include "chicory-gatewayd/gateway_settings.h"
 #include "platform/http_replica_directory.h"
 #include "platform/http_replica_transport.h"
@@ -30,7 +31,9 @@
 /// thread safe.
 class GatewayDaemon {
  public:
-  explicit GatewayDaemon(GatewaySettings settings);
+  /// `config_path` is the file of the settings, which is reread when it
+  /// changes.
+  GatewayDaemon(GatewaySettings settings, std::string config_path);
   ~GatewayDaemon();
   GatewayDaemon(const GatewayDaemon&) = delete;
   GatewayDaemon& operator=(const GatewayDaemon&) = delete;
@@ -45,6 +48,7 @@
   Result<void> StartServers();
   Result<std::unique_ptr<BeastHttpServer>> MakeServer(
       const std::string& address, HttpServer::Handler handler);
+  void AdoptSettings();
   void ApplyConfig(const ClusterConfig& config);
   void ShareLimits();
   void HandleCaller(HttpRequest request, const HttpResponder& respond);
@@ -78,6 +82,9 @@
   /// The query that each caller's connection waits for.
   std::unordered_map<std::uint64_t, std::uint64_t> m_query_by_connection;
   bool m_stopping = false;
+  /// What was reread, until it is adopted.
+  GatewaySettings m_reread;
+  SettingsWatch m_watch;
 };
 
 }  // namespace chicoryvale
--- a/programs/chicory-gatewayd/main.cc
+++ b/programs/chicory-gatewayd/main.cc
@@ -1,5 +1,6 @@
 // Process of an entry VM that routes opaque requests.
 
+#include <string>
 #include <utility>
 
 #include "adapters/command_line.h"
@@ -8,14 +9,16 @@
 
 int main(int argc, char** argv) {
   chicoryvale::GatewaySettings settings;
+  std::string config_path;
   chicoryvale::DaemonCommands commands;
   commands.name = "chicory-gatewayd";
   commands.summary = "Routes callers' opaque requests on an entry VM.";
   commands.read_settings = [&settings](chicoryvale::SettingsReader& reader) {
     settings = chicoryvale::ReadGatewaySettings(reader);
   };
-  commands.run = [&settings] {
-    return chicoryvale::GatewayDaemon(std::move(settings)).Run();
+  commands.config_path = &config_path;
+  commands.run = [&settings, &config_path] {
+    return chicoryvale::GatewayDaemon(std::move(settings), config_path).Run();
   };
   return static_cast<int>(chicoryvale::RunDaemon(argc, argv, commands));
 }
--- a/src/adapters/command_line.cc
+++ b/src/adapters/command_line.cc
@@ -76,6 +76,7 @@
     return ExitCode::kBadSettings;
   }
   const auto path = arguments["config"].as<std::string>();
+  if (commands.config_path != nullptr) *commands.config_path = path;
   const ExitCode read = ReadSettings(path, commands);
   if (read != ExitCode::kOk) return read;
   if (arguments.contains("check")) {
--- a/src/adapters/command_line.h
+++ b/src/adapters/command_line.h
@@ -20,6 +20,8 @@
   std::function<void(SettingsReader&)> read_settings;
   /// Runs the daemon after its settings were read without a fault.
   std::function<ExitCode()> run;
+  /// Set to the path of the settings file; null if it is of no interest.
+  std::string* config_path = nullptr;
   /// Set by `--json`; null if the program has no such option.
   bool* json = nullptr;
 };
--- a/src/adapters/peer_stack.cc
+++ b/src/adapters/peer_stack.cc
@@ -93,6 +93,12 @@
   m_distributor->Start();
 }
 
+void PeerStack::SetContacts(const std::vector<Address>& seeds,
+                            const std::vector<Address>& controls) {
+  m_membership->SetSeeds(seeds);
+  m_distributor->SetControls(controls);
+}
+
 void PeerStack::AddMetrics(MetricsPage* page) const {
   page->Add("peer", m_tcp->counters())
       .Add("datagram", m_udp->counters())
--- a/src/adapters/peer_stack.h
+++ b/src/adapters/peer_stack.h
@@ -43,6 +43,11 @@
   /// Joins the membership and begins to spread the configuration.
   void Start();
 
+  /// Replaces the members to join through and the control VMs that are asked
+  /// for the configuration after a start.
+  void SetContacts(const std::vector<Address>& seeds,
+                   const std::vector<Address>& controls);
+
   /// Announces that this process leaves.
   void Leave() { m_membership->Leave(); }
 
--- a/src/config/config_distributor.h
+++ b/src/config/config_distributor.h
@@ -114,6 +114,11 @@
   /// Begins to serve peers and, as an entry, to recover and to pull.
   void Start();
 
+  /// Replaces the control VMs that are asked after a start.
+  void SetControls(const std::vector<Address>& controls) {
+    m_recovery.SetControls(controls);
+  }
+
   /// Takes a committed configuration, at a control VM. False, without effect,
   /// if its version is not higher than the present one.
   bool Offer(const ClusterConfig& config);
--- a/src/config/config_recovery.cc
+++ b/src/config/config_recovery.cc
@@ -7,6 +7,8 @@
 namespace chicoryvale {
 
 struct ConfigRecovery::Round {
+  /// Control VMs that are asked.
+  std::size_t controls = 0;
   std::size_t open = 0;
   std::size_t answers = 0;
   std::size_t control_answers = 0;
@@ -43,7 +45,8 @@
       peers.push_back(peer.address);
     }
   }
-  round->open = m_options.controls.size() + peers.size();
+  round->controls = m_options.controls.size();
+  round->open = round->controls + peers.size();
   for (const Address& control : m_options.controls) Ask(control, true, round);
   for (const Address& peer : peers) Ask(peer, false, round);
   if (round->open == 0) FinishRound(*round);
@@ -81,7 +84,7 @@
   if (!m_running) return;
   m_timer = m_options.scheduler->Schedule(m_options.round_pause,
                                           [this] { BeginRound(); });
-  const bool quorum = 2 * round.control_answers > m_options.controls.size();
+  const bool quorum = 2 * round.control_answers > round.controls;
   // Without a quorum, what a control VM merely knows may never be committed.
   const std::uint64_t target =
       quorum ? std::max(round.highest_known, round.highest_have)
--- a/src/config/config_recovery.h
+++ b/src/config/config_recovery.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "base/ids.h"
@@ -58,6 +59,11 @@
   ConfigRecovery(const ConfigRecovery&) = delete;
   ConfigRecovery& operator=(const ConfigRecovery&) = delete;
 
+  /// Replaces the control VMs that are asked, from the next round on.
+  void SetControls(std::vector<Address> controls) {
+    m_options.controls = std::move(controls);
+  }
+
   /// Begins with the first round; rounds follow until Stop.
   void Start();
   void Stop();
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -9,6 +9,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/counters.h"
@@ -106,6 +107,11 @@
   Membership(const Membership&) = delete;
   Membership& operator=(const Membership&) = delete;
 
+  /// Replaces the members to join through.
+  void SetSeeds(std::vector<Address> seeds) {
+    m_options.seeds = std::move(seeds);
+  }
+
   /// Joins the group and takes part from now on. Called once.
   void Start();
 
--- a/src/routing/relay_client.h
+++ b/src/routing/relay_client.h
@@ -16,11 +16,12 @@
 
 namespace chicoryvale {
 
-/// Relay over peer calls: asks the entry of a zone that answered soonest of
-/// two drawn by lot, and spares one that failed. A zone whose relays bring too
-/// few parts, since its replicas are overloaded, is mostly left to direct
-/// sends: there a part is tried for as long as the caller waits. Not thread
-/// safe.
+/// Relay over peer calls. Questions of one affinity go to the same three
+/// entries of a zone: to the one that answered sooner of two drawn among them
+/// by lot. One that failed is spared, and so is another zone of which two
+/// failed in a row. A zone whose relays bring too few parts, since its replicas
+/// are overloaded, is mostly left to direct sends: there a part is tried for as
+/// long as the caller waits. Not thread safe.
 class RelayClient : public Relay {
  public:
   /// What the client works with; all outlive it.
--- a/src/routing/repeat_budget.h
+++ b/src/routing/repeat_budget.h
@@ -31,6 +31,12 @@
   RepeatBudget(const RepeatBudgetOptions& options, TimePoint started)
       : m_options(options), m_started(started) {}
 
+  /// Changes the ratio and the fixed number.
+  void SetAmounts(double ratio, std::uint32_t fixed) {
+    m_options.ratio = ratio;
+    m_options.fixed = fixed;
+  }
+
   /// Sets how many entries share the fixed number. It never falls: an entry
   /// that is not seen may be at work.
   void SetEntries(std::uint32_t entries);
--- a/src/routing/replica_list_sync.cc
+++ b/src/routing/replica_list_sync.cc
@@ -125,8 +125,7 @@
 bool ReplicaListSync::MayRead(const Source& source) const {
   const Duration join_time =
       m_options.first_start ? kFirstJoinTime : Duration::zero();
-  const Duration since_start =
-      m_ports.scheduler->Now() - m_started - join_time;
+  const Duration since_start = m_ports.scheduler->Now() - m_started - join_time;
   if (!source.entry) return since_start >= kJoinTimeOfReader;
   return since_start >= (source.leads_zone ? kJoinTimeOfZoneReader : kJoinTime);
 }
--- a/src/routing/replica_list_sync.h
+++ b/src/routing/replica_list_sync.h
@@ -61,6 +61,9 @@
   /// Sets the function called with each list that differs from the last.
   void SetListener(Listener listener) { m_listener = std::move(listener); }
 
+  /// Sets the time between two reads of the platform, from the next one on.
+  void SetPeriod(Duration period) { m_options.period = period; }
+
   /// Follows or reads from now on.
   void Start();
 
--- a/src/routing/routed_query.h
+++ b/src/routing/routed_query.h
@@ -182,6 +182,19 @@
     TimerId retry_timer = 0;
     /// A relay was asked and has not answered.
     bool relayed = false;
+
+    /// Notes that a relay is asked, which sends the part at least once.
+    void BeginRelay() {
+      relayed = true;
+      attempts = 1;
+      sends = 1;
+    }
+
+    /// Notes that the relay took nothing, so that nothing ran.
+    void TakeBackRelay() {
+      attempts = 0;
+      sends = 0;
+    }
   };
 
   [[nodiscard]] bool CanBeServed() const;
--- a/src/routing/routed_query_relay.cc
+++ b/src/routing/routed_query_relay.cc
@@ -49,9 +49,7 @@
   question.request = m_question.request;
   for (const std::size_t index : call.parts) {
     Part& part = m_services[index];
-    part.relayed = true;
-    part.attempts = 1;
-    part.sends = 1;
+    part.BeginRelay();
     question.services.push_back(part.service);
   }
   question.rank_limit = m_question.route->scatter.rank_limit;
@@ -94,8 +92,7 @@
   for (const std::size_t index : call.parts) {
     Part& part = m_services[index];
     if (not_run) {
-      part.attempts = 0;
-      part.sends = 0;
+      part.TakeBackRelay();
       m_parts.budget->NoteFirst(part.service, m_parts.scheduler->Now());
       SendFirst(index);
     } else {
--- a/tests/routing/relay_test.cc
+++ b/tests/routing/relay_test.cc
@@ -6,14 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "fakes/fake_network.h"
-#include "fakes/fake_replica_transport.h"
-#include "fakes/fake_scheduler.h"
-#include "fakes/silent_log.h"
-#include "routing/relay_client.h"
 #include "routing/relay_plan.h"
-#include "routing/relay_service.h"
-#include "routing/router.h"
+#include "routing/test_entry.h"
 
 namespace chicoryvale {
 namespace {
@@ -51,25 +45,6 @@
   EXPECT_TRUE(PlanRelays({{0, {"b"}}, {1, {"b"}}}, {"c"}).empty());
 }
 
-/// Members as a test sets them.
-class FixedMembers : public MemberView {
- public:
-  FixedMembers(MemberInfo self, std::vector<Member> members)
-      : m_self(std::move(self)), m_members(std::move(members)) {}
-
- protected:
-  [[nodiscard]] std::vector<Member> OnMembers() const override {
-    return m_members;
-  }
-  [[nodiscard]] const MemberInfo& OnSelf() const override { return m_self; }
-  [[nodiscard]] bool OnOwnLeaseHeld() const override { return true; }
-  void OnAddListener(Listener /*listener*/) override {}
-
- private:
-  MemberInfo m_self;
-  std::vector<Member> m_members;
-};
-
 MemberInfo EntryIn(const std::string& zone) {
   return {zone, {"10.0.0.1:" + zone}, zone, MemberRole::kEntry};
 }
@@ -78,42 +53,6 @@
   return std::string(RankMerger::kRecordBytes, letter);
 }
 
-/// What one entry consists of.
-struct TestEntry {
-  TestEntry(FakeScheduler* scheduler, FakeNetwork* network,
-            const MemberInfo& self, const std::vector<Member>& members)
-      : transport(scheduler),
-        pool(self.availability_zone, 3),
-        sends(scheduler, &transport, &pool),
-        budget({.ratio = 0.2, .window = seconds(10), .fixed = 40}, {}),
-        peers(network, self.address, scheduler),
-        view(self, members),
-        relay({scheduler, &peers, &view}, 5),
-        parts{.scheduler = scheduler,
-              .sends = &sends,
-              .pool = &pool,
-              .budget = &budget,
-              .log = &log,
-              .counters = &counters,
-              .latencies = nullptr,
-              .relay = &relay},
-        router(parts, 5),
-        service(parts, &peers) {}
-
-  FakeReplicaTransport transport;
-  ReplicaPool pool;
-  SendTracker sends;
-  RepeatBudget budget;
-  FakePeerTransport peers;
-  FixedMembers view;
-  RelayClient relay;
-  SilentLog log;
-  CounterSet<RoutingCounter> counters;
-  RoutingParts parts;
-  Router router;
-  RelayService service;
-};
-
 /// Two entries in zones a and b. Shards 0 and 1 have replicas in zone a, the
 /// other four in zone b; the first entry is asked.
 class RelayTest : public testing::Test {
@@ -131,16 +70,7 @@
                                         members);
     auto config = std::make_shared<RoutingConfig>();
     config->version = 1;
-    Route route;
-    route.name = "all";
-    route.host = "h";
-    route.path_prefix = "/";
-    route.idempotent = true;
-    route.timeout = milliseconds(1000);
-    route.target_latency = milliseconds(100);
-    route.max_attempts = 2;
-    route.scatter.rank_limit = 4;
-    route.scatter.min_share = 0.9;
+    Route route = ScatteredRoute();
     std::vector<ListedReplica> replicas;
     for (std::size_t i = 0; i < kShards; ++i) {
       const std::string name = "s" + std::to_string(i);
@@ -339,117 +269,6 @@
   EXPECT_EQ(m_far->service.InFlight(), 0U);
 }
 
-/// Load: a request over more shards than a small entry can send in time, in a
-/// zone with six entries.
-class NeighborTest : public testing::Test {
- protected:
-  static constexpr std::size_t kShards = 60;
-  static constexpr int kEntries = 6;
-
-  NeighborTest() {
-    m_scheduler.RunFor(seconds(100));
-    std::vector<Member> members;
-    std::vector<MemberInfo> infos;
-    for (int i = 0; i < kEntries; ++i) {
-      const std::string name = "10.0.0." + std::to_string(i) + ":7";
-      infos.push_back({name, {name}, "a", MemberRole::kEntry});
-      members.push_back({infos.back(), MemberState::kAlive, 1});
-    }
-    auto config = std::make_shared<RoutingConfig>();
-    config->version = 1;
-    Route route;
-    route.host = "h";
-    route.path_prefix = "/";
-    route.idempotent = true;
-    route.timeout = milliseconds(1000);
-    route.target_latency = milliseconds(100);
-    route.max_attempts = 2;
-    route.scatter.rank_limit = 4;
-    route.scatter.min_share = 0.9;
-    std::vector<ListedReplica> replicas;
-    for (std::size_t i = 0; i < kShards; ++i) {
-      ListedReplica replica;
-      replica.service = "s" + std::to_string(i);
-      replica.id = replica.service;
-      replica.address = {replica.id};
-      replica.availability_zone = "a";
-      route.scatter.shards.push_back(replica.service);
-      config->services.push_back({replica.service, "/", 50});
-      replicas.push_back(replica);
-    }
-    config->routes.push_back(route);
-    for (const MemberInfo& info : infos) {
-      auto entry =
-          std::make_unique<TestEntry>(&m_scheduler, &m_network, info, members);
-      entry->pool.SetReplicas(replicas, m_scheduler.Now());
-      entry->router.SetConfig(config);
-      entry->transport.SetAct([](const ReplicaSend& send) {
-        return ReplicaAct{milliseconds(10), SignedAnswer(send.replica_id),
-                          false};
-      });
-      m_entries.push_back(std::move(entry));
-    }
-  }
-
-  RoutedAnswer Run() {
-    auto request = std::make_shared<OpaqueRequest>();
-    request->id = "id";
-    std::optional<RoutedAnswer> got;
-    m_entries[0]->router.Handle(
-        {request, "h", "/q", std::nullopt},
-        [&got](RoutedAnswer answer) { got = std::move(answer); });
-    m_scheduler.RunUntil([&got] { return got.has_value(); });
-    return *got;
-  }
-
-  FakeScheduler m_scheduler;
-  FakeNetwork m_network{&m_scheduler, 1};
-  std::vector<std::unique_ptr<TestEntry>> m_entries;
-};
-
-TEST_F(NeighborTest, ALargeRequestIsWorkedOnByNeighbors) {
-  const RoutedAnswer answer = Run();
-  EXPECT_EQ(answer.signatures.size(), kShards);
-  EXPECT_TRUE(m_entries[0]->transport.Sends().empty());
-  std::size_t most = 0;
-  std::size_t all = 0;
-  for (const auto& entry : m_entries) {
-    most = std::max(most, entry->transport.Sends().size());
-    all += entry->transport.Sends().size();
-  }
-  EXPECT_EQ(all, kShards);
-  EXPECT_LE(most, kShards / 2);
-}
-
-// Each entry that asks a replica needs a connection to it.
-TEST_F(NeighborTest, AShardIsAskedByFewEntries) {
-  for (int i = 0; i < 50; ++i) Run();
-  const auto asking = std::ranges::count_if(m_entries, [](const auto& entry) {
-    return entry->transport.CountSends("s7") > 0;
-  });
-  EXPECT_LE(asking, 3);
-}
-
-TEST_F(NeighborTest, ASilentNeighborCostsItsPartsOnceAndNotTheZone) {
-  for (std::size_t i = 1; i < m_entries.size(); ++i) {
-    const auto& from = m_entries[i]->view.Self().address;
-    const bool silent = i == 2;
-    m_network.SetCut(from, m_entries[0]->view.Self().address, silent);
-  }
-  for (int i = 0; i < 10; ++i) Run();
-  EXPECT_EQ(Run().signatures.size(), kShards);
-  EXPECT_TRUE(m_entries[0]->transport.Sends().empty());
-}
-
-TEST_F(NeighborTest, AnEntryThatIsAloneSendsAllItself) {
-  for (std::size_t i = 1; i < m_entries.size(); ++i) {
-    m_entries[i]->service.StopAccepting();
-  }
-  for (int i = 0; i < 10; ++i) Run();
-  EXPECT_EQ(Run().signatures.size(), kShards);
-  EXPECT_GE(m_entries[0]->transport.Sends().size(), kShards);
-}
-
 TEST_F(RelayTest, DamagedQuestionsAreRefused) {
   std::optional<std::string> answer;
   m_near->peers.Call(
--- /dev/null
+++ b/tests/routing/test_entry.h
@@ -0,0 +1,89 @@
+#ifndef CHICORYVALE_TESTS_ROUTING_TEST_ENTRY_H_
+#define CHICORYVALE_TESTS_ROUTING_TEST_ENTRY_H_
+
+#include <utility>
+#include <vector>
+
+#include "fakes/fake_network.h"
+#include "fakes/fake_replica_transport.h"
+#include "fakes/fake_scheduler.h"
+#include "fakes/silent_log.h"
+#include "routing/relay_client.h"
+#include "routing/relay_service.h"
+#include "routing/router.h"
+
+namespace chicoryvale {
+
+/// Members as a test sets them.
+class FixedMembers : public MemberView {
+ public:
+  FixedMembers(MemberInfo self, std::vector<Member> members)
+      : m_self(std::move(self)), m_members(std::move(members)) {}
+
+ protected:
+  [[nodiscard]] std::vector<Member> OnMembers() const override {
+    return m_members;
+  }
+  [[nodiscard]] const MemberInfo& OnSelf() const override { return m_self; }
+  [[nodiscard]] bool OnOwnLeaseHeld() const override { return true; }
+  void OnAddListener(Listener /*listener*/) override {}
+
+ private:
+  MemberInfo m_self;
+  std::vector<Member> m_members;
+};
+
+/// What one entry consists of.
+struct TestEntry {
+  TestEntry(FakeScheduler* scheduler, FakeNetwork* network,
+            const MemberInfo& self, const std::vector<Member>& members)
+      : transport(scheduler),
+        pool(self.availability_zone, 3),
+        sends(scheduler, &transport, &pool),
+        budget({.ratio = 0.2, .window = seconds(10), .fixed = 40}, {}),
+        peers(network, self.address, scheduler),
+        view(self, members),
+        relay({scheduler, &peers, &view}, 5),
+        parts{.scheduler = scheduler,
+              .sends = &sends,
+              .pool = &pool,
+              .budget = &budget,
+              .log = &log,
+              .counters = &counters,
+              .latencies = nullptr,
+              .relay = &relay},
+        router(parts, 5),
+        service(parts, &peers) {}
+
+  FakeReplicaTransport transport;
+  ReplicaPool pool;
+  SendTracker sends;
+  RepeatBudget budget;
+  FakePeerTransport peers;
+  FixedMembers view;
+  RelayClient relay;
+  SilentLog log;
+  CounterSet<RoutingCounter> counters;
+  RoutingParts parts;
+  Router router;
+  RelayService service;
+};
+
+/// A route of all paths of host "h"; the test adds its shards.
+inline Route ScatteredRoute() {
+  Route route;
+  route.name = "all";
+  route.host = "h";
+  route.path_prefix = "/";
+  route.idempotent = true;
+  route.timeout = milliseconds(1000);
+  route.target_latency = milliseconds(100);
+  route.max_attempts = 2;
+  route.scatter.rank_limit = 4;
+  route.scatter.min_share = 0.9;
+  return route;
+}
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_TESTS_ROUTING_TEST_ENTRY_H_
