Let stale entries of a large group come to the platform one after the other

In a test on virtual time with 104 entries, frozen readers and a platform that answers 90 reads a second, up to 14 entries were behind after 4 s: all read at once when their lists became stale, were refused, asked a frozen peer for 1.5 s, and came again.

Change: in large groups the age from which an entry reads for itself is spread over 0.7 s, so that those who read first answer the others; a refusal for too many calls is tried again after 250 ms; a peer is asked for one second at most while the platform does not answer.

The test failed before.

--- a/src/routing/replica_list_sync.cc
+++ b/src/routing/replica_list_sync.cc
@@ -22,6 +22,18 @@
 constexpr Duration kStaleAgeOfZoneReader = milliseconds(1700);
 constexpr Duration kStaleAge = milliseconds(2300);
 
+/// In a large group the others come one after the other, this long for each
+/// entry, so that those who read first can answer the rest: the platform
+/// refuses many calls at once.
+constexpr Duration kSpreadOfEntry = milliseconds(7);
+constexpr Duration kMostSpread = milliseconds(700);
+
+/// Pause after the platform refused a call for being one of too many.
+constexpr Duration kBusyPause = milliseconds(250);
+
+/// Longest time that a peer is asked for while the platform does not answer.
+constexpr Duration kStaleCallTime = seconds(1);
+
 /// Least time for an answer, however old the list is.
 constexpr Duration kLeastCallTime = milliseconds(300);
 
@@ -113,6 +125,7 @@
   m_timer = 0;
   const bool peers_first = std::exchange(m_peers_first, false);
   const Source source = PickSource();
+  DrawSpread();
   const Duration left = TimeUntilStale(source);
   const bool stale = left <= Duration::zero();
   const bool may_read = MayRead(source);
@@ -132,10 +145,20 @@
 
 Duration ReplicaListSync::TimeUntilStale(const Source& source) const {
   if (!m_list.IsSet()) return Duration::zero();
-  const Duration limit = source.leads_zone ? kStaleAgeOfZoneReader : kStaleAge;
+  const Duration limit =
+      source.leads_zone ? kStaleAgeOfZoneReader : kStaleAge + m_spread;
   return m_list.ReadAt() + limit - m_ports.scheduler->Now();
 }
 
+void ReplicaListSync::DrawSpread() {
+  const auto members =
+      static_cast<Duration::rep>(m_ports.members->Members().size());
+  const Duration most =
+      std::min<Duration>(kSpreadOfEntry * members, kMostSpread);
+  std::uniform_int_distribution<Duration::rep> spread(0, most.count());
+  m_spread = Duration(spread(m_random));
+}
+
 bool ReplicaListSync::IsSpared(const Address& entry) const {
   const auto spared = m_spared_until.find(entry);
   return spared != m_spared_until.end() &&
@@ -185,8 +208,10 @@
       m_ports.log->Write(LogLevel::kWarning, "replica_list_lost",
                          {{"reason", replicas.error().message}});
     }
-    m_peers_first = true;
-    return StepAfter(m_options.period / 2);
+    // One that has too many callers answers again soon.
+    const bool busy = replicas.error().kind == ErrorKind::kOverloaded;
+    m_peers_first = !busy;
+    return StepAfter(busy ? kBusyPause : m_options.period / 2);
   }
   if (std::exchange(m_platform_failing, false)) {
     m_ports.log->Write(LogLevel::kInfo, "replica_list_regained",
@@ -207,10 +232,9 @@
   question.version = m_ask_whole ? 0 : m_list.Version();
   question.age_ms = ToMilliseconds(now - m_list.ReadAt());
   question.wait_ms = ToMilliseconds(wait);
-  Duration timeout = wait + kHopTime;
-  if (left > Duration::zero()) {
-    timeout = std::min(timeout, std::max(left, kLeastCallTime));
-  }
+  const Duration most =
+      left > Duration::zero() ? std::max(left, kLeastCallTime) : kStaleCallTime;
+  const Duration timeout = std::min(wait + kHopTime, most);
   m_ports.peers->Call(
       source, PeerChannel::kReplicaList, Encode(question), timeout,
       [this, source, now,
--- a/src/routing/replica_list_sync.h
+++ b/src/routing/replica_list_sync.h
@@ -91,6 +91,7 @@
   void StepAfter(Duration pause);
   void Step();
   [[nodiscard]] Source PickSource() const;
+  void DrawSpread();
   [[nodiscard]] bool IsSpared(const Address& entry) const;
   [[nodiscard]] bool MayRead(const Source& source) const;
   [[nodiscard]] Duration TimeUntilStale(const Source& source) const;
@@ -114,6 +115,8 @@
   Listener m_listener;
   TimePoint m_started{};
   TimerId m_timer = 0;
+  /// Added to the age from which this entry reads the platform itself.
+  Duration m_spread{};
   ReplicaList m_list;
   std::list<Parked> m_parked;
   std::map<Address, TimePoint> m_spared_until;
--- a/tests/routing/replica_list_test.cc
+++ b/tests/routing/replica_list_test.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "base/rendezvous.h"
 #include "fakes/fake_network.h"
 #include "fakes/silent_log.h"
 #include "routing/replica_list_messages.h"
@@ -299,5 +300,102 @@
   EXPECT_FALSE(decoded.has_list);
 }
 
+/// A platform that answers few calls a second and refuses the others.
+class BusyDirectory : public ReplicaDirectory {
+ public:
+  /// Reads that all entries together get in a second.
+  static constexpr int kReadsPerSecond = 90;
+
+  BusyDirectory(FakeScheduler* scheduler,
+                const std::vector<ListedReplica>* replicas,
+                std::vector<TimePoint>* reads)
+      : m_scheduler(scheduler), m_replicas(replicas), m_reads(reads) {}
+
+ protected:
+  void OnRead(Callback callback) override {
+    const TimePoint now = m_scheduler->Now();
+    std::erase_if(*m_reads,
+                  [now](TimePoint read) { return now - read > seconds(1); });
+    const bool busy = m_reads->size() >= kReadsPerSecond;
+    if (!busy) m_reads->push_back(now);
+    // Some pages, one after the other.
+    m_scheduler->Schedule(
+        milliseconds(150), [this, busy, callback = std::move(callback)] {
+          if (!busy) return callback(*m_replicas);
+          callback(MakeError(ErrorKind::kOverloaded, "too many calls"));
+        });
+  }
+
+ private:
+  FakeScheduler* m_scheduler;
+  const std::vector<ListedReplica>* m_replicas;
+  std::vector<TimePoint>* m_reads;
+};
+
+// Load: a large group whose readers freeze. Entries that all ask the platform
+// at once are refused, and are late with what leaves.
+TEST(ReplicaListLoadTest, ALargeGroupWhoseReadersFreezeKnowsWhatLeavesInTime) {
+  constexpr int kEntries = 104;
+  constexpr Duration kDrainTime = seconds(4);
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    FakeScheduler scheduler;
+    FakeNetwork network(&scheduler, seed);
+    scheduler.RunFor(seconds(100));
+    std::vector<ListedReplica> replicas = {Replica("a")};
+    std::vector<TimePoint> reads;
+    std::vector<Member> members;
+    for (int i = 0; i < kEntries; ++i) {
+      const std::string name = "10.0.0." + std::to_string(i) + ":7";
+      const std::string zone(1, static_cast<char>('a' + i % 4));
+      members.push_back(
+          {{name, {name}, zone, MemberRole::kEntry}, MemberState::kAlive, 1});
+    }
+    std::vector<std::unique_ptr<FakePeerTransport>> peers;
+    std::vector<std::unique_ptr<SharedMembers>> views;
+    std::vector<std::unique_ptr<ReplicaListSync>> syncs;
+    BusyDirectory directory(&scheduler, &replicas, &reads);
+    SilentLog log;
+    for (int i = 0; i < kEntries; ++i) {
+      const MemberInfo& info = members[i].info;
+      peers.push_back(std::make_unique<FakePeerTransport>(
+          &network, info.address, &scheduler));
+      views.push_back(std::make_unique<SharedMembers>(info, &members));
+      syncs.push_back(std::make_unique<ReplicaListSync>(
+          ReplicaListSync::Ports{&scheduler, &directory, peers[i].get(),
+                                 views[i].get(), &log},
+          ReplicaListOptions{}, seed * 1000 + i));
+      syncs[i]->Start();
+    }
+    scheduler.RunFor(seconds(10));
+    // All that others follow, and one more of each zone.
+    std::set<Address> frozen;
+    for (int round = 0; round < 2; ++round) {
+      for (int zone = 0; zone < 4; ++zone) {
+        const Member* first = nullptr;
+        for (int i = zone; i < kEntries; i += 4) {
+          if (frozen.contains(members[i].info.address)) continue;
+          if (first == nullptr ||
+              RendezvousWeight(members[i].info.address.host_port, 1) >
+                  RendezvousWeight(first->info.address.host_port, 1)) {
+            first = &members[i];
+          }
+        }
+        frozen.insert(first->info.address);
+      }
+    }
+    for (const Address& address : frozen) {
+      network.SetState(address, NodeState::kFrozen);
+    }
+    replicas.push_back(Replica("b"));
+    scheduler.RunFor(kDrainTime);
+    const auto behind = std::ranges::count_if(syncs, [&](const auto& sync) {
+      const auto index = &sync - syncs.data();
+      return !frozen.contains(members[index].info.address) &&
+             sync->List().Replicas(scheduler.Now()).size() != 2;
+    });
+    EXPECT_EQ(behind, 0) << "seed " << seed;
+  }
+}
+
 }  // namespace
 }  // namespace chicoryvale
