Review: shared files of the scripts beside the cases

Cause: folders under review/ are cases only. Change: lab.hpp and run_case.sh stand in review/; no other change.

--- a/review/build.sh
+++ b/review/build.sh
@@ -6,6 +6,6 @@
 for source in review/[1-5]/case.cpp; do
   [ -e "$source" ] || continue
   number=$(basename "$(dirname "$source")")
-  "${CXX:-g++}" -std=c++20 -O1 -g -Wall -Wextra -pthread -I review/lab \
+  "${CXX:-g++}" -std=c++20 -O1 -g -Wall -Wextra -pthread -I review \
     -o "target/review/case$number" "$source"
 done
--- a/review/lab/lab.hpp
+++ b/review/lab.hpp
@@ -2,8 +2,8 @@
 // loopback addresses, and stand-ins for the platform, the replicas, the operator and
 // the clients. Everything runs on the real clock; one thread serves one connection.
 
-#ifndef REVIEW_LAB_LAB_HPP_
-#define REVIEW_LAB_LAB_HPP_
+#ifndef REVIEW_LAB_HPP_
+#define REVIEW_LAB_HPP_
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -772,4 +772,4 @@
 
 }  // namespace lab
 
-#endif  // REVIEW_LAB_LAB_HPP_
+#endif  // REVIEW_LAB_HPP_
--- a/review/lab/run.sh
+++ b/review/run_case.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the program of one case: run.sh CASE_FOLDER. Exits with 1 if the rule was broken, 0 if it
+# Runs the program of one case: run_case.sh CASE_FOLDER. Exits with 1 if the rule was broken, 0 if it
 # held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
 set -u
 self=$(cd "$1" && pwd)
