Remove lost voters from control groups of even size

Cause: a voter counted as lost only once the membership reported it as dead, 5 to 14 s after its last message. A successor that joined before that was added beside it, and without a further new VM nothing removed a lost voter. The next loss left 2 of 4 voters.

Change: the leader reports members that have not replied for 1.5 s. Such a voter is replaced by a new VM, and without one removed if the number of voters is even: then the smaller quorum tolerates one loss more. An odd group keeps it. A lost learner is removed. The log line of a change has the voters and silent members.

--- a/src/control/control_group_reconciler.cc
+++ b/src/control/control_group_reconciler.cc
@@ -1,6 +1,7 @@
 #include "control/control_group_reconciler.h"
 
 #include <algorithm>
+#include <string>
 
 #include "replication/membership_plan.h"
 
@@ -12,37 +13,89 @@
 /// not mistaken for an unavailable one.
 constexpr Duration kReconcilePeriod = milliseconds(700);
 
+/// A lost voter is removed only from groups of at least this many voters. A
+/// group of two has no quorum without it.
+constexpr std::size_t kMinVotersToShrink = 4;
+
 /// Returns whether a member in `state` is dead, has left or lost its lease.
 bool IsUnavailable(MemberState state) {
   return state != MemberState::kAlive && state != MemberState::kSuspect;
 }
 
+/// The members of a control group, with what is known of their availability.
+class GroupView {
+ public:
+  GroupView(const std::vector<Member>& members, const GroupMembership& group,
+            const std::vector<NodeId>& silent_members)
+      : m_members(members), m_group(group), m_silent_members(silent_members) {}
+
+  [[nodiscard]] std::optional<Address> FindNewControlVm() const {
+    const auto found =
+        std::ranges::find_if(m_members, [this](const Member& member) {
+          return member.info.role == MemberRole::kControl &&
+                 member.state == MemberState::kAlive &&
+                 FindMemberAt(m_group, member.info.address) == nullptr;
+        });
+    if (found == m_members.end()) return std::nullopt;
+    return found->info.address;
+  }
+
+  [[nodiscard]] std::optional<Address> FindLostVoter() const {
+    return FindLost([](const GroupMember& member) { return member.voter; });
+  }
+
+  /// Skips a learner that has the address of a voter, which it replaces because
+  /// the VM lost its disk.
+  [[nodiscard]] std::optional<Address> FindLostLearner() const {
+    return FindLost([this](const GroupMember& member) {
+      return !member.voter && FindMemberAt(m_group, member.address) == &member;
+    });
+  }
+
+ private:
+  [[nodiscard]] bool IsLost(const GroupMember& member) const {
+    if (std::ranges::count(m_silent_members, member.node_id) > 0) return true;
+    const auto known =
+        std::ranges::find_if(m_members, [&member](const Member& candidate) {
+          return candidate.info.address == member.address;
+        });
+    return known != m_members.end() && IsUnavailable(known->state);
+  }
+
+  template <typename Predicate>
+  [[nodiscard]] std::optional<Address> FindLost(Predicate predicate) const {
+    const auto found =
+        std::ranges::find_if(m_group.members, [&](const GroupMember& member) {
+          return predicate(member) && IsLost(member);
+        });
+    if (found == m_group.members.end()) return std::nullopt;
+    return found->address;
+  }
+
+  const std::vector<Member>& m_members;
+  const GroupMembership& m_group;
+  const std::vector<NodeId>& m_silent_members;
+};
+
 }  // namespace
 
 std::optional<GroupChangePlan> PlanGroupChange(
-    const std::vector<Member>& members, const GroupMembership& group) {
-  const auto new_member =
-      std::ranges::find_if(members, [&](const Member& member) {
-        return member.info.role == MemberRole::kControl &&
-               member.state == MemberState::kAlive &&
-               FindMemberAt(group, member.info.address) == nullptr;
-      });
-  if (new_member == members.end()) return std::nullopt;
-  GroupChangePlan change;
-  change.add = new_member->info.address;
-  for (const GroupMember& voter : group.members) {
-    if (!voter.voter) continue;
-    const auto known_member =
-        std::ranges::find_if(members, [&](const Member& member) {
-          return member.info.address == voter.address;
-        });
-    if (known_member != members.end() && IsUnavailable(known_member->state)) {
-      change.remove = voter.address;
-      return change;
-    }
+    const std::vector<Member>& members, const GroupMembership& group,
+    const std::vector<NodeId>& silent_members) {
+  const GroupView view(members, group, silent_members);
+  const auto new_vm = view.FindNewControlVm();
+  const auto lost_voter = view.FindLostVoter();
+  if (new_vm && lost_voter) return GroupChangePlan{*lost_voter, *new_vm};
+  if (new_vm && group.members.size() < kMaxVoters) {
+    return GroupChangePlan{{}, *new_vm};
+  }
+  const std::size_t voters = CountVoters(group);
+  if (lost_voter && voters % 2 == 0 && voters >= kMinVotersToShrink) {
+    return GroupChangePlan{*lost_voter, {}};
   }
-  if (group.members.size() >= kMaxVoters) return std::nullopt;
-  return change;
+  const auto lost_learner = view.FindLostLearner();
+  if (lost_learner) return GroupChangePlan{*lost_learner, {}};
+  return std::nullopt;
 }
 
 void ControlGroupReconciler::Start() {
@@ -55,21 +108,29 @@
                                                [this] { Reconcile(); });
   const ReplicaStatus status = m_status();
   if (status.role != ReplicaRole::kLeader || m_change_in_flight) return;
-  const auto plan =
-      PlanGroupChange(m_dependencies.members->Members(), status.membership);
+  const auto plan = PlanGroupChange(m_dependencies.members->Members(),
+                                    status.membership, status.silent_members);
   const bool is_confirmed = plan && plan == m_last_plan;
   m_last_plan = plan;
-  if (!is_confirmed) return;
+  if (is_confirmed) MakeChange(*plan, status);
+}
+
+void ControlGroupReconciler::MakeChange(const GroupChangePlan& change,
+                                        const ReplicaStatus& status) {
   m_change_in_flight = true;
   m_dependencies.group->ChangeMember(
-      plan->remove, plan->add,
-      [this, change = *plan](const Result<std::uint64_t>& result) {
+      change.remove, change.add,
+      [this, change, voters = CountVoters(status.membership),
+       silent =
+           status.silent_members.size()](const Result<std::uint64_t>& result) {
         m_change_in_flight = false;
         m_dependencies.log->Write(
             result ? LogLevel::kInfo : LogLevel::kWarning,
             result ? "group_member_changed" : "group_member_not_changed",
             {{"added", change.add.host_port},
              {"removed", change.remove.host_port},
+             {"voters_before", std::to_string(voters)},
+             {"silent_members", std::to_string(silent)},
              {"reason", result ? "" : result.error().message}});
       });
 }
--- a/src/control/control_group_reconciler.h
+++ b/src/control/control_group_reconciler.h
@@ -26,12 +26,21 @@
 };
 
 /// Returns the next change that brings `group` in line with the control VMs in
-/// `members`, or nullopt if no change is needed. A live control VM that is not
-/// in the group is added, and replaces an unavailable voter if there is one. A
-/// voter that is unavailable without a replacement stays in the group: it may
-/// come back, and a smaller group would tolerate fewer failures. Thread safe.
+/// `members`, or nullopt if no change is needed. `silent_members` are the
+/// members of the group that don't reply to the leader. A member of the group
+/// is lost if it is silent, or if `members` reports it as dead or left.
+///
+/// A live control VM that is not in the group is added, and replaces a lost
+/// voter if there is one. Without such a VM, a lost voter is removed only from
+/// a group with an even number of voters, which then tolerates one loss more:
+/// its quorum becomes smaller. From an odd number it is not removed, because
+/// the group would not tolerate more losses, and entries would be stored on
+/// fewer disks. A lost learner is removed; it rejoins when it returns.
+///
+/// Thread safe.
 std::optional<GroupChangePlan> PlanGroupChange(
-    const std::vector<Member>& members, const GroupMembership& group);
+    const std::vector<Member>& members, const GroupMembership& group,
+    const std::vector<NodeId>& silent_members);
 
 /// Adjusts the members of the control group to the live control VMs, for
 /// deployments that do not list the members because VMs are replaced by others
@@ -60,6 +69,7 @@
 
  private:
   void Reconcile();
+  void MakeChange(const GroupChangePlan& change, const ReplicaStatus& status);
 
   Dependencies m_dependencies;
   StatusCallback m_status;
--- a/src/replication/replica_node.cc
+++ b/src/replication/replica_node.cc
@@ -142,6 +142,7 @@
   status.membership = m_log->Membership();
   status.membership_index = m_log->MembershipIndex();
   status.membership_committed = m_log->MembershipIndex() <= m_commit_index;
+  if (IsLeader()) status.silent_members = SilentMembers();
   return status;
 }
 
--- a/src/replication/replica_node.h
+++ b/src/replication/replica_node.h
@@ -10,6 +10,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/counters.h"
 #include "chicoryvale/error.h"
@@ -186,6 +187,7 @@
   void ProposePendingChange(NodeId node_id);
   void FailPendingChange(const Error& error);
   [[nodiscard]] bool CanChangeMembership() const;
+  [[nodiscard]] std::vector<NodeId> SilentMembers() const;
   [[nodiscard]] bool IsChangeInEffect(const GroupMemberChange& change) const;
   [[nodiscard]] Result<void> ValidateChange(
       const GroupMemberChange& change) const;
--- a/src/replication/replica_node_membership.cc
+++ b/src/replication/replica_node_membership.cc
@@ -164,6 +164,18 @@
   if (next) ProposeMembership(*next);
 }
 
+std::vector<NodeId> ReplicaNode::SilentMembers() const {
+  const TimePoint since =
+      m_dependencies.scheduler->Now() - m_options.silent_member_timeout;
+  std::vector<NodeId> silent;
+  for (const GroupMember& member : m_log->Membership().members) {
+    if (!m_replicator->HasContact(member.node_id, since)) {
+      silent.push_back(member.node_id);
+    }
+  }
+  return silent;
+}
+
 bool ReplicaNode::IsChangeInEffect(const GroupMemberChange& change) const {
   const GroupMembership& current = m_log->Membership();
   const GroupMember* added = FindMemberAt(current, change.add);
--- a/src/replication/replica_options.h
+++ b/src/replication/replica_options.h
@@ -35,6 +35,10 @@
   /// Interval between the Hello requests of a replica without contact with a
   /// leader.
   Duration hello_interval = milliseconds(500);
+  /// A member that has not replied to the leader for this time is reported as
+  /// silent. Shorter than the suspicion of the membership protocol, which has
+  /// to work without the heartbeats of a leader.
+  Duration silent_member_timeout = milliseconds(1500);
   /// Time that a membership change waits for the reply of the new replica.
   Duration new_member_reply_timeout = milliseconds(5000);
 
--- a/src/replication/replica_status.h
+++ b/src/replication/replica_status.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <string_view>
+#include <vector>
 
 #include "base/counters.h"
 #include "base/ids.h"
@@ -47,6 +48,9 @@
   LogIndex membership_index = 0;
   /// Whether the newest membership is committed.
   bool membership_committed = false;
+  /// Members that have not replied to this leader for
+  /// ReplicaOptions::silent_member_timeout; empty unless it is the leader.
+  std::vector<NodeId> silent_members;
 };
 
 /// Counted events of a replica.
--- a/tests/control/control_group_reconciler_test.cc
+++ b/tests/control/control_group_reconciler_test.cc
@@ -25,13 +25,13 @@
 
 TEST(ControlGroupReconcilerTest, PlansNoChangeIfAllControlVmsAreMembers) {
   EXPECT_FALSE(PlanGroupChange({MakeMember("a"), MakeMember("b")},
-                               MakeGroup({"a", "b"})));
+                               MakeGroup({"a", "b"}), {}));
 }
 
 TEST(ControlGroupReconcilerTest, AddsAControlVmThatIsNotAMember) {
   const auto change =
       PlanGroupChange({MakeMember("a"), MakeMember("b"), MakeMember("c")},
-                      MakeGroup({"a", "b"}));
+                      MakeGroup({"a", "b"}), {});
   EXPECT_EQ(change, (GroupChangePlan{{}, {"c"}}));
 }
 
@@ -40,7 +40,7 @@
        {MemberState::kDead, MemberState::kLeft, MemberState::kLeaseExpired}) {
     const auto change = PlanGroupChange(
         {MakeMember("a"), MakeMember("b", unavailable), MakeMember("c")},
-        MakeGroup({"a", "b"}));
+        MakeGroup({"a", "b"}), {});
     EXPECT_EQ(change, (GroupChangePlan{{"b"}, {"c"}}));
   }
 }
@@ -48,20 +48,56 @@
 TEST(ControlGroupReconcilerTest, KeepsASuspectMemberAndOneWithoutReplacement) {
   EXPECT_FALSE(
       PlanGroupChange({MakeMember("a"), MakeMember("b", MemberState::kDead)},
-                      MakeGroup({"a", "b"})));
+                      MakeGroup({"a", "b"}), {}));
   EXPECT_EQ(
       PlanGroupChange({MakeMember("a"), MakeMember("b", MemberState::kSuspect),
                        MakeMember("c")},
-                      MakeGroup({"a", "b"})),
+                      MakeGroup({"a", "b"}), {}),
       (GroupChangePlan{{}, {"c"}}));
 }
 
+// A voter that the membership doesn't show as dead yet, or doesn't know any
+// more, is lost all the same if it doesn't reply to the leader.
+TEST(ControlGroupReconcilerTest, ReplacesAVoterThatIsSilentButNotKnownAsDead) {
+  const GroupMembership group = MakeGroup({"a", "b", "c"});
+  const GroupChangePlan replacement{{"b"}, {"d"}};
+  EXPECT_EQ(PlanGroupChange({MakeMember("a"), MakeMember("b"), MakeMember("c"),
+                             MakeMember("d")},
+                            group, {2}),
+            replacement);
+  EXPECT_EQ(PlanGroupChange({MakeMember("a"), MakeMember("c"), MakeMember("d")},
+                            group, {2}),
+            replacement);
+}
+
+TEST(ControlGroupReconcilerTest, RemovesALostVoterOnlyFromAnEvenGroup) {
+  const std::vector<Member> members = {MakeMember("a"), MakeMember("b"),
+                                       MakeMember("c")};
+  EXPECT_FALSE(PlanGroupChange(members, MakeGroup({"a", "b", "c"}), {3}));
+  EXPECT_EQ(PlanGroupChange(members, MakeGroup({"a", "b", "c", "d"}), {4}),
+            (GroupChangePlan{{"d"}, {}}));
+  EXPECT_EQ(PlanGroupChange({MakeMember("a"), MakeMember("b"), MakeMember("c"),
+                             MakeMember("d", MemberState::kLeft)},
+                            MakeGroup({"a", "b", "c", "d"}), {}),
+            (GroupChangePlan{{"d"}, {}}));
+}
+
+TEST(ControlGroupReconcilerTest, RemovesALostLearnerThatReplacesNoDisk) {
+  GroupMembership group = MakeGroup({"a", "b", "c"});
+  group.members.push_back({4, {"d"}, false, 0});
+  const std::vector<Member> members = {MakeMember("a"), MakeMember("b"),
+                                       MakeMember("c")};
+  EXPECT_EQ(PlanGroupChange(members, group, {4}), (GroupChangePlan{{"d"}, {}}));
+  group.members.back().address = {"c"};
+  EXPECT_FALSE(PlanGroupChange(members, group, {4}));
+}
+
 TEST(ControlGroupReconcilerTest, AddsNeitherEntriesNorDeadControlVms) {
   EXPECT_FALSE(
       PlanGroupChange({MakeMember("a"),
                        MakeMember("e", MemberState::kAlive, MemberRole::kEntry),
                        MakeMember("c", MemberState::kDead)},
-                      MakeGroup({"a"})));
+                      MakeGroup({"a"}), {}));
 }
 
 TEST(ControlGroupReconcilerTest, AddsNoMemberToAFullGroupExceptAsReplacement) {
@@ -70,9 +106,9 @@
   members.reserve(full.size() + 1);
   for (const std::string& host : full) members.push_back(MakeMember(host));
   members.push_back(MakeMember("h"));
-  EXPECT_FALSE(PlanGroupChange(members, MakeGroup(full)));
+  EXPECT_FALSE(PlanGroupChange(members, MakeGroup(full), {}));
   members[2].state = MemberState::kDead;
-  EXPECT_EQ(PlanGroupChange(members, MakeGroup(full)),
+  EXPECT_EQ(PlanGroupChange(members, MakeGroup(full), {}),
             (GroupChangePlan{{"c"}, {"h"}}));
 }
 
