Read the platform's list past entries that are not readable

Cause: a page was parsed as one JSON text. An entry with bytes that aren't UTF-8, a number too large for a double or an unterminated string made the page invalid, and the reader kept its old list. An entry with a port out of range was listed.

Change: JsonArrayReader finds the entries without parsing them, and each is parsed alone. Entries over 16 KiB, with an address that can't be connected to or with a number out of range name no replica. A page that is cut off is still refused, and pages without end or sense take bounded time. The number of unreadable entries is logged when it changes.

--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -85,7 +85,7 @@
   m_replica_transport =
       std::make_unique<platform::HttpReplicaTransport>(m_http_client.get());
   m_replica_directory = std::make_unique<platform::HttpReplicaDirectory>(
-      m_http_client.get(), Address{m_settings.replica_list_address});
+      m_http_client.get(), &m_log, Address{m_settings.replica_list_address});
   m_replica_pool = std::make_unique<ReplicaPool>(
       m_settings.peers.availability_zone, RandomSeed());
   m_send_tracker = std::make_unique<SendTracker>(
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -1,6 +1,11 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <iterator>
 #include <string>
+#include <vector>
 
 #include "platform/caller_codec.h"
 #include "platform/http_replica_directory.h"
@@ -78,6 +83,123 @@
                   ->next_page_token.empty());
 }
 
+std::string EntryText(const std::string& id,
+                      const std::string& address = "10.0.0.1:80",
+                      const std::string& slots = "2") {
+  return R"({"backend":"s","address":")" + address +
+         R"(","zone":"z","version":"v1","slots":)" + slots +
+         R"(,"state":"ready","warmupLeftMs":5,"id":")" + id + "\"}";
+}
+
+std::string Nested(const std::string& open, const std::string& close,
+                   std::size_t depth) {
+  std::string text;
+  for (std::size_t i = 0; i < depth; ++i) text += open;
+  text += "1";
+  for (std::size_t i = 0; i < depth; ++i) text += close;
+  return text;
+}
+
+std::vector<std::string> IdsOf(const ReplicaPage& page) {
+  std::vector<std::string> ids;
+  std::ranges::transform(page.replicas, std::back_inserter(ids),
+                         &ListedReplica::id);
+  return ids;
+}
+
+// Another writer left an entry that can't be read, and the reader of the list
+// ended, or kept its old list as long as the entry was there. Such an entry
+// names no replica; the entries beside it hold.
+TEST(ReplicaPageTest, AnUnreadableEntryDoesNotHideTheOthers) {
+  const std::vector<std::string> odd_entries = {
+      EntryText("\xff\xfe"),
+      EntryText("odd", "\xc3:80"),
+      EntryText("odd", "10.0.0.9:70000"),
+      EntryText("odd", "10.0.0.9:0"),
+      EntryText("odd", "10.0.0.9:-1"),
+      EntryText("odd", "10.0.0.9"),
+      EntryText("odd", "10.0.0.999:80"),
+      EntryText("odd", "host:80"),
+      EntryText("odd", "10.0.0.9:80", "1e999"),
+      EntryText("odd", "10.0.0.9:80", "-1e999"),
+      EntryText("odd", "10.0.0.9:80", "1099511627777"),
+      EntryText("odd", "10.0.0.9:80", "99999999999999999999999999999"),
+      EntryText("odd", "10.0.0.9:80", "-1"),
+      EntryText("odd", "10.0.0.9:80", "2.5"),
+      EntryText("odd", "10.0.0.9:80", "NaN"),
+      EntryText("odd", "10.0.0.9:80", ""),
+      EntryText("odd", "10.0.0.9:80", Nested("[", "]", 100'000)),
+      EntryText("odd", "10.0.0.9:80", Nested("{\"a\":", "}", 100'000)),
+      EntryText("\\ud800"),
+      EntryText("o\ndd"),
+      EntryText(std::string("o\0dd", 4)),
+      EntryText("odd]") + "]",
+      EntryText("odd") + "}",
+      EntryText("odd") + "}}]",
+      EntryText("odd", "10.0.0.9:80", "\"2"),
+      R"({"id":"odd)",
+      R"({"id":"odd\)",
+      R"({"id":"odd","address":)",
+      R"({"id":"odd","zone":[{"a":1},{"b":2)",
+      "{",
+      "[[[",
+      "]",
+      "\"",
+      "",
+      "null",
+      "-"};
+  for (const std::string& odd : odd_entries) {
+    for (const std::size_t place : {0U, 1U, 2U}) {
+      SCOPED_TRACE(odd.substr(0, 200) + " at " + std::to_string(place));
+      std::vector<std::string> entries = {EntryText("i-1"), EntryText("i-2")};
+      entries.insert(entries.begin() + static_cast<std::ptrdiff_t>(place), odd);
+      const auto page = DecodeReplicaPage(
+          R"({"nextPageToken": "p-50", "instances" : [)" + entries[0] + "," +
+          entries[1] + " , " + entries[2] + "]}");
+      EXPECT_TRUE(page);
+      if (!page) continue;
+      EXPECT_EQ(IdsOf(*page), (std::vector<std::string>{"i-1", "i-2"}));
+      EXPECT_EQ(page->next_page_token, "p-50");
+    }
+  }
+}
+
+// A page that is cut off, or isn't a page, is an error: its replicas would seem
+// to be gone.
+TEST(ReplicaPageTest, RefusesAPageThatIsNotWhole) {
+  const std::string page = R"({"instances":[)" + EntryText("i-1") + "," +
+                           EntryText("i-2") +
+                           R"(],"nextPageToken":"p-50","more":{"a":[1]}})";
+  ASSERT_EQ(DecodeReplicaPage(page)->replicas.size(), 2U);
+  for (std::size_t size = 0; size < page.size(); ++size) {
+    EXPECT_FALSE(DecodeReplicaPage(page.substr(0, size))) << size;
+  }
+  for (const char* other :
+       {"", "[]", "null", "7", "{}", R"({"instances":{}})",
+        R"({"instances":null})", R"({"a":{"instances":[]}})",
+        R"(["instances",[]])", R"({"instances":[]}})", R"({"instances":[]},)",
+        R"({"a":"\"instances\":[]"})"}) {
+    EXPECT_FALSE(DecodeReplicaPage(other)) << other;
+  }
+}
+
+// Pages without end or sense take a bounded time.
+TEST(ReplicaPageTest, HostilePagesAreReadInBoundedTime) {
+  constexpr std::size_t kRepeats = 300'000;
+  for (const std::string& repeated :
+       {std::string("{"), std::string(",{"), std::string("]"),
+        std::string(",{\"a"), std::string("[{},"), std::string("\""),
+        std::string(",{]"), std::string("\\\"")}) {
+    std::string page = "{\"instances\":[";
+    for (std::size_t i = 0; i < kRepeats; ++i) page += repeated;
+    const auto started = std::chrono::steady_clock::now();
+    static_cast<void>(DecodeReplicaPage(page));
+    static_cast<void>(DecodeReplicaPage(page + "]}"));
+    EXPECT_LT(std::chrono::steady_clock::now() - started, seconds(2))
+        << repeated;
+  }
+}
+
 TEST(ReplicaLoadTest, AcceptsExactlyThreeNumbers) {
   EXPECT_EQ(DecodeLoad("3,0,8")->slots, 8U);
   for (const char* invalid_text :
