Never send a refused request again on the same connection

A request that may run once ran at two replicas, or its caller was told that it had not run, and sent it again.

Cause: an answer is recognised by the id of its request. A repeat has the id of the attempt that was refused, and it was sent on the connection of that attempt, so a late second copy of the refusal passed for its answer.

ALateSecondCopyOfARefusalIsNotTheAnswerToTheRepeatedRequest failed before the fix, with 0, 1, 20 and 200 other requests in between.

Change: a connection remembers the requests that were answered with an error status on it, and carries none of them again; it is closed after 64. The counter connections_avoided shows how often another connection is taken. Other requests still reuse the connection, which has a test.

--- a/src/adapters/beast_http_client.cc
+++ b/src/adapters/beast_http_client.cc
@@ -5,6 +5,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <charconv>
+#include <functional>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -29,6 +31,12 @@
 /// interim ones or belong to other requests.
 constexpr std::uint32_t kMaxSkippedResponses = 16;
 
+/// Limit on the failed requests that a connection remembers. It is closed once
+/// it has carried so many.
+constexpr std::size_t kMaxFailedRequests = 64;
+
+constexpr int kFirstErrorStatus = 400;
+
 /// Returns the usable part of the "timeout=SECONDS" parameter of the Keep-Alive
 /// header, at most `fallback`; `fallback` if there is no valid parameter.
 Duration ParseIdleTimeout(const HttpClientAnswer& answer, Duration fallback) {
@@ -70,6 +78,7 @@
   void SendRequest(HttpCallId id, const HttpCall& call) {
     m_client->m_options.scheduler->Cancel(std::exchange(m_idle_timer, 0));
     m_call_id = id;
+    m_request_id = call.id;
     m_is_head = call.method == "HEAD";
     m_is_own_response = call.accepts;
     m_skipped_responses = 0;
@@ -82,6 +91,13 @@
     m_socket->Write(text);
   }
 
+  /// Returns whether the server has answered a request with the id `request_id`
+  /// on this connection with an error status.
+  [[nodiscard]] bool HasFailed(const std::string& request_id) const {
+    return !request_id.empty() &&
+           std::ranges::count(m_failed_requests, HashOf(request_id)) > 0;
+  }
+
   void ArmIdleTimer(Duration timeout) {
     m_call_id = 0;
     m_idle_timer = m_client->m_options.scheduler->Schedule(
@@ -163,6 +179,15 @@
     }
   }
 
+  static std::size_t HashOf(const std::string& request_id) {
+    return std::hash<std::string>()(request_id);
+  }
+
+  void RecordStatus(int status) {
+    if (status < kFirstErrorStatus || m_request_id.empty()) return;
+    m_failed_requests.push_back(HashOf(m_request_id));
+  }
+
   bool MaySkipResponse() {
     return ++m_skipped_responses <= kMaxSkippedResponses;
   }
@@ -201,6 +226,8 @@
       ResetParser();
       return true;
     }
+    RecordStatus(answer.status);
+    can_reuse = can_reuse && m_failed_requests.size() < kMaxFailedRequests;
     // Unsent request bytes or surplus received bytes would be taken for part of
     // the next request or response on this connection.
     const bool has_no_leftover_bytes =
@@ -234,6 +261,10 @@
   Address m_server_address;
   std::unique_ptr<StreamSocket> m_socket;
   HttpCallId m_call_id = 0;
+  /// HttpCall::id of the request in flight or, without one, of the last one.
+  std::string m_request_id;
+  /// Hashes of the ids of the requests that were answered with an error status.
+  std::vector<std::size_t> m_failed_requests;
   bool m_is_head = false;
   bool m_is_first_answer = true;
   /// Received bytes of the response that is not complete.
@@ -282,7 +313,7 @@
 
 void BeastHttpClient::StartCall(HttpCallId id) {
   OpenCall& open_call = *m_calls.at(id);
-  open_call.connection = TakeIdle(open_call.call.to);
+  open_call.connection = TakeIdle(open_call.call);
   if (open_call.connection) {
     m_counters.Add(BeastHttpClientCounter::kConnectionsReused);
   } else {
@@ -302,11 +333,21 @@
 }
 
 std::unique_ptr<BeastHttpClient::Connection> BeastHttpClient::TakeIdle(
-    const Address& to) {
-  const auto idle = m_idle.find(to.host_port);
+    const HttpCall& call) {
+  const auto idle = m_idle.find(call.to.host_port);
   if (idle == m_idle.end() || idle->second.empty()) return nullptr;
-  std::unique_ptr<Connection> taken = std::move(idle->second.back());
-  idle->second.pop_back();
+  auto& connections = idle->second;
+  const auto last_usable =
+      std::find_if(connections.rbegin(), connections.rend(),
+                   [&call](const auto& connection) {
+                     return !connection->HasFailed(call.id);
+                   });
+  const auto avoided = std::distance(connections.rbegin(), last_usable);
+  m_counters.Add(BeastHttpClientCounter::kConnectionsAvoided,
+                 static_cast<std::uint64_t>(avoided));
+  if (last_usable == connections.rend()) return nullptr;
+  std::unique_ptr<Connection> taken = std::move(*last_usable);
+  connections.erase(std::next(last_usable).base());
   return taken;
 }
 
--- a/src/adapters/beast_http_client.h
+++ b/src/adapters/beast_http_client.h
@@ -20,6 +20,9 @@
   kCalls,
   kConnectionsOpened,
   kConnectionsReused,
+  /// Idle connections that were not reused because the server had answered a
+  /// request with the same id on them with an error status.
+  kConnectionsAvoided,
   /// Connections that this process could not open.
   kConnectionsRefusedHere,
   /// Responses that HttpCall::accepts rejected.
@@ -36,10 +39,11 @@
 
 template <>
 struct CounterNames<BeastHttpClientCounter> {
-  static constexpr std::array<std::string_view, 10> kNames = {
+  static constexpr std::array<std::string_view, 11> kNames = {
       "calls",
       "connections_opened",
       "connections_reused",
+      "connections_avoided",
       "connections_refused_here",
       "foreign_answers_dropped",
       "unasked_bytes",
@@ -90,7 +94,7 @@
   struct OpenCall;
 
   void StartCall(HttpCallId id);
-  std::unique_ptr<Connection> TakeIdle(const Address& to);
+  std::unique_ptr<Connection> TakeIdle(const HttpCall& call);
   void Finish(HttpCallId id, HttpCallResult result);
   void AddIdle(std::unique_ptr<Connection> connection, Duration idle_timeout);
   void RemoveIdle(Connection* connection);
--- a/src/ports/http_client.h
+++ b/src/ports/http_client.h
@@ -52,6 +52,11 @@
 /// One request to a server.
 struct HttpCall {
   Address to;
+  /// Identifies the request towards the server; empty if nothing does. A
+  /// request is not sent on a connection on which the server has answered one
+  /// with the same id with an error status, because a late second copy of that
+  /// answer could not be told from the answer to this request.
+  std::string id;
   std::string method;
   std::string target;
   /// All headers except Content-Length, which the client sets.
--- a/tests/platform/http_replica_transport_test.cc
+++ b/tests/platform/http_replica_transport_test.cc
@@ -5,6 +5,9 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
 
 #include "adapters/beast_http_client.h"
 #include "adapters/glib_scheduler.h"
@@ -23,6 +26,54 @@
          body;
 }
 
+std::string RefusalBytes(const std::string& id) {
+  return "HTTP/1.1 503 Service Unavailable\r\nChicoryvale-Not-Executed: 1\r\n"
+         "Chicoryvale-Request-Id: " +
+         id + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// Replica that refuses the first request, "a", on its first connection, and
+/// sends a second copy of the refusal on this connection once
+/// `requests_between` other requests have been answered and one more has
+/// arrived. It serves several connections at a time.
+class RefusingReplica {
+ public:
+  explicit RefusingReplica(int requests_between)
+      : m_upstream([this, requests_between](RawSocket& connection, int number) {
+          auto owned = std::make_shared<RawSocket>(std::move(connection));
+          m_threads.emplace_back([owned, number, requests_between] {
+            Serve(owned.get(), number, requests_between);
+          });
+        }) {}
+
+  [[nodiscard]] const Address& LocalAddress() const {
+    return m_upstream.LocalAddress();
+  }
+  [[nodiscard]] int Connections() const { return m_upstream.Connections(); }
+
+ private:
+  static void Serve(RawSocket* connection, int number, int requests_between) {
+    const bool refuses = number == 0;
+    for (int i = 0; true; ++i) {
+      const std::string head = connection->ReceiveUntil("\r\n\r\n");
+      if (head.empty()) return;
+      if (refuses && i == 0) {
+        connection->Send(RefusalBytes("a"));
+        continue;
+      }
+      const bool sends_copy = refuses && i == requests_between + 1;
+      if (sends_copy) connection->Send(RefusalBytes("a"));
+      constexpr std::string_view kIdHeader = "Request-Id: ";
+      const std::size_t id = head.find(kIdHeader) + kIdHeader.size();
+      connection->Send(
+          AnswerBytes("ran", head.substr(id, head.find("\r", id) - id)));
+    }
+  }
+
+  std::vector<std::jthread> m_threads;
+  RawUpstream m_upstream;
+};
+
 class HttpReplicaTransportTest : public testing::Test {
  protected:
   ReplicaAnswer SendAndWait(const Address& to, const std::string& id) {
@@ -64,6 +115,43 @@
   }
 }
 
+// A replica refuses a request, and sends a second copy of the refusal when the
+// repeat of the same request has arrived, which it runs. Taken for the answer
+// to the repeat, the copy would make a request run twice that may run once.
+TEST_F(HttpReplicaTransportTest,
+       ALateSecondCopyOfARefusalIsNotTheAnswerToTheRepeatedRequest) {
+  for (const int requests_between : {0, 1, 20, 200}) {
+    SCOPED_TRACE(requests_between);
+    RefusingReplica replica(requests_between);
+    EXPECT_EQ(SendAndWait(replica.LocalAddress(), "a").end, SendEnd::kNotRun);
+    for (int i = 0; i < requests_between; ++i) {
+      EXPECT_EQ(
+          SendAndWait(replica.LocalAddress(), "b" + std::to_string(i)).body,
+          "ran");
+    }
+    EXPECT_EQ(replica.Connections(), 1);
+    const ReplicaAnswer repeated = SendAndWait(replica.LocalAddress(), "a");
+    EXPECT_EQ(repeated.end, SendEnd::kAnswered);
+    EXPECT_EQ(repeated.body, "ran");
+    m_client.CloseIdle(replica.LocalAddress());
+  }
+}
+
+// Refusals must not make each repeat and each later request open a connection.
+TEST_F(HttpReplicaTransportTest, OtherRequestsReuseAConnectionAfterRefusals) {
+  RawUpstream upstream([](RawSocket& connection, int) {
+    for (int i = 0; i < 10; ++i) {
+      connection.ReceiveUntil("\r\n\r\n");
+      connection.Send(RefusalBytes("a" + std::to_string(i)));
+    }
+    connection.ReceiveAll();
+  });
+  for (int i = 0; i < 10; ++i) {
+    SendAndWait(upstream.LocalAddress(), "a" + std::to_string(i));
+  }
+  EXPECT_EQ(upstream.Connections(), 1);
+}
+
 TEST_F(HttpReplicaTransportTest, AcceptsAnAnswerWithoutIdOnANewConnection) {
   RawUpstream upstream([&](RawSocket& connection, int) {
     connection.ReceiveUntil("\r\n\r\n");
