Answer every request that a stopping entry has accepted

Cause: nothing limited what an entry accepts between the end of its linger time and its shutdown timeout, where the loop just ended. Before that, the loop ended 5 ms after one check for requests in flight, with connections open, and a response that wasn't sent completely didn't count.

Evidence: PlannedStopTest (real processes) failed before: two requests at 80 % of the grace period reached the replica, and they and two earlier ones got a closed connection. DaemonLoopTest failed before: a request read 1 ms after the check was not finished.

Change: Router::BeginStop refuses, as not run, a request that can hardly end in time, and bounds the time limit of the others; Router::EndAll gives each request in flight a final answer at the shutdown timeout. Idle connections are closed when nothing is in flight, and the loop checks once more before it ends. Requests being read and responses being sent count as unfinished.

--- a/programs/chicory-controld/control_daemon.cc
+++ b/programs/chicory-controld/control_daemon.cc
@@ -241,6 +241,9 @@
     if (m_routing_server) m_routing_server->StopAccepting();
     if (m_settings.keep_members) m_peers->Leave();
   };
+  steps.close_idle = [this] {
+    if (m_routing_server) m_routing_server->CloseConnectionsWhenIdle();
+  };
   steps.in_flight = [this] {
     return (m_operator_server ? m_operator_server->InFlight() : 0) +
            (m_routing_server ? m_routing_server->InFlight() : 0);
--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -273,22 +273,31 @@
   return page.Response();
 }
 
+Duration GatewayDaemon::ShutdownTimeout() const {
+  return m_settings.grace * kShutdownGracePercent / kPercent;
+}
+
 ShutdownSteps GatewayDaemon::Shutdown() {
   ShutdownSteps steps;
   steps.withdraw_readiness = [this] {
     m_stopping = true;
+    if (ShutdownTimeout() > Duration::zero()) {
+      m_router->BeginStop(m_scheduler.Now() + ShutdownTimeout());
+    }
     m_caller_server->CloseConnectionsWhenIdle();
   };
   steps.reload = [this] { m_settings_watch.CheckNow(); };
   steps.linger = m_settings.linger;
-  steps.shutdown_timeout = m_settings.grace * kShutdownGracePercent / kPercent;
+  steps.shutdown_timeout = ShutdownTimeout();
+  steps.end_requests = [this] { m_router->EndAll(); };
+  steps.close_idle = [this] { m_caller_server->CloseConnectionsWhenIdle(); };
   steps.stop_accepting = [this] {
     m_caller_server->StopAccepting();
     m_peers->Leave();
     m_relay_service->StopAccepting();
   };
   steps.in_flight = [this] {
-    return m_caller_server->InFlight() +
+    return m_caller_server->UnfinishedCount() +
            static_cast<std::uint32_t>(m_relay_service->InFlight());
   };
   return steps;
--- a/programs/chicory-gatewayd/gateway_daemon.h
+++ b/programs/chicory-gatewayd/gateway_daemon.h
@@ -56,6 +56,8 @@
   void OnCallerDisconnected(std::uint64_t connection);
   [[nodiscard]] HttpResponse ReadinessResponse() const;
   [[nodiscard]] HttpResponse MetricsResponse() const;
+  // Time from SIGTERM until the requests in flight are ended; zero for never.
+  [[nodiscard]] Duration ShutdownTimeout() const;
   ShutdownSteps Shutdown();
 
   GatewaySettings m_settings;
--- a/src/adapters/beast_http_server.cc
+++ b/src/adapters/beast_http_server.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -65,6 +66,13 @@
            !m_lingering;
   }
 
+  /// Returns whether a request is being read or waits for its response, or a
+  /// response has not been sent completely.
+  [[nodiscard]] bool IsUnfinished() const {
+    return m_awaiting_response || m_socket->HasUnsent() ||
+           (!m_lingering && (m_reading_request || !m_unparsed.empty()));
+  }
+
   void CloseNow() { m_server->DestroyLater(m_number); }
 
   void Close() {
@@ -337,6 +345,12 @@
   for (const std::uint64_t number : idle) DestroyLater(number);
 }
 
+std::uint32_t BeastHttpServer::UnfinishedCount() const {
+  return static_cast<std::uint32_t>(std::ranges::count_if(
+      m_connections,
+      [](const auto& entry) { return entry.second->IsUnfinished(); }));
+}
+
 void BeastHttpServer::OnStopAccepting() {
   m_closing_connections = true;
   if (m_listener < 0) return;
--- a/src/adapters/beast_http_server.h
+++ b/src/adapters/beast_http_server.h
@@ -90,6 +90,10 @@
   /// response. New connections are still accepted, for one request each.
   void CloseConnectionsWhenIdle();
 
+  /// Returns the number of connections on which a request is being read or
+  /// waits for its response, or a response has not been sent completely.
+  [[nodiscard]] std::uint32_t UnfinishedCount() const;
+
   [[nodiscard]] const CounterSet<BeastHttpServerCounter>& Counters() const {
     return m_counters;
   }
--- a/src/adapters/daemon_loop.cc
+++ b/src/adapters/daemon_loop.cc
@@ -13,6 +13,10 @@
 
 constexpr Duration kInFlightPollInterval = milliseconds(5);
 
+/// Time in which the final answers of requests that were still in flight at the
+/// shutdown timeout are sent.
+constexpr Duration kFinalAnswersTime = milliseconds(100);
+
 }  // namespace
 
 DaemonLoop::DaemonLoop(Scheduler* scheduler)
@@ -71,11 +75,7 @@
   Log(LogLevel::kInfo, "shutdown_started");
   m_steps.withdraw_readiness();
   if (m_steps.shutdown_timeout > Duration::zero()) {
-    m_scheduler->Schedule(m_steps.shutdown_timeout, [this] {
-      Log(LogLevel::kWarning, "shutdown_cut_short",
-          {{"in_flight", std::to_string(m_steps.in_flight())}});
-      g_main_loop_quit(m_loop);
-    });
+    m_scheduler->Schedule(m_steps.shutdown_timeout, [this] { EndRequests(); });
   }
   m_scheduler->Schedule(m_steps.linger, [this] {
     m_steps.stop_accepting();
@@ -84,14 +84,31 @@
 }
 
 void DaemonLoop::PollInFlight() {
-  if (m_steps.in_flight() == 0) {
-    // Waits one more interval, so that the server can write the responses that
-    // it was given before the loop ends.
-    m_scheduler->Schedule(kInFlightPollInterval,
-                          [this] { g_main_loop_quit(m_loop); });
-    return;
-  }
-  m_scheduler->Schedule(kInFlightPollInterval, [this] { PollInFlight(); });
+  const bool is_idle = m_steps.in_flight() == 0;
+  if (is_idle && m_steps.close_idle) m_steps.close_idle();
+  m_scheduler->Schedule(kInFlightPollInterval, [this, is_idle] {
+    if (is_idle) {
+      EndIfIdle();
+    } else {
+      PollInFlight();
+    }
+  });
+}
+
+// Ends the loop unless a request was read since nothing was in flight, on a
+// connection that was still open.
+void DaemonLoop::EndIfIdle() {
+  if (m_steps.in_flight() > 0) return PollInFlight();
+  g_main_loop_quit(m_loop);
+}
+
+void DaemonLoop::EndRequests() {
+  Log(LogLevel::kWarning, "shutdown_cut_short",
+      {{"in_flight", std::to_string(m_steps.in_flight())}});
+  if (!m_steps.end_requests) return g_main_loop_quit(m_loop);
+  m_steps.end_requests();
+  m_scheduler->Schedule(kFinalAnswersTime,
+                        [this] { g_main_loop_quit(m_loop); });
 }
 
 }  // namespace chicoryvale
--- a/src/adapters/daemon_loop.h
+++ b/src/adapters/daemon_loop.h
@@ -34,9 +34,15 @@
   /// Returns the number of requests that are still in flight and of other
   /// operations that the shutdown waits for.
   std::function<std::uint32_t()> in_flight;
-  /// Time after the signal at which the process ends even with requests in
-  /// flight; zero for no limit.
+  /// Closes the connections without a request, so that no further request is
+  /// read. Called when nothing is in flight any more; the loop ends if that is
+  /// still so an instant later. May be empty.
+  std::function<void()> close_idle;
+  /// Time after the signal at which `end_requests` is called; zero for never.
+  /// The process ends soon after, even with requests in flight.
   Duration shutdown_timeout{};
+  /// Ends the requests that are in flight with a final answer. May be empty.
+  std::function<void()> end_requests;
   /// Reloads the settings, on SIGHUP; may be empty.
   std::function<void()> reload;
 };
@@ -66,6 +72,8 @@
   static gboolean OnReload(gpointer data);
   void BeginShutdown();
   void PollInFlight();
+  void EndIfIdle();
+  void EndRequests();
 
   Scheduler* m_scheduler;
   GMainLoop* m_loop;
--- a/src/routing/routed_query.cc
+++ b/src/routing/routed_query.cc
@@ -260,6 +260,12 @@
   FinishWithoutAnswer(true);
 }
 
+void RoutedQuery::EndNow() {
+  if (m_finished) return;
+  m_context.scheduler->Cancel(m_deadline_timer);
+  OnDeadline();
+}
+
 std::size_t RoutedQuery::CountAnswered() const {
   return static_cast<std::size_t>(
       std::ranges::count_if(m_sub_requests, [](const SubRequest& sub_request) {
--- a/src/routing/routed_query.h
+++ b/src/routing/routed_query.h
@@ -53,6 +53,8 @@
   kRefusedNoConfiguration,
   kRefusedUnknownRoute,
   kRefusedOverloaded,
+  /// Requests that came too late before the end of this process.
+  kRefusedStopping,
   kRefusedNoReplica,
   kRefusedReplicasBusy,
   kFailedBroken,
@@ -61,7 +63,7 @@
 
 template <>
 struct CounterNames<RoutingCounter> {
-  static constexpr std::array<std::string_view, 21> kNames = {
+  static constexpr std::array<std::string_view, 22> kNames = {
       "requests",
       "answered_whole",
       "answered_short",
@@ -79,6 +81,7 @@
       "refused_no_configuration",
       "refused_unknown_route",
       "refused_overloaded",
+      "refused_stopping",
       "refused_no_replica",
       "refused_replicas_busy",
       "failed_broken",
@@ -160,6 +163,10 @@
 
   void Start();
 
+  /// Ends the query as if its time limit had passed. Does nothing if it has
+  /// ended.
+  void EndNow();
+
   /// Ends the query without an answer because its caller has disconnected, and
   /// cancels the work of its replicas. Does nothing if the query has ended.
   void CancelOnDisconnect();
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -1,6 +1,7 @@
 #include "routing/router.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace chicoryvale {
@@ -10,6 +11,12 @@
 /// the time that it needs to receive the configuration.
 constexpr Duration kRetryAfterStart = milliseconds(500);
 
+/// Multiple of the target latency that has to be left until the process ends
+/// for a request to be accepted. Idempotent requests that take longer can be
+/// sent again; the caller of another one would not learn whether it has run.
+constexpr int kStopMarginIdempotent = 1;
+constexpr int kStopMarginOnce = 4;
+
 }  // namespace
 
 bool Router::SetConfig(std::shared_ptr<const RoutingConfig> config) {
@@ -42,6 +49,12 @@
            Duration::zero(), callback);
     return 0;
   }
+  if (!MayEndInTime(*route)) {
+    Refuse(request, RoutingCounter::kRefusedStopping,
+           {ErrorKind::kShuttingDown, "this entry is shutting down", Ran::kNo},
+           Duration::zero(), callback);
+    return 0;
+  }
   RoutedQuery::Input input;
   input.request = request.request;
   input.config = m_table->Config();
@@ -51,6 +64,10 @@
                        : std::vector<std::string>{m_split_picker.Pick(*route)};
   input.time_limit =
       std::min(route->timeout, request.time_left.value_or(route->timeout));
+  if (m_end) {
+    input.time_limit =
+        std::min(input.time_limit, *m_end - m_context.scheduler->Now());
+  }
   const std::uint64_t number = ++m_last_query_number;
   if (route->IsScattered()) {
     SubmitScattered(number, {request, std::move(input), std::move(callback),
@@ -61,6 +78,33 @@
   return m_queries.contains(number) || m_waiting.contains(number) ? number : 0;
 }
 
+void Router::BeginStop(TimePoint end) { m_end = end; }
+
+bool Router::MayEndInTime(const Route& route) const {
+  if (!m_end) return true;
+  const int margin = route.idempotent ? kStopMarginIdempotent : kStopMarginOnce;
+  return *m_end - m_context.scheduler->Now() >= margin * route.target_latency;
+}
+
+void Router::EndAll() {
+  std::vector<std::uint64_t> waiting;
+  std::ranges::transform(m_waiting, std::back_inserter(waiting),
+                         [](const auto& entry) { return entry.first; });
+  for (const std::uint64_t number : waiting) {
+    for (const auto& [shards, admission] : m_admissions) {
+      admission->Cancel(number);
+    }
+    if (m_waiting.contains(number)) RefuseWaiting(number, Duration::zero());
+  }
+  std::vector<std::uint64_t> running;
+  std::ranges::transform(m_queries, std::back_inserter(running),
+                         [](const auto& entry) { return entry.first; });
+  for (const std::uint64_t number : running) {
+    const auto query = m_queries.find(number);
+    if (query != m_queries.end()) query->second->EndNow();
+  }
+}
+
 RequestAdmission& Router::AdmissionOf(const Route& route) {
   std::unique_ptr<RequestAdmission>& admission =
       m_admissions[route.scatter.shards.front()];
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -48,6 +48,15 @@
   /// Returns the number of the query, or 0 if it has already ended.
   std::uint64_t Handle(const RoutedRequest& request, Callback callback);
 
+  /// Announces that the process stops. Requests from now on get a final answer
+  /// by `end`; a request for which that is too soon is refused, as it has not
+  /// run and another entry can serve it. Requests in flight continue.
+  void BeginStop(TimePoint end);
+
+  /// Ends all requests with a final answer: what is known so far, or whether
+  /// they may have run.
+  void EndAll();
+
   /// Ends a query without an answer because its caller has disconnected. Does
   /// nothing if the query has ended.
   void CancelOnDisconnect(std::uint64_t query);
@@ -70,6 +79,7 @@
     TimePoint received_at{};
   };
 
+  [[nodiscard]] bool MayEndInTime(const Route& route) const;
   RequestAdmission& AdmissionOf(const Route& route);
   void SubmitScattered(std::uint64_t number, WaitingRequest waiting);
   void StartAdmitted(std::uint64_t number);
@@ -87,6 +97,8 @@
   SplitPicker m_split_picker;
   std::unique_ptr<RouteTable> m_table;
   std::uint64_t m_last_query_number = 0;
+  /// When all requests have to be answered because the process stops.
+  std::optional<TimePoint> m_end;
   std::map<ShardSet, std::unique_ptr<RequestAdmission>> m_admissions;
   std::unordered_map<std::uint64_t, WaitingRequest> m_waiting;
   std::unordered_map<std::uint64_t, std::unique_ptr<RoutedQuery>> m_queries;
