Don't handle requests whose head was cut off

On the gateway's path it can't happen: AnAnswerCutWithinItsHeadIsNoAnswer cuts ten heads at each byte and passed on the code before, as did the test of the Beast server. On the path of chicory-entryd, libsoup takes the end of the stream after a header line for the end of the head.

The same cause on a related path did harm: SoupHttpServer handled a POST that was cut after its first header line, with an empty body. ARequestThatIsCutOffIsNotHandled failed before.

Change: the server looks for the end of the head among the bytes that are left when a request begins and when the caller closes its sending side, and closes the connection if it is missing. Counter http_heads_cut_off.

--- a/src/adapters/soup_http_server.cc
+++ b/src/adapters/soup_http_server.cc
@@ -1,5 +1,6 @@
 #include "adapters/soup_http_server.h"
 
+#include <poll.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -24,6 +25,8 @@
 /// POLLRDHUP: the caller has closed its sending side. GIOCondition has no
 /// constant for it.
 constexpr auto kPeerClosedCondition = static_cast<GIOCondition>(0x2000);
+/// Limit on the bytes in which the end of a head is looked for.
+constexpr std::size_t kMaxPeekedBytes = std::size_t{64} * 1024;
 constexpr char kExchangeKey[] = "chicoryvale-exchange";
 
 // Creates the listening socket here to set its backlog: GLib's default is 10.
@@ -82,6 +85,25 @@
   return recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+// Returns whether the bytes that are left to read contain the end of the head
+// of a request.
+bool HasEndOfHead(GSocket* socket) {
+  std::string rest(kMaxPeekedBytes, '\0');
+  const ssize_t size = recv(g_socket_get_fd(socket), rest.data(), rest.size(),
+                            MSG_PEEK | MSG_DONTWAIT);
+  rest.resize(static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
+  return rest.find("\r\n\r\n") != std::string::npos ||
+         rest.find("\n\n") != std::string::npos;
+}
+
+// Returns whether the caller has closed its sending side.
+bool HasPeerClosed(GSocket* socket) {
+  pollfd watched{g_socket_get_fd(socket),
+                 static_cast<short>(kPeerClosedCondition), 0};
+  return poll(&watched, 1, 0) > 0 &&
+         (watched.revents & static_cast<short>(kPeerClosedCondition)) != 0;
+}
+
 // Makes libsoup read the end of the stream at its next read.
 void ShutDownSocket(GSocket* socket) {
   if (!g_socket_is_closed(socket)) shutdown(g_socket_get_fd(socket), SHUT_RDWR);
@@ -103,6 +125,9 @@
   TimePoint waiting_since{};
   /// The caller has closed its sending side.
   bool peer_closed = false;
+  /// The caller has closed its sending side in the middle of the head of a
+  /// request.
+  bool head_cut_off = false;
   /// EndIdleConnection was called.
   bool end_requested = false;
 
@@ -121,6 +146,9 @@
   /// Null once the server is destroyed.
   SoupHttpServer* server = nullptr;
   Connection* connection = nullptr;
+  bool headers_read = false;
+  /// The whole head had arrived when libsoup began to read the request.
+  bool head_arrived = false;
   std::size_t body_bytes = 0;
   bool too_large = false;
   /// The request was passed to the handler.
@@ -235,6 +263,7 @@
                                ? server->AddConnection(socket)
                                : found->second.get();
   auto* exchange = new Exchange{server, connection};
+  exchange->head_arrived = HasEndOfHead(socket);
   connection->current = exchange;
   g_object_set_data(G_OBJECT(message), kExchangeKey, exchange);
   g_object_weak_ref(G_OBJECT(message), &OnMessageFinalized, exchange);
@@ -267,7 +296,14 @@
   auto* exchange = static_cast<Exchange*>(
       g_object_get_data(G_OBJECT(message), kExchangeKey));
   if (exchange == nullptr) return;
+  exchange->headers_read = true;
   exchange->connection->waiting_since = server->m_scheduler.Now();
+  if (IsHeadCutOff(*exchange)) {
+    server->m_counters.Add(SoupHttpServerCounter::kHeadsCutOff);
+    soup_server_message_set_status(message, SOUP_STATUS_BAD_REQUEST, nullptr);
+    ShutDownSocket(exchange->connection->socket.get());
+    return;
+  }
   g_signal_connect(message, "got-chunk", G_CALLBACK(&OnBodyChunk), exchange);
   SoupMessageHeaders* headers =
       soup_server_message_get_request_headers(message);
@@ -444,6 +480,9 @@
   SoupHttpServer* server = connection->server;
   connection->StopWatching();
   connection->peer_closed = true;
+  const Exchange* current = connection->current;
+  connection->head_cut_off =
+      (current == nullptr || !current->headers_read) && !HasEndOfHead(socket);
   // An exchange in progress is completed first, and its response closes the
   // connection.
   if (connection->current != nullptr) return G_SOURCE_REMOVE;
@@ -456,6 +495,17 @@
   return G_SOURCE_REMOVE;
 }
 
+// libsoup takes the end of the stream for the end of a head, so that a request
+// would be handled without the headers that are missing, and with an empty
+// body. If the end of the stream was read before OnHangUp saw it, nothing tells
+// whether the head was complete; the request is then not handled either.
+bool SoupHttpServer::IsHeadCutOff(const Exchange& exchange) {
+  if (exchange.head_arrived) return false;
+  const Connection& connection = *exchange.connection;
+  if (connection.peer_closed) return connection.head_cut_off;
+  return HasPeerClosed(connection.socket.get());
+}
+
 void SoupHttpServer::EndIdleConnection(Connection* connection) {
   // libsoup ends a connection only while it has a message for it. Therefore the
   // descriptor is replaced by one end of a socket pair from which libsoup reads
--- a/src/adapters/soup_http_server.h
+++ b/src/adapters/soup_http_server.h
@@ -31,18 +31,26 @@
   kBrokenRequests,
   kBodiesTooLarge,
   kBodiesCutOff,
+  /// Requests whose caller closed the connection in the middle of the head.
+  kHeadsCutOff,
   kAbandonedByCaller,
   kAbortedByHandler,
 };
 
 template <>
 struct CounterNames<SoupHttpServerCounter> {
-  static constexpr std::array<std::string_view, 11> kNames = {
-      "http_connections",       "http_connections_refused",
-      "http_hang_ups",          "http_idle_closed",
-      "http_requests",          "http_answered",
-      "http_broken_requests",   "http_bodies_too_large",
-      "http_bodies_cut_off",    "http_abandoned_by_caller",
+  static constexpr std::array<std::string_view, 12> kNames = {
+      "http_connections",
+      "http_connections_refused",
+      "http_hang_ups",
+      "http_idle_closed",
+      "http_requests",
+      "http_answered",
+      "http_broken_requests",
+      "http_bodies_too_large",
+      "http_bodies_cut_off",
+      "http_heads_cut_off",
+      "http_abandoned_by_caller",
       "http_aborted_by_handler"};
 };
 
@@ -117,6 +125,7 @@
   static gboolean OnHangUp(GSocket* socket, GIOCondition, gpointer connection);
 
   Connection* AddConnection(GSocket* socket);
+  static bool IsHeadCutOff(const Exchange& exchange);
   void WatchForHangUp(Connection* connection);
   void EndIdleConnection(Connection* connection);
   void ScheduleSweep();
--- a/tests/adapters/beast_http_server_test.cc
+++ b/tests/adapters/beast_http_server_test.cc
@@ -67,6 +67,29 @@
 constexpr char kGetAndClose[] =
     "GET /z HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
 
+// A caller that ends in the middle of the head of its request, or before the
+// whole body, has sent no request: its last headers are missing, and an empty
+// body would be another request.
+TEST_F(BeastHttpServerTest, ARequestThatIsCutOffIsNotHandled) {
+  for (const std::string& request :
+       {std::string("GET /path HTTP/1.1\r\nHost: test\r\n\r\n"),
+        std::string("POST /path HTTP/1.1\r\nHost: test\r\n"
+                    "Content-Length: 4\r\nDeadline: 7\r\n\r\nbody"),
+        std::string("POST /path HTTP/1.1\r\nHost: test\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
+                    "0\r\n\r\n")}) {
+    RunBeside([&] {
+      for (std::size_t cut = 0; cut < request.size(); ++cut) {
+        RawSocket caller(m_server->LocalAddress());
+        caller.Send(request.substr(0, cut));
+        caller.EndSending();
+        caller.ReceiveAll();
+      }
+    });
+    EXPECT_EQ(m_requests.size(), 0U) << request;
+  }
+}
+
 TEST_F(BeastHttpServerTest, PassesTheTargetUnmodified) {
   SendAndReceiveAll({"GET /a%20", "b/?x=%2F HTTP/1.1\r\nHo",
                      "st: h\r\nConnection: close\r\n\r\n"});
--- a/tests/adapters/soup_http_server_test.cc
+++ b/tests/adapters/soup_http_server_test.cc
@@ -68,6 +68,34 @@
             kConnections);
 }
 
+// A caller that ends in the middle of the head of its request, or before the
+// whole body, has sent no request: its last headers are missing, and an empty
+// body would be another request.
+TEST(SoupHttpServerTest, ARequestThatIsCutOffIsNotHandled) {
+  const auto server = MakeServer();
+  std::vector<std::size_t> handled_at;
+  std::size_t cut = 0;
+  server->SetHandler([&](const HttpRequest&, const HttpResponder& respond) {
+    handled_at.push_back(cut);
+    respond({});
+  });
+  for (const std::string& request :
+       {std::string(kGet),
+        std::string("POST /path HTTP/1.1\r\nHost: test\r\n"
+                    "Content-Length: 4\r\nDeadline: 7\r\n\r\nbody")}) {
+    RunBeside([&] {
+      for (cut = 0; cut < request.size(); ++cut) {
+        RawSocket caller(server->LocalAddress());
+        caller.Send(request.substr(0, cut));
+        caller.EndSending();
+        caller.ReceiveAll();
+      }
+    });
+    EXPECT_EQ(handled_at, std::vector<std::size_t>{}) << request;
+    handled_at.clear();
+  }
+}
+
 TEST(SoupHttpServerTest,
      RespondsToACallerThatClosedItsSendingSideWhileWaiting) {
   const auto server = MakeServer();
--- a/tests/adapters/soup_upstream_transport_test.cc
+++ b/tests/adapters/soup_upstream_transport_test.cc
@@ -273,6 +273,51 @@
   EXPECT_EQ(Send(request).kind, SubOutcomeKind::kNotConnected);
 }
 
+// An upstream that stops in the middle of the head of its response and closes
+// the connection has not answered, wherever the head is cut.
+TEST_F(SoupUpstreamTransportTest, ResponseCutWithinItsHeadIsNoAnswer) {
+  const std::vector<std::string> heads = {
+      MakeResponse("X-Chicoryvale-Sub-Request-Id: 1\r\n"
+                   "X-Chicoryvale-Load: 3\r\n",
+                   ""),
+      "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX-Chicoryvale-Load: 3\r\n\r\n",
+      "HTTP/1.1 503 Shed\r\nContent-Length: 0\r\n"
+      "X-Chicoryvale-Not-Started: 1\r\n\r\n",
+      "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"};
+  for (const std::string& head : heads) {
+    std::size_t cut = 0;
+    RawUpstream upstream([&](RawSocket& connection, int) {
+      if (connection.ReceiveUntil(kEndOfRequest).empty()) return;
+      connection.Send(head.substr(0, cut));
+    });
+    for (; cut < head.size(); ++cut) {
+      const SubOutcomeKind kind = Send(Request(upstream)).kind;
+      EXPECT_TRUE(kind == SubOutcomeKind::kMalformed ||
+                  kind == SubOutcomeKind::kConnectionLost)
+          << static_cast<int>(kind) << " after " << head.substr(0, cut);
+    }
+  }
+}
+
+// A response with a body is never taken for one with an empty or shorter body,
+// wherever it is cut.
+TEST_F(SoupUpstreamTransportTest, ACutResponseNeverLosesPartOfItsBody) {
+  for (const std::string& headers :
+       {std::string("X-Chicoryvale-Load: 3\r\n"), std::string()}) {
+    const std::string body = "0123456789";
+    const std::string whole = MakeResponse(headers, body);
+    std::size_t cut = 0;
+    RawUpstream upstream([&](RawSocket& connection, int) {
+      if (connection.ReceiveUntil(kEndOfRequest).empty()) return;
+      connection.Send(whole.substr(0, cut));
+    });
+    for (; cut < whole.size(); ++cut) {
+      EXPECT_NE(Send(Request(upstream)).kind, SubOutcomeKind::kAnswered)
+          << whole.substr(0, cut);
+    }
+  }
+}
+
 /// The bytes of a response, after which the upstream closes the connection.
 struct ResponseCase {
   std::string name;
--- a/tests/platform/http_replica_transport_test.cc
+++ b/tests/platform/http_replica_transport_test.cc
@@ -184,5 +184,35 @@
   }
 }
 
+// A replica that stops in the middle of the head of its answer and closes the
+// connection has not answered, wherever the head is cut and whatever the rest
+// would have said about the length of the body.
+TEST_F(HttpReplicaTransportTest, AnAnswerCutWithinItsHeadIsNoAnswer) {
+  const std::vector<std::string> lengths = {
+      "Content-Length: 0\r\n", "Content-Length: 12\r\n",
+      "Transfer-Encoding: chunked\r\n", "Connection: close\r\n", ""};
+  for (const std::string& interim :
+       {std::string(), std::string("HTTP/1.1 100 Continue\r\n\r\n")}) {
+    for (const std::string& length : lengths) {
+      const std::string head = interim +
+                               "HTTP/1.1 200 OK\r\n"
+                               "Chicoryvale-Request-Id: a\r\n"
+                               "Chicoryvale-Server-Stamp: mac\r\n" +
+                               length + "\r\n";
+      std::size_t cut = 0;
+      RawUpstream upstream([&](RawSocket& connection, int) {
+        connection.ReceiveUntil("\r\n\r\n");
+        connection.Send(head.substr(0, cut));
+      });
+      for (; cut < head.size(); ++cut) {
+        SCOPED_TRACE(head.substr(0, cut));
+        const ReplicaAnswer answer = SendAndWait(upstream.LocalAddress(), "a");
+        EXPECT_EQ(answer.end, SendEnd::kBroken);
+        EXPECT_FALSE(answer.IsSuccess());
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicoryvale::platform
