--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -82,14 +82,14 @@
 void GatewayDaemon::StartRouting() {
   m_http_client = std::make_unique<BeastHttpClient>(
       BeastHttpClientOptions{.poller = &m_poller, .scheduler = &m_scheduler});
-  m_replica_transport =
-      std::make_unique<platform::HttpReplicaTransport>(m_http_client.get());
+  m_replica_transport = std::make_unique<platform::HttpReplicaTransport>(
+      m_http_client.get(), &m_log);
   m_replica_directory = std::make_unique<platform::HttpReplicaDirectory>(
       m_http_client.get(), &m_log, Address{m_settings.replica_list_address});
   m_replica_pool = std::make_unique<ReplicaPool>(
       m_settings.peers.availability_zone, RandomSeed());
   m_send_tracker = std::make_unique<SendTracker>(
-      &m_scheduler, m_replica_transport.get(), m_replica_pool.get());
+      &m_scheduler, m_replica_transport.get(), m_replica_pool.get(), &m_log);
   m_retry_budget =
       std::make_unique<RetryBudget>(m_settings.retry_budget, m_scheduler.Now());
   m_relay_client = std::make_unique<RelayClient>(
@@ -265,7 +265,8 @@
       .Add("gateway", m_counters)
       .Add("callers", m_caller_server->Counters())
       .Add("settings", m_settings_watch.Counters())
-      .Add("replicas", m_http_client->Counters());
+      .Add("replicas", m_http_client->Counters())
+      .Add("replica_pool", m_replica_pool->Counters());
   m_latencies.Visit([&page](const std::string& name, std::uint64_t count) {
     page.AddValue("gateway", "request_latency_" + name, count);
   });
--- a/src/adapters/beast_http_client.cc
+++ b/src/adapters/beast_http_client.cc
@@ -110,6 +110,15 @@
     m_socket.reset();
   }
 
+  /// Returns the status and the headers of the response that is being received
+  /// if its head is complete and it belongs to the call; otherwise status 0.
+  [[nodiscard]] HttpClientAnswer HeadOfIncompleteResponse() const {
+    if (!m_parser->is_header_done() || m_parser->is_done()) return {};
+    HttpClientAnswer head = CopyHead();
+    const bool is_own = !m_is_own_response || m_is_own_response(head);
+    return is_own ? head : HttpClientAnswer{};
+  }
+
   [[nodiscard]] bool IsOpen() const { return m_socket != nullptr; }
   [[nodiscard]] const Address& ServerAddress() const {
     return m_server_address;
@@ -196,10 +205,10 @@
     m_client->m_buffered_bytes -= std::exchange(m_buffered_bytes, 0);
   }
 
-  HttpClientAnswer ReleaseResponse(bool* can_reuse) {
+  // Returns the status and the headers of the response that is being parsed.
+  [[nodiscard]] HttpClientAnswer CopyHead() const {
     HttpClientAnswer answer;
-    auto message = m_parser->release();
-    *can_reuse = *can_reuse && message.keep_alive();
+    const auto& message = m_parser->get();
     answer.status = static_cast<int>(message.result_int());
     for (const auto& field : message) {
       const auto name = field.name_string();
@@ -207,9 +216,17 @@
       answer.headers.push_back({std::string(name.data(), name.size()),
                                 std::string(value.data(), value.size())});
     }
+    answer.is_first_on_connection = m_is_first_answer;
+    return answer;
+  }
+
+  HttpClientAnswer ReleaseResponse(bool* can_reuse) {
+    HttpClientAnswer answer = CopyHead();
+    auto message = m_parser->release();
+    *can_reuse = *can_reuse && message.keep_alive();
     answer.body = std::move(message.body());
     answer.closes_connection = !message.keep_alive();
-    answer.is_first_on_connection = std::exchange(m_is_first_answer, false);
+    m_is_first_answer = false;
     return answer;
   }
 
@@ -250,11 +267,12 @@
   void Fail(const std::string& detail) {
     const HttpCallId id = std::exchange(m_call_id, 0);
     const bool sent = m_socket->HasSent();
+    HttpClientAnswer head = HeadOfIncompleteResponse();
     auto call = m_client->m_calls.find(id);
     m_client->DestroyLater(std::move(call->second->connection));
     m_client->m_counters.Add(BeastHttpClientCounter::kBroken);
-    m_client->Finish(
-        id, {sent ? HttpCallEnd::kBroken : HttpCallEnd::kNotSent, {}, detail});
+    m_client->Finish(id, {sent ? HttpCallEnd::kBroken : HttpCallEnd::kNotSent,
+                          std::move(head), detail});
   }
 
   BeastHttpClient* m_client;
@@ -301,10 +319,14 @@
         m_counters.Add(BeastHttpClientCounter::kTimedOut);
         OpenCall& timed_out = *m_calls.at(id);
         timed_out.timer = 0;
-        if (timed_out.connection) DestroyLater(std::move(timed_out.connection));
-        Finish(id, {HttpCallEnd::kTimedOut,
-                    {},
-                    "no complete response before the timeout"});
+        HttpCallResult result;
+        result.end = HttpCallEnd::kTimedOut;
+        result.detail = "no complete response before the timeout";
+        if (timed_out.connection) {
+          result.answer = timed_out.connection->HeadOfIncompleteResponse();
+          DestroyLater(std::move(timed_out.connection));
+        }
+        Finish(id, std::move(result));
       });
   m_calls.emplace(id, std::move(open_call));
   StartCall(id);
--- a/src/ports/http_client.h
+++ b/src/ports/http_client.h
@@ -43,7 +43,8 @@
 
 struct HttpCallResult {
   HttpCallEnd end = HttpCallEnd::kNotSent;
-  /// Complete if `end` is kAnswered.
+  /// Complete if `end` is kAnswered. Otherwise only the status and the headers,
+  /// if the head of an answer had arrived; status 0 if not.
   HttpClientAnswer answer;
   /// Description of the failure for a log line.
   std::string detail;
--- a/src/ports/relay.h
+++ b/src/ports/relay.h
@@ -63,6 +63,8 @@
   /// The greatest records of the answered sub-requests.
   std::string body;
   std::vector<MissingSubRequest> missing;
+  /// Ids of replicas that said in their answers that they drain.
+  std::vector<std::string> draining_replicas;
 };
 
 /// Interface that sends sub-requests through other entries. A relay may use all
--- a/src/ports/replica_transport.h
+++ b/src/ports/replica_transport.h
@@ -47,6 +47,14 @@
   std::uint32_t slots = 0;
 };
 
+/// What a replica says of itself in an answer, whatever the answer is.
+struct ReplicaNotice {
+  /// The replica drains: it is about to leave and wants no more requests.
+  bool draining = false;
+  /// The replica wants no requests from this process for this long.
+  std::optional<Duration> back_off;
+};
+
 /// How a send ended.
 enum class SendEnd : std::uint8_t {
   /// A complete answer arrived; its status may still be an error.
@@ -73,6 +81,8 @@
   std::vector<HttpHeader> headers;
   std::string body;
   std::optional<ReplicaLoad> load;
+  /// Also set if the answer is not complete, but its head is.
+  ReplicaNotice notice;
   /// Whether the replica closes this connection after the answer, which may
   /// mean that it is about to leave.
   bool closes_connection = false;
--- a/src/routing/relay_client.cc
+++ b/src/routing/relay_client.cc
@@ -229,6 +229,7 @@
     answer.missing.push_back({missing.index, missing.attempts});
   }
   answer.body = std::move(reply.body);
+  answer.draining_replicas = std::move(reply.draining_replicas);
   request.callback(std::move(answer));
 }
 
--- a/src/routing/relay_messages.h
+++ b/src/routing/relay_messages.h
@@ -77,10 +77,20 @@
   std::vector<RelayedSubRequestMessage> answered;
   std::vector<MissingSubRequestMessage> missing;
   std::string body;
+  /// Ids of replicas that said in their answers that they drain. Encoded only
+  /// if there are any, so that entries of an earlier version read other
+  /// replies.
+  std::vector<std::string> draining_replicas;
 
   template <class Archive>
-  void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+  void save(Archive& archive) const {  // NOLINT(readability-identifier-naming)
+    archive(accepted, answered, missing, body);
+    if (!draining_replicas.empty()) archive(draining_replicas);
+  }
+  template <class Archive>
+  void load(Archive& archive) {  // NOLINT(readability-identifier-naming)
     archive(accepted, answered, missing, body);
+    if (archive.Remaining() > 0) archive(draining_replicas);
   }
 };
 
--- a/src/routing/relay_service.cc
+++ b/src/routing/relay_service.cc
@@ -37,6 +37,7 @@
     reply.missing.push_back({missing.index, missing.attempts_possibly_run});
   }
   reply.body = std::move(answer.body);
+  reply.draining_replicas = std::move(answer.draining_replicas);
   return reply;
 }
 
--- a/src/routing/replica_pool.cc
+++ b/src/routing/replica_pool.cc
@@ -83,7 +83,7 @@
 }  // namespace
 
 ReplicaPool::ReplicaPool(std::string own_zone, std::uint64_t seed)
-    : m_own_zone(std::move(own_zone)), m_random(seed) {}
+    : m_own_zone(std::move(own_zone)), m_random(seed), m_notices(seed) {}
 
 void ReplicaPool::SetReplicas(const std::vector<ListedReplica>& replicas,
                               TimePoint now) {
@@ -96,11 +96,40 @@
                       known->second.listed.address == listed.address;
     Replica& replica = next[listed.id];
     if (same) replica = std::move(known->second);
+    // Another replica at another address has the id now.
+    if (known != m_replicas.end() && !same) m_notices.Forget(listed.id);
     replica.listed = listed;
     replica.warm_at = now + listed.warmup_left;
     if (!listed.draining) m_usable[listed.service].push_back(listed.id);
   }
   m_replicas = std::move(next);
+  m_notices.RecordList(
+      [this](const std::string& id) { return m_replicas.contains(id); }, now);
+  for (auto& [id, replica] : m_replicas) CopyNotice(&replica);
+}
+
+void ReplicaPool::CopyNotice(Replica* replica) const {
+  replica->says_draining = m_notices.IsDraining(replica->listed.id);
+  replica->back_off_end = m_notices.BackOffEnd(replica->listed.id);
+}
+
+ReplicaNotices::Change ReplicaPool::RecordNotice(const std::string& id,
+                                                 const ReplicaNotice& notice,
+                                                 TimePoint now) {
+  const ReplicaNotices::Change change = m_notices.Record(id, notice, now);
+  if (change == ReplicaNotices::Change::kNone) return change;
+  m_counters.Add(change == ReplicaNotices::Change::kDraining
+                     ? ReplicaPoolCounter::kDrainingAnnounced
+                     : ReplicaPoolCounter::kBackOffsAnnounced);
+  const auto replica = m_replicas.find(id);
+  if (replica != m_replicas.end()) CopyNotice(&replica->second);
+  return change;
+}
+
+void ReplicaPool::CountAvoided(const Replica& replica) {
+  m_counters.Add(replica.says_draining
+                     ? ReplicaPoolCounter::kChoicesWithoutDraining
+                     : ReplicaPoolCounter::kChoicesWithoutBackingOff);
 }
 
 std::optional<ChosenReplica> ReplicaPool::Choose(
@@ -119,6 +148,10 @@
     const Replica& replica = m_replicas.at(id);
     if (replica.open_sends.size() >= share) continue;
     if (now < replica.wrong_replica_until) continue;
+    if (!WantsRequests(replica, now)) {
+      CountAvoided(replica);
+      continue;
+    }
     const double cost = ExpectedCostUs(replica, now) * jitter(m_random);
     if (best != nullptr && cost >= best_cost) continue;
     best = &replica;
@@ -138,10 +171,10 @@
   for (const std::string& id : m_usable.at(service)) {
     const Replica& replica = m_replicas.at(id);
     const std::string& zone = replica.listed.availability_zone;
-    const bool is_remote = zone != m_own_zone &&
-                           now >= replica.wrong_replica_until &&
-                           !IsLikelyPaused(replica, now) &&
-                           std::ranges::find(zones, zone) == zones.end();
+    const bool is_remote =
+        zone != m_own_zone && now >= replica.wrong_replica_until &&
+        WantsRequests(replica, now) && !IsLikelyPaused(replica, now) &&
+        std::ranges::find(zones, zone) == zones.end();
     if (is_remote) zones.push_back(zone);
   }
   return zones;
@@ -244,7 +277,10 @@
   const bool previous_timed_out =
       std::exchange(replica.last_send_timed_out, timed_out);
   if (timed_out) replica.paused_until = now + kPauseAfterTimeout;
-  if (!timed_out || previous_timed_out) {
+  // A replica that backs off is left out until it wants requests again, so the
+  // refusal doesn't count against it after that.
+  const bool backs_off = answer.notice.back_off.has_value();
+  if (!backs_off && (!timed_out || previous_timed_out)) {
     RecordOutcome(&replica, !answer.IsSuccess(),
                   previous_timed_out ? kWeightAfterTimeout : kEwmaWeight, now);
   }
@@ -283,9 +319,28 @@
   if (found != m_replicas.end()) found->second.open_sends.erase(send);
 }
 
-std::size_t ReplicaPool::CountUsable(const std::string& service) const {
+std::size_t ReplicaPool::CountUsable(const std::string& service,
+                                     TimePoint now) const {
   const auto usable = m_usable.find(service);
-  return usable == m_usable.end() ? 0 : usable->second.size();
+  if (usable == m_usable.end()) return 0;
+  return static_cast<std::size_t>(
+      std::ranges::count_if(usable->second, [this, now](const std::string& id) {
+        return WantsRequests(m_replicas.at(id), now);
+      }));
+}
+
+std::optional<TimePoint> ReplicaPool::UsableAt(const std::string& service,
+                                               TimePoint now) const {
+  const auto usable = m_usable.find(service);
+  if (usable == m_usable.end()) return std::nullopt;
+  std::optional<TimePoint> earliest;
+  for (const std::string& id : usable->second) {
+    const Replica& replica = m_replicas.at(id);
+    if (replica.says_draining) continue;
+    const TimePoint usable_at = std::max(now, replica.back_off_end);
+    if (!earliest || usable_at < *earliest) earliest = usable_at;
+  }
+  return earliest;
 }
 
 }  // namespace chicoryvale
--- a/src/routing/replica_pool.h
+++ b/src/routing/replica_pool.h
@@ -1,19 +1,23 @@
 #ifndef CHICORYVALE_SRC_ROUTING_REPLICA_POOL_H_
 #define CHICORYVALE_SRC_ROUTING_REPLICA_POOL_H_
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "base/counters.h"
 #include "base/ids.h"
 #include "base/time.h"
 #include "ports/event_log.h"
 #include "ports/replica_transport.h"
+#include "routing/replica_notices.h"
 
 namespace chicoryvale {
 
@@ -41,6 +45,24 @@
   std::string availability_zone;
 };
 
+/// Counted events of a ReplicaPool.
+enum class ReplicaPoolCounter : std::uint8_t {
+  /// Replicas that said in an answer that they drain.
+  kDrainingAnnounced,
+  /// Replicas that asked for no requests for a while, and longer than before.
+  kBackOffsAnnounced,
+  /// Choices that left out a replica because it had said so.
+  kChoicesWithoutDraining,
+  kChoicesWithoutBackingOff,
+};
+
+template <>
+struct CounterNames<ReplicaPoolCounter> {
+  static constexpr std::array<std::string_view, 4> kNames = {
+      "draining_announced", "back_offs_announced", "choices_without_draining",
+      "choices_without_backing_off"};
+};
+
 /// The replicas that this process knows: the list of the platform, and the
 /// state of each replica as estimated from the own sends and their outcomes.
 /// Chooses the replica of each send by the expected time to a successful
@@ -69,18 +91,18 @@
     m_connection_shares[service] = share;
   }
 
-  /// Chooses a replica of `service` that is not in `excluded`, is not draining,
-  /// has an unused connection, and is not avoided because another replica
-  /// answered at its address; returns nothing if there is none.
+  /// Chooses a replica of `service` that is not in `excluded`, is not draining
+  /// or backing off, has an unused connection, and is not avoided because
+  /// another replica answered at its address; returns nothing if there is none.
   std::optional<ChosenReplica> Choose(const std::string& service,
                                       const std::vector<std::string>& excluded,
                                       TimePoint now);
 
   /// Returns the other availability zones that have a replica of `service` that
-  /// is not draining, is probably not paused, and is not avoided because
-  /// another replica answered at its address, whether or not it has an unused
-  /// connection, if the replica that Choose would return is in another zone;
-  /// otherwise nothing.
+  /// is not draining or backing off, is probably not paused, and is not avoided
+  /// because another replica answered at its address, whether or not it has an
+  /// unused connection, if the replica that Choose would return is in another
+  /// zone; otherwise nothing.
   std::vector<std::string> RemoteZones(const std::string& service,
                                        TimePoint now);
 
@@ -95,13 +117,33 @@
   /// Records that a send was cancelled before it was answered.
   void CancelSend(const std::string& id, std::uint64_t send);
 
-  /// Returns the number of replicas of `service` that are listed and not
-  /// draining.
-  [[nodiscard]] std::size_t CountUsable(const std::string& service) const;
+  /// Records what the replica `id` said of itself in an answer, whether or not
+  /// it is still listed, and returns what that changed.
+  ReplicaNotices::Change RecordNotice(const std::string& id,
+                                      const ReplicaNotice& notice,
+                                      TimePoint now);
+
+  /// Returns the number of replicas of `service` that are listed and neither
+  /// draining nor backing off.
+  [[nodiscard]] std::size_t CountUsable(const std::string& service,
+                                        TimePoint now) const;
+
+  /// Returns the earliest time, `now` or later, at which `service` has a
+  /// replica that is listed and neither draining nor backing off. Returns
+  /// nothing if all of them drain or none is listed.
+  [[nodiscard]] std::optional<TimePoint> UsableAt(const std::string& service,
+                                                  TimePoint now) const;
+
+  [[nodiscard]] const CounterSet<ReplicaPoolCounter>& Counters() const {
+    return m_counters;
+  }
 
  private:
   struct Replica {
     ListedReplica listed;
+    /// What the replica said of itself, copied from the notices.
+    bool says_draining = false;
+    TimePoint back_off_end{};
     /// Start times of the sends that have not ended, by number.
     std::map<std::uint64_t, TimePoint> open_sends;
     std::optional<TimePoint> last_answer_at;
@@ -141,8 +183,17 @@
   static void RecordOutcome(Replica* replica, bool failed, double weight,
                             TimePoint now);
 
+  void CopyNotice(Replica* replica) const;
+  static bool WantsRequests(const Replica& replica, TimePoint now) {
+    return !replica.says_draining && now >= replica.back_off_end;
+  }
+  // Counts a choice without `replica` because of what it said.
+  void CountAvoided(const Replica& replica);
+
   std::string m_own_zone;
   std::mt19937_64 m_random;
+  ReplicaNotices m_notices;
+  CounterSet<ReplicaPoolCounter> m_counters;
   bool m_has_list = false;
   std::uint64_t m_last_send_number = 0;
   std::unordered_map<std::string, Replica> m_replicas;
--- a/src/routing/routed_query.cc
+++ b/src/routing/routed_query.cc
@@ -67,9 +67,10 @@
 
 // Returns whether enough services have a usable replica.
 bool RoutedQuery::CanBeServed() const {
+  const TimePoint now = m_context.scheduler->Now();
   const auto servable = static_cast<std::size_t>(std::ranges::count_if(
-      m_sub_requests, [this](const SubRequest& sub_request) {
-        return m_context.pool->CountUsable(sub_request.service) > 0;
+      m_sub_requests, [this, now](const SubRequest& sub_request) {
+        return m_context.pool->CountUsable(sub_request.service, now) > 0;
       }));
   return m_input.route->IsScattered()
              ? m_timing.IsSufficient(servable, m_sub_requests.size())
@@ -80,7 +81,8 @@
   SubRequest& sub_request = m_sub_requests[index];
   if (SendAttempt(index)) {
     m_context.counters->Add(RoutingCounter::kFirstSends);
-  } else if (m_context.pool->CountUsable(sub_request.service) > 0) {
+  } else if (m_context.pool->CountUsable(sub_request.service,
+                                         m_context.scheduler->Now()) > 0) {
     ScheduleRetry(index, RetryReason::kNotRun);
   } else {
     sub_request.resolved = true;
@@ -154,8 +156,13 @@
 void RoutedQuery::OnAttemptEnd(std::size_t index, std::uint64_t send_id,
                                ReplicaAnswer answer) {
   SubRequest& sub_request = m_sub_requests[index];
-  std::erase_if(sub_request.open,
-                [send_id](const Send& send) { return send.id == send_id; });
+  const auto ended = std::ranges::find(sub_request.open, send_id, &Send::id);
+  if (ended != sub_request.open.end()) {
+    if (IsForRelay() && answer.notice.draining) {
+      m_draining_replicas.push_back(ended->replica_id);
+    }
+    sub_request.open.erase(ended);
+  }
   if (sub_request.resolved || m_finished) return;
   if (!answer.IsSuccess()) return OnAttemptFailed(index, answer);
   for (const Send& send : sub_request.open) m_context.sends->Release(send.id);
@@ -201,11 +208,12 @@
 // giving one up would waste their work, and the caller would send the whole
 // request again.
 bool RoutedQuery::MayRetryRefused(const SubRequest& sub_request) const {
-  const Duration elapsed = m_context.scheduler->Now() - m_started;
+  const TimePoint now = m_context.scheduler->Now();
+  const TimePoint deadline = m_started + m_timing.RefusalRetryDeadline();
+  const auto usable_at = m_context.pool->UsableAt(sub_request.service, now);
   return sub_request.total_attempts < kMaxTotalAttempts &&
-         sub_request.runs < m_input.route->max_attempts &&
-         elapsed < m_timing.RefusalRetryDeadline() &&
-         TimeLeft() > kRefusalPause;
+         sub_request.runs < m_input.route->max_attempts && now < deadline &&
+         usable_at && *usable_at < deadline && TimeLeft() > kRefusalPause;
 }
 
 void RoutedQuery::ScheduleRetry(std::size_t index, RetryReason reason) {
--- a/src/routing/routed_query.h
+++ b/src/routing/routed_query.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/counters.h"
@@ -57,13 +58,15 @@
   kRefusedStopping,
   kRefusedNoReplica,
   kRefusedReplicasBusy,
+  /// Requests whose replicas had asked for no requests for a while.
+  kRefusedReplicasBackingOff,
   kFailedBroken,
   kFailedDeadline,
 };
 
 template <>
 struct CounterNames<RoutingCounter> {
-  static constexpr std::array<std::string_view, 22> kNames = {
+  static constexpr std::array<std::string_view, 23> kNames = {
       "requests",
       "answered_whole",
       "answered_short",
@@ -84,6 +87,7 @@
       "refused_stopping",
       "refused_no_replica",
       "refused_replicas_busy",
+      "refused_replicas_backing_off",
       "failed_broken",
       "failed_deadline",
   };
@@ -110,6 +114,8 @@
   std::vector<std::uint32_t> answered_indices;
   /// Indices of the missing shards, and the attempts on them that may have run.
   std::vector<MissingSubRequest> missing;
+  /// For a relay request: ids of replicas that said that they drain.
+  std::vector<std::string> draining_replicas;
 };
 
 /// Context that all queries share; the pointees outlive the queries.
@@ -240,6 +246,16 @@
     }
   };
 
+  /// Why a request is refused of which nothing has run.
+  struct Refusal {
+    RoutingCounter counter{};
+    /// For the log.
+    std::string_view outcome;
+    /// For the caller.
+    std::string_view message;
+    Duration retry_after{};
+  };
+
   [[nodiscard]] bool CanBeServed() const;
   [[nodiscard]] bool IsForRelay() const {
     return m_input.answer_within.has_value();
@@ -278,6 +294,8 @@
   [[nodiscard]] Duration AttemptTimeLimit() const;
   void FinishWithAnswers();
   void FinishWithoutAnswer(bool deadline_passed);
+  [[nodiscard]] Refusal ExplainRefusal() const;
+  [[nodiscard]] std::size_t CountNeeded() const;
   void Finish(RoutedAnswer answer, std::string_view outcome);
   void RecordEnd(const RoutedAnswer& answer, std::string_view outcome) const;
   void StopTimers();
@@ -292,6 +310,8 @@
   std::vector<RelayCall> m_relay_calls;
   /// Merged records of the sub-requests that relays answered.
   std::vector<std::string> m_relay_bodies;
+  /// For a relay request: ids of replicas that said that they drain.
+  std::vector<std::string> m_draining_replicas;
   TimerId m_hedge_timer = 0;
   TimerId m_partial_answer_timer = 0;
   TimerId m_deadline_timer = 0;
--- a/src/routing/routed_query_end.cc
+++ b/src/routing/routed_query_end.cc
@@ -2,7 +2,9 @@
 // log line.
 
 #include <algorithm>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "routing/rank_merger.h"
 #include "routing/routed_query.h"
@@ -46,6 +48,7 @@
   }
   answer.missing_shard_count = m_sub_requests.size() - answer.signatures.size();
   answer.body = merger.ExtractMerged();
+  answer.draining_replicas = std::move(m_draining_replicas);
   const bool is_complete = answer.missing_shard_count == 0;
   m_context.counters->Add(is_complete ? RoutingCounter::kAnsweredWhole
                                       : RoutingCounter::kAnsweredShort);
@@ -73,20 +76,53 @@
                     Ran::kMaybe};
     return Finish(std::move(answer), deadline_passed ? "deadline" : "broken");
   }
-  const bool no_replica = std::ranges::any_of(
-      m_sub_requests, [this](const SubRequest& sub_request) {
-        return !sub_request.answer &&
-               m_context.pool->CountUsable(sub_request.service) == 0;
-      });
-  m_context.counters->Add(no_replica ? RoutingCounter::kRefusedNoReplica
-                                     : RoutingCounter::kRefusedReplicasBusy);
+  const Refusal refusal = ExplainRefusal();
+  m_context.counters->Add(refusal.counter);
   answer.error = Error{ErrorKind::kUpstreamUnavailable,
-                       no_replica ? "too few shards have a replica"
-                                  : "the replicas have no free slot",
-                       Ran::kNo};
-  answer.retry_after = no_replica ? kRetryAfterNoReplica : kRetryAfterBusy;
-  if (!m_context.pool->HasList()) answer.retry_after = kRetryAfterNoList;
-  Finish(std::move(answer), no_replica ? "no_replica" : "replicas_busy");
+                       std::string(refusal.message), Ran::kNo};
+  answer.retry_after = refusal.retry_after;
+  Finish(std::move(answer), refusal.outcome);
+}
+
+// Finds out what the services of the unanswered sub-requests lack. As many of
+// them as the answer needs have to get a replica before the caller returns.
+RoutedQuery::Refusal RoutedQuery::ExplainRefusal() const {
+  if (!m_context.pool->HasList()) {
+    return {RoutingCounter::kRefusedNoReplica, "no_replica",
+            "the list of replicas is not known yet", kRetryAfterNoList};
+  }
+  const TimePoint now = m_context.scheduler->Now();
+  std::vector<TimePoint> usable_at;
+  for (const SubRequest& sub_request : m_sub_requests) {
+    if (sub_request.answer) continue;
+    const auto time = m_context.pool->UsableAt(sub_request.service, now);
+    if (time) usable_at.push_back(*time);
+  }
+  std::ranges::sort(usable_at);
+  const std::size_t needed = CountNeeded();
+  if (usable_at.size() < needed) {
+    return {RoutingCounter::kRefusedNoReplica, "no_replica",
+            "too few shards have a replica", kRetryAfterNoReplica};
+  }
+  const TimePoint enough_at = needed == 0 ? now : usable_at[needed - 1];
+  if (enough_at > now) {
+    return {RoutingCounter::kRefusedReplicasBackingOff, "replicas_backing_off",
+            "the replicas want no requests for a while", enough_at - now};
+  }
+  return {RoutingCounter::kRefusedReplicasBusy, "replicas_busy",
+          "the replicas have no free slot", kRetryAfterBusy};
+}
+
+// Returns how many more sub-requests have to be answered for an answer.
+std::size_t RoutedQuery::CountNeeded() const {
+  const std::size_t answered = CountAnswered();
+  if (!m_input.route->IsScattered()) return 1 - answered;
+  std::size_t needed = 0;
+  while (answered + needed < m_sub_requests.size() &&
+         !m_timing.IsSufficient(answered + needed, m_sub_requests.size())) {
+    ++needed;
+  }
+  return needed;
 }
 
 void RoutedQuery::Finish(RoutedAnswer answer, std::string_view outcome) {
--- a/src/routing/routed_query_relay.cc
+++ b/src/routing/routed_query_relay.cc
@@ -115,6 +115,10 @@
 void RoutedQuery::RecordRelayAnswer(const RelayCall& call,
                                     const RelayAnswer& answer) {
   m_relay_bodies.push_back(answer.body);
+  for (const std::string& id : answer.draining_replicas) {
+    m_context.pool->RecordNotice(id, {.draining = true, .back_off = {}},
+                                 m_context.scheduler->Now());
+  }
   for (const RelayedSubRequest& answered : answer.answered) {
     if (answered.index >= call.indices.size()) continue;
     SubRequest& sub_request = m_sub_requests[call.indices[answered.index]];
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -11,6 +11,10 @@
 /// the time that it needs to receive the configuration.
 constexpr Duration kRetryAfterStart = milliseconds(500);
 
+/// Upper bound of the random factor by which callers are told to return later,
+/// so that those that were refused together don't return together.
+constexpr double kMaxRetryAfterFactor = 1.25;
+
 /// Multiple of the target latency that has to be left until the process ends
 /// for a request to be accepted. Idempotent requests that take longer can be
 /// sent again; the caller of another one would not learn whether it has run.
@@ -105,6 +109,12 @@
   }
 }
 
+Duration Router::SpreadRetryAfter(Duration retry_after) {
+  std::uniform_real_distribution<double> factor(1.0, kMaxRetryAfterFactor);
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(retry_after.count()) * factor(m_random)));
+}
+
 RequestAdmission& Router::AdmissionOf(const Route& route) {
   std::unique_ptr<RequestAdmission>& admission =
       m_admissions[route.scatter.shards.front()];
@@ -181,6 +191,7 @@
                                         [ended = std::shared_ptr<RoutedQuery>(
                                              std::move(node.mapped()))] {});
         }
+        answer.retry_after = SpreadRetryAfter(answer.retry_after);
         callback(std::move(answer));
       });
   RoutedQuery* started = query.get();
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -80,6 +80,7 @@
   };
 
   [[nodiscard]] bool MayEndInTime(const Route& route) const;
+  Duration SpreadRetryAfter(Duration retry_after);
   RequestAdmission& AdmissionOf(const Route& route);
   void SubmitScattered(std::uint64_t number, WaitingRequest waiting);
   void StartAdmitted(std::uint64_t number);
--- a/src/routing/send_tracker.cc
+++ b/src/routing/send_tracker.cc
@@ -22,6 +22,7 @@
 std::uint64_t SendTracker::Send(const ReplicaSend& send, Callback callback) {
   const std::uint64_t id = ++m_last_id;
   OpenSend& open = m_open_sends[id];
+  open.request = send.request;
   open.replica_id = send.replica_id;
   open.pool_send = m_pool->BeginSend(send.replica_id, m_scheduler->Now());
   open.callback = std::move(callback);
@@ -35,9 +36,26 @@
   OpenSend& open = node.mapped();
   m_scheduler->Cancel(open.timer);
   m_pool->EndSend(open.replica_id, open.pool_send, answer, m_scheduler->Now());
+  RecordNotice(open, answer.notice);
   if (open.callback) open.callback(std::move(answer));
 }
 
+void SendTracker::RecordNotice(const OpenSend& send,
+                               const ReplicaNotice& notice) {
+  const auto change =
+      m_pool->RecordNotice(send.replica_id, notice, m_scheduler->Now());
+  if (change == ReplicaNotices::Change::kNone) return;
+  const bool is_draining = change == ReplicaNotices::Change::kDraining;
+  m_log->Write(
+      LogLevel::kInfo,
+      is_draining ? "replica_says_draining" : "replica_backs_off",
+      {{"id", send.request->id},
+       {"replica", send.replica_id},
+       {"for_ms", is_draining ? ""
+                              : MillisecondsText(notice.back_off.value_or(
+                                    Duration::zero()))}});
+}
+
 void SendTracker::Cancel(std::uint64_t id) {
   auto node = m_open_sends.extract(id);
   if (node.empty()) return;
--- a/src/routing/send_tracker.h
+++ b/src/routing/send_tracker.h
@@ -2,8 +2,11 @@
 #define CHICORYVALE_SRC_ROUTING_SEND_TRACKER_H_
 
 #include <cstdint>
+#include <memory>
+#include <string>
 #include <unordered_map>
 
+#include "ports/event_log.h"
 #include "ports/replica_transport.h"
 #include "ports/scheduler.h"
 #include "routing/replica_pool.h"
@@ -11,16 +14,19 @@
 namespace chicoryvale {
 
 /// Sends requests to replicas and reports the outcome of each send to the
-/// replica pool, including sends whose answer is no longer needed. Not thread
-/// safe.
+/// replica pool, including sends whose answer is no longer needed, and what the
+/// replica says of itself. Not thread safe.
 class SendTracker {
  public:
   using Callback = ReplicaTransport::Callback;
 
   /// The pointees outlive the tracker.
   SendTracker(Scheduler* scheduler, ReplicaTransport* transport,
-              ReplicaPool* pool)
-      : m_scheduler(scheduler), m_transport(transport), m_pool(pool) {}
+              ReplicaPool* pool, EventLog* log)
+      : m_scheduler(scheduler),
+        m_transport(transport),
+        m_pool(pool),
+        m_log(log) {}
   ~SendTracker();
   SendTracker(const SendTracker&) = delete;
   SendTracker& operator=(const SendTracker&) = delete;
@@ -41,6 +47,7 @@
 
  private:
   struct OpenSend {
+    std::shared_ptr<const OpaqueRequest> request;
     std::string replica_id;
     std::uint64_t pool_send = 0;
     SendId transport_send = 0;
@@ -49,10 +56,12 @@
   };
 
   void OnEnd(std::uint64_t id, ReplicaAnswer answer);
+  void RecordNotice(const OpenSend& send, const ReplicaNotice& notice);
 
   Scheduler* m_scheduler;
   ReplicaTransport* m_transport;
   ReplicaPool* m_pool;
+  EventLog* m_log;
   std::uint64_t m_last_id = 0;
   std::unordered_map<std::uint64_t, OpenSend> m_open_sends;
 };
--- a/tests/platform/http_replica_transport_test.cc
+++ b/tests/platform/http_replica_transport_test.cc
@@ -7,12 +7,14 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "adapters/beast_http_client.h"
 #include "adapters/glib_scheduler.h"
 #include "fakes/main_context.h"
 #include "fakes/raw_upstream.h"
+#include "fakes/recording_log.h"
 
 namespace chicoryvale::platform {
 namespace {
@@ -76,14 +78,15 @@
 
 class HttpReplicaTransportTest : public testing::Test {
  protected:
-  ReplicaAnswer SendAndWait(const Address& to, const std::string& id) {
+  ReplicaAnswer SendAndWait(const Address& to, const std::string& id,
+                            Duration time_left = seconds(20)) {
     auto request = std::make_shared<OpaqueRequest>();
     request->id = id;
     request->method = "GET";
     request->target = "/x";
     request->headers = {{"Host", "h"}, {"Chicoryvale-Request-Id", id}};
     std::optional<ReplicaAnswer> answer;
-    m_transport.Send({to, "r1", request, seconds(20)},
+    m_transport.Send({to, "r1", request, time_left},
                      [&](ReplicaAnswer got) { answer = std::move(got); });
     IterateUntil([&] { return answer.has_value(); });
     return *answer;
@@ -92,7 +95,8 @@
   GlibScheduler m_scheduler;
   FdPoller m_poller;
   BeastHttpClient m_client{{.poller = &m_poller, .scheduler = &m_scheduler}};
-  HttpReplicaTransport m_transport{&m_client};
+  RecordingLog m_log;
+  HttpReplicaTransport m_transport{&m_client, &m_log};
 };
 
 // A replica sends a second copy of an answer when its connection is in use for
@@ -214,5 +218,154 @@
   }
 }
 
+// What a replica says of itself counts in every answer of its own, also in one
+// that is refused, failed, unsigned, cut off or late.
+TEST_F(HttpReplicaTransportTest, ReadsWhatAReplicaSaysInAnyAnswer) {
+  struct Case {
+    const char* name;
+    std::string status_line;
+    std::string rest;
+    SendEnd end;
+    bool draining;
+    std::optional<Duration> back_off;
+  };
+  const std::string empty = "Content-Length: 0\r\n\r\n";
+  const std::string leaving = "Server-Leaving: 1\r\n";
+  const std::vector<Case> cases = {
+      {"nothing said", "200 OK", empty, SendEnd::kAnswered, false, {}},
+      {"success", "200 OK", leaving + empty, SendEnd::kAnswered, true, {}},
+      {"failure", "500 Oops", leaving + empty, SendEnd::kAnswered, true, {}},
+      {"late", "504 Late", leaving + empty, SendEnd::kAnswered, true, {}},
+      {"not leaving",
+       "200 OK",
+       "Server-Leaving: 0\r\n" + empty,
+       SendEnd::kAnswered,
+       false,
+       {}},
+      {"refusal", "503 Full",
+       "Chicoryvale-Not-Executed: 1\r\nRetry-After: 1.5\r\n" + leaving + empty,
+       SendEnd::kNotRun, true, milliseconds(1500)},
+      {"refusal without the statement that it has not run", "503 Full",
+       "Retry-After: 2\r\n" + empty, SendEnd::kAnswered, false, seconds(2)},
+      {"too many requests", "429 Slow down",
+       "Chicoryvale-Not-Executed: 1\r\nRetry-After: 2\r\n" + empty,
+       SendEnd::kNotRun, false, seconds(2)},
+      {"no time",
+       "503 Full",
+       "Retry-After: 0\r\n" + empty,
+       SendEnd::kAnswered,
+       false,
+       {}},
+      {"a time in another answer",
+       "500 Oops",
+       "Retry-After: 2\r\n" + empty,
+       SendEnd::kAnswered,
+       false,
+       {}},
+      {"another replica",
+       "421 Misdirected Request",
+       leaving + "Retry-After: 2\r\n" + empty,
+       SendEnd::kWrongReplica,
+       false,
+       {}},
+      {"cut in the body",
+       "200 OK",
+       leaving + "Content-Length: 9\r\n\r\nhalf",
+       SendEnd::kBroken,
+       true,
+       {}},
+      {"cut in the head",
+       "200 OK",
+       leaving + "Content-Le",
+       SendEnd::kBroken,
+       false,
+       {}}};
+  for (const Case& c : cases) {
+    SCOPED_TRACE(c.name);
+    RawUpstream upstream([&](RawSocket& connection, int) {
+      connection.ReceiveUntil("\r\n\r\n");
+      connection.Send("HTTP/1.1 " + c.status_line +
+                      "\r\nChicoryvale-Request-Id: a\r\n" + c.rest);
+    });
+    const ReplicaAnswer answer = SendAndWait(upstream.LocalAddress(), "a");
+    EXPECT_EQ(answer.end, c.end);
+    EXPECT_EQ(answer.notice.draining, c.draining);
+    EXPECT_EQ(answer.notice.back_off, c.back_off);
+    EXPECT_EQ(FindHeader(answer.headers, "Server-Leaving"), "");
+  }
+  EXPECT_EQ(m_log.Count("replica_back_off_unreadable"), 0U);
+}
+
+TEST_F(HttpReplicaTransportTest, ReadsWhatAReplicaSaidBeforeItFellSilent) {
+  RawUpstream upstream([&](RawSocket& connection, int) {
+    connection.ReceiveUntil("\r\n\r\n");
+    connection.Send(
+        "HTTP/1.1 200 OK\r\nChicoryvale-Request-Id: a\r\n"
+        "Server-Leaving: 1\r\nContent-Length: 9\r\n\r\nhalf");
+    connection.ReceiveAll();
+  });
+  const ReplicaAnswer answer =
+      SendAndWait(upstream.LocalAddress(), "a", milliseconds(200));
+  EXPECT_EQ(answer.end, SendEnd::kTimedOut);
+  EXPECT_TRUE(answer.notice.draining);
+}
+
+// The head of an answer to another request says nothing, as its copy may be
+// old.
+TEST_F(HttpReplicaTransportTest, ACutAnswerToAnotherRequestSaysNothing) {
+  RawUpstream upstream([&](RawSocket& connection, int) {
+    connection.ReceiveUntil("\r\n\r\n");
+    connection.Send(
+        "HTTP/1.1 200 OK\r\nChicoryvale-Request-Id: b\r\n"
+        "Server-Leaving: 1\r\nContent-Length: 9\r\n\r\nhalf");
+  });
+  const ReplicaAnswer answer = SendAndWait(upstream.LocalAddress(), "a");
+  EXPECT_EQ(answer.end, SendEnd::kBroken);
+  EXPECT_FALSE(answer.notice.draining);
+}
+
+TEST_F(HttpReplicaTransportTest, LogsAndIgnoresAnUnreadableRetryAfter) {
+  RawUpstream upstream([&](RawSocket& connection, int) {
+    connection.ReceiveUntil("\r\n\r\n");
+    connection.Send(
+        "HTTP/1.1 503 Full\r\nChicoryvale-Request-Id: a\r\nRetry-After: " +
+        std::string(1000, 'x') + "\r\nContent-Length: 0\r\n\r\n");
+  });
+  const ReplicaAnswer answer = SendAndWait(upstream.LocalAddress(), "a");
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_FALSE(answer.notice.back_off);
+  ASSERT_EQ(m_log.Count("replica_back_off_unreadable"), 1U);
+  EXPECT_EQ(m_log.Lines().back().fields.at("id"), "a");
+  EXPECT_LE(m_log.Lines().back().fields.at("text").size(), 100U);
+}
+
+TEST(RetryAfterTest, EachTextHasOneMeaning) {
+  const std::vector<std::pair<std::string, std::optional<Duration>>> cases = {
+      {"0", Duration::zero()},
+      {"2", seconds(2)},
+      {"1.5", milliseconds(1500)},
+      {".25", milliseconds(250)},
+      {"0.0004", microseconds(400)},
+      {"3600", std::chrono::hours(1)},
+      {"3601", std::chrono::hours(1)},
+      {"31536000", std::chrono::hours(1)},
+      {std::string(400, '9'), std::chrono::hours(1)},
+      {"0." + std::string(400, '0') + "1", Duration::zero()},
+      {"", std::nullopt},
+      {"-1", std::nullopt},
+      {"+1", std::nullopt},
+      {"1 s", std::nullopt},
+      {"1,5", std::nullopt},
+      {"1e3", std::nullopt},
+      {"0x10", std::nullopt},
+      {"nan", std::nullopt},
+      {"inf", std::nullopt},
+      {"soon", std::nullopt},
+      {"Wed, 21 Oct 2026 07:28:00 GMT", std::nullopt}};
+  for (const auto& [text, expected] : cases) {
+    EXPECT_EQ(DecodeRetryAfter(text), expected) << text;
+  }
+}
+
 }  // namespace
 }  // namespace chicoryvale::platform
--- /dev/null
+++ b/tests/process/gateway_deployment.cc
@@ -0,0 +1,160 @@
+#include "process/gateway_deployment.h"
+
+#include <unistd.h>
+
+#include <string_view>
+#include <utility>
+
+#include "fakes/raw_socket.h"
+#include "process/cluster.h"
+
+namespace chicoryvale {
+namespace {
+
+constexpr std::string_view kConfig = R"({"version":1,"routes":[
+ {"name":"once","host":"h","pathPrefix":"/once/","routeType":"unsafe",
+  "timeoutMs":20000,"targetLatencyMs":500,"priority":1,"backend":"s",
+  "maxAttempts":2},
+ {"name":"many","host":"h","pathPrefix":"/many/","routeType":"safe",
+  "timeoutMs":20000,"targetLatencyMs":500,"priority":1,"backend":"s",
+  "maxAttempts":2}],
+ "backends":[{"name":"s","healthPath":"/health","maxConnections":50,
+  "protocol":"h1","tls":false}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,
+  "headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+
+constexpr char kKeys[] =
+    "[keys]\npeer_key = \"test-key-0123456789abcdef0123456789\"\n";
+
+/// Host number of the control process; those of the gateways follow.
+constexpr int kControlHost = 100;
+
+std::string Exchange(const Address& server, const std::string& request) {
+  RawSocket connection(server);
+  connection.Send(request);
+  return connection.ReceiveAll();
+}
+
+}  // namespace
+
+GatewayDeployment::GatewayDeployment(
+    const std::vector<std::string>& replica_ids, ReplicaHandler handler,
+    ShutdownTimes times)
+    : m_times(times) {
+  for (const std::string& id : replica_ids) {
+    Replica& replica = m_replicas.emplace_back();
+    replica.id = id;
+    replica.server = MakeServer();
+    replica.server->SetHandler([id, handler](const HttpRequest& request,
+                                             const HttpResponder& respond) {
+      handler(id, request, respond);
+    });
+  }
+  m_list_server = MakeServer();
+  m_list_server->SetHandler(
+      [this](const HttpRequest&, const HttpResponder& respond) {
+        HttpResponse response;
+        response.body = ReplicaListJson();
+        respond(response);
+      });
+}
+
+std::unique_ptr<BeastHttpServer> GatewayDeployment::MakeServer() {
+  BeastHttpServerOptions options;
+  options.poller = &m_poller;
+  options.scheduler = &m_scheduler;
+  options.bind = {"127.0.0.1:0"};
+  return std::move(*BeastHttpServer::Make(options));
+}
+
+std::string GatewayDeployment::ReplicaListJson() const {
+  std::string entries;
+  for (const Replica& replica : m_replicas) {
+    if (!entries.empty()) entries += ",";
+    entries += R"({"id":")" + replica.id + R"(","backend":"s","address":")" +
+               replica.server->LocalAddress().host_port +
+               R"(","zone":"a","version":"v1","slots":50,"state":"ready",)"
+               R"("warmupLeftMs":0})";
+  }
+  return R"({"instances":[)" + entries + R"(],"nextPageToken":null})";
+}
+
+std::string GatewayDeployment::PeerAddress(int host) {
+  const auto pid = static_cast<unsigned>(getpid());
+  return "127." + std::to_string(1 + pid % 250) + "." +
+         std::to_string(1 + pid / 250 % 250) + "." + std::to_string(host) +
+         ":7000";
+}
+
+void GatewayDeployment::Start(int gateways) {
+  StartControl();
+  DeployRoutes();
+  m_gateways.resize(static_cast<std::size_t>(gateways));
+  for (int i = 0; i < gateways; ++i) StartGateway(i);
+}
+
+void GatewayDeployment::StartControl() {
+  m_control = std::make_unique<Process>(
+      "chicory-controld", "control", m_folder.Path(),
+      "availability_zone = \"a\"\ndata_folder = \"" + m_folder.Path() +
+          "/data\"\n[listen]\npeers = \"" + PeerAddress(kControlHost) +
+          "\"\nmetrics = \"127.0.0.1:0\"\nrouting = \"127.0.0.1:0\"\n" + kKeys +
+          "[group]\nmembers = [\"" + PeerAddress(kControlHost) +
+          "\"]\nmay_form = true\nkeep_members = true\n");
+}
+
+void GatewayDeployment::DeployRoutes() const {
+  WaitFor([this] {
+    return Exchange({m_control->AddressOf("routing")},
+                    "PUT /config HTTP/1.1\r\nHost: c\r\nConnection: close\r\n"
+                    "Content-Type: application/json\r\nContent-Length: " +
+                        std::to_string(kConfig.size()) + "\r\n\r\n" +
+                        std::string(kConfig))
+        .starts_with("HTTP/1.1 200");
+  });
+}
+
+void GatewayDeployment::StartGateway(int index) {
+  m_gateways.at(static_cast<std::size_t>(index)) = std::make_unique<Process>(
+      "chicory-gatewayd", "gateway" + std::to_string(index), m_folder.Path(),
+      "availability_zone = \"a\"\n[listen]\npeers = \"" +
+          PeerAddress(kControlHost + 1 + index) +
+          "\"\nmetrics = \"127.0.0.1:0\"\ncallers = \"127.0.0.1:0\"\n"
+          "ready = \"127.0.0.1:0\"\n" +
+          kKeys + "[control]\naddresses = [\"" + PeerAddress(kControlHost) +
+          "\"]\n[platform]\nreplica_list = \"" +
+          m_list_server->LocalAddress().host_port +
+          "\"\n[repeats]\nratio = 0.2\nwindow_ms = 10000\nfixed = 100\n"
+          "[shutdown]\nlinger_ms = " +
+          std::to_string(m_times.linger.count()) +
+          "\ngrace_ms = " + std::to_string(m_times.grace.count()) + "\n");
+  WaitFor([this, index] { return Readiness(index) == 200; });
+}
+
+int GatewayDeployment::Readiness(int index) const {
+  const Process& gateway = *m_gateways.at(static_cast<std::size_t>(index));
+  const std::string answer =
+      Exchange({gateway.AddressOf("ready")},
+               "GET /ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n");
+  constexpr std::size_t kStatusPosition = 9;
+  return answer.size() > kStatusPosition
+             ? std::atoi(answer.c_str() + kStatusPosition)
+             : 0;
+}
+
+std::string GatewayDeployment::RequestBytes(const std::string& route,
+                                            const std::string& id) {
+  return "GET /" + route +
+         "/x HTTP/1.1\r\nHost: h\r\n"
+         "Chicoryvale-Request-Id: " +
+         id + "\r\nChicoryvale-Deadline-Ms: 15000\r\n\r\n";
+}
+
+std::string GatewayDeployment::Call(int gateway, const std::string& route,
+                                    const std::string& id) const {
+  std::string request = RequestBytes(route, id);
+  request.insert(request.size() - 2, "Connection: close\r\n");
+  return Exchange(CallerAddress(gateway), request);
+}
+
+}  // namespace chicoryvale
--- /dev/null
+++ b/tests/process/gateway_deployment.h
@@ -0,0 +1,90 @@
+#ifndef CHICORYVALE_TESTS_PROCESS_GATEWAY_DEPLOYMENT_H_
+#define CHICORYVALE_TESTS_PROCESS_GATEWAY_DEPLOYMENT_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "adapters/beast_http_server.h"
+#include "adapters/glib_scheduler.h"
+#include "process/process.h"
+
+namespace chicoryvale {
+
+/// Real gateway processes with one control process, and a platform whose
+/// replicas run in the test: one service "s" with the routes /once/ (requests
+/// may run once at most) and /many/ (idempotent), both of host "h". The
+/// platform is served by the default main context; everything else is called
+/// from another thread beside it (RunBeside).
+class GatewayDeployment {
+ public:
+  using ReplicaHandler = std::function<void(
+      const std::string& replica_id, const HttpRequest&, const HttpResponder&)>;
+
+  /// Shutdown settings of the gateways.
+  struct ShutdownTimes {
+    std::chrono::milliseconds linger{200};
+    std::chrono::milliseconds grace{4000};
+  };
+
+  /// `handler` answers the requests at each of the replicas `replica_ids`. It
+  /// is called on the thread of the main context.
+  GatewayDeployment(const std::vector<std::string>& replica_ids,
+                    ReplicaHandler handler, ShutdownTimes times);
+
+  /// Starts the control process and `gateways` gateways, deploys the routes,
+  /// and waits until each gateway is ready.
+  void Start(int gateways);
+
+  /// Starts gateway `index` again after it has ended, and waits until it is
+  /// ready.
+  void StartGateway(int index);
+
+  Process& Gateway(int index) {
+    return *m_gateways.at(static_cast<std::size_t>(index));
+  }
+  [[nodiscard]] Address CallerAddress(int index) const {
+    return {
+        m_gateways.at(static_cast<std::size_t>(index))->AddressOf("callers")};
+  }
+  /// Returns the status that the readiness check of a gateway answers, or 0.
+  [[nodiscard]] int Readiness(int index) const;
+
+  [[nodiscard]] GlibScheduler* scheduler() { return &m_scheduler; }
+
+  /// Returns the bytes of a request of the caller.
+  static std::string RequestBytes(const std::string& route,
+                                  const std::string& id);
+
+  /// Sends a request on a connection of its own. Returns the bytes of the
+  /// answer; empty if the connection ends without one.
+  [[nodiscard]] std::string Call(int gateway, const std::string& route,
+                                 const std::string& id) const;
+
+ private:
+  std::unique_ptr<BeastHttpServer> MakeServer();
+  [[nodiscard]] std::string ReplicaListJson() const;
+  [[nodiscard]] static std::string PeerAddress(int host);
+  void StartControl();
+  void DeployRoutes() const;
+
+  struct Replica {
+    std::string id;
+    std::unique_ptr<BeastHttpServer> server;
+  };
+
+  ShutdownTimes m_times;
+  GlibScheduler m_scheduler;
+  FdPoller m_poller;
+  std::vector<Replica> m_replicas;
+  std::unique_ptr<BeastHttpServer> m_list_server;
+  ScratchFolder m_folder;
+  std::unique_ptr<Process> m_control;
+  std::vector<std::unique_ptr<Process>> m_gateways;
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_TESTS_PROCESS_GATEWAY_DEPLOYMENT_H_
--- a/tests/routing/load_model.h
+++ b/tests/routing/load_model.h
@@ -250,7 +250,7 @@
     Entry(LoadModel* model, std::uint64_t seed)
         : transport(&model->m_replicas, &model->m_kinds),
           pool("z", seed),
-          sends(&model->m_scheduler, &transport, &pool),
+          sends(&model->m_scheduler, &transport, &pool, &model->m_log),
           budget({.ratio = 0.2, .window = seconds(10), .fixed_retries = 104},
                  {}),
           router({.scheduler = &model->m_scheduler,
--- a/tests/routing/replica_pool_test.cc
+++ b/tests/routing/replica_pool_test.cc
@@ -59,14 +59,14 @@
 TEST_F(ReplicaPoolTest, HasNoReplicasBeforeTheFirstList) {
   EXPECT_FALSE(m_pool.HasList());
   EXPECT_FALSE(m_pool.Choose("s", {}, kStart));
-  EXPECT_EQ(m_pool.CountUsable("s"), 0U);
+  EXPECT_EQ(m_pool.CountUsable("s", kStart), 0U);
 }
 
 TEST_F(ReplicaPoolTest, SkipsDrainingAndExcludedReplicas) {
   ListedReplica draining = Listed("1");
   draining.draining = true;
   m_pool.SetReplicas({draining, Listed("2"), Listed("3")}, kStart);
-  EXPECT_EQ(m_pool.CountUsable("s"), 2U);
+  EXPECT_EQ(m_pool.CountUsable("s", kStart), 2U);
   for (int i = 0; i < 20; ++i) {
     EXPECT_EQ(m_pool.Choose("s", {"2"}, kStart)->id, "3");
   }
@@ -177,5 +177,92 @@
   EXPECT_GT(CountChoices(100, kStart + seconds(3))["1"], 20);
 }
 
+ReplicaNotice Draining() { return {.draining = true, .back_off = {}}; }
+ReplicaNotice BackOff(Duration time) {
+  return {.draining = false, .back_off = time};
+}
+
+// The list shows the replica as ready for some seconds more, or again.
+TEST_F(ReplicaPoolTest, AListDoesNotTakeBackThatAReplicaDrains) {
+  m_pool.SetReplicas({Listed("1"), Listed("2")}, kStart);
+  m_pool.RecordNotice("1", Draining(), kStart);
+  for (int i = 0; i < 20; ++i) {
+    const TimePoint now = kStart + seconds(i);
+    EXPECT_EQ(CountChoices(5, now)["1"], 0);
+    EXPECT_EQ(m_pool.CountUsable("s", now), 1U);
+    // The list leaves the replica out every now and then.
+    if (i % 4 == 0) {
+      m_pool.SetReplicas({Listed("2")}, now);
+    } else {
+      m_pool.SetReplicas({Listed("1"), Listed("2")}, now);
+    }
+  }
+  EXPECT_GT(m_pool.Counters().Get(ReplicaPoolCounter::kChoicesWithoutDraining),
+            0U);
+}
+
+TEST_F(ReplicaPoolTest, AReplacementAtTheSameAddressStartsClean) {
+  m_pool.SetReplicas({Listed("1")}, kStart);
+  m_pool.RecordNotice("1", Draining(), kStart);
+  ListedReplica replacement = Listed("3");
+  replacement.address = Listed("1").address;
+  m_pool.SetReplicas({replacement}, kStart + seconds(1));
+  EXPECT_EQ(CountChoices(5, kStart + seconds(1))["3"], 5);
+}
+
+TEST_F(ReplicaPoolTest, TheSameIdAtAnotherAddressStartsClean) {
+  m_pool.SetReplicas({Listed("1")}, kStart);
+  m_pool.RecordNotice("1", Draining(), kStart);
+  ListedReplica moved = Listed("1");
+  moved.address = {"10.0.0.2:80"};
+  m_pool.SetReplicas({moved}, kStart + seconds(1));
+  EXPECT_EQ(CountChoices(5, kStart + seconds(1))["1"], 5);
+}
+
+// An answer may arrive after the list has dropped its replica for a moment.
+TEST_F(ReplicaPoolTest, ANoticeOfAnUnlistedReplicaHoldsWhenItIsListedAgain) {
+  m_pool.SetReplicas({Listed("2")}, kStart);
+  m_pool.RecordNotice("1", Draining(), kStart);
+  m_pool.SetReplicas({Listed("1"), Listed("2")}, kStart + seconds(1));
+  EXPECT_EQ(CountChoices(20, kStart + seconds(1))["1"], 0);
+}
+
+TEST_F(ReplicaPoolTest, AReplicaThatBacksOffIsUsedAgainAfterwards) {
+  m_pool.SetReplicas({Listed("1"), Listed("2")}, kStart);
+  Exchange("1", kStart, milliseconds(5), Good());
+  Exchange("2", kStart, milliseconds(5), Good());
+  ReplicaAnswer refusal = Ended(SendEnd::kNotRun);
+  refusal.notice = BackOff(seconds(2));
+  Exchange("1", kStart, milliseconds(1), refusal);
+  m_pool.RecordNotice("1", refusal.notice, kStart);
+  EXPECT_EQ(CountChoices(20, kStart + milliseconds(1999))["1"], 0);
+  EXPECT_EQ(m_pool.UsableAt("s", kStart), kStart);
+  // The refusal doesn't count against it any more.
+  EXPECT_GT(CountChoices(20, kStart + milliseconds(2501))["1"], 0);
+  m_pool.RecordNotice("2", BackOff(seconds(5)), kStart);
+  const auto usable_at = m_pool.UsableAt("s", kStart);
+  ASSERT_TRUE(usable_at);
+  EXPECT_GE(*usable_at, kStart + seconds(2));
+  EXPECT_LE(*usable_at, kStart + milliseconds(2500));
+  EXPECT_EQ(m_pool.CountUsable("s", kStart), 0U);
+  EXPECT_EQ(m_pool.CountUsable("s", *usable_at), 1U);
+}
+
+TEST_F(ReplicaPoolTest, AServiceWhoseReplicasAllDrainIsNeverUsable) {
+  m_pool.SetReplicas({Listed("1"), Listed("2")}, kStart);
+  m_pool.RecordNotice("1", Draining(), kStart);
+  m_pool.RecordNotice("2", Draining(), kStart);
+  EXPECT_EQ(m_pool.CountUsable("s", kStart), 0U);
+  EXPECT_FALSE(m_pool.UsableAt("s", kStart));
+}
+
+TEST_F(ReplicaPoolTest, NamesNoZoneOfAReplicaThatDrainsOrBacksOff) {
+  m_pool.SetReplicas({Listed("1", "b"), Listed("2", "c"), Listed("3", "d")},
+                     kStart);
+  m_pool.RecordNotice("1", Draining(), kStart);
+  m_pool.RecordNotice("2", BackOff(seconds(1)), kStart);
+  EXPECT_EQ(m_pool.RemoteZones("s", kStart), (std::vector<std::string>{"d"}));
+}
+
 }  // namespace
 }  // namespace chicoryvale
--- a/tests/routing/routed_query_test.cc
+++ b/tests/routing/routed_query_test.cc
@@ -106,7 +106,7 @@
   FakeScheduler m_scheduler;
   FakeReplicaTransport m_transport{&m_scheduler};
   ReplicaPool m_pool{"z", 3};
-  SendTracker m_sends{&m_scheduler, &m_transport, &m_pool};
+  SendTracker m_sends{&m_scheduler, &m_transport, &m_pool, &m_log};
   RetryBudget m_budget{
       {.ratio = 0.2, .window = seconds(10), .fixed_retries = 100}, TimePoint{}};
   RecordingLog m_log;
--- a/tests/routing/test_entry.h
+++ b/tests/routing/test_entry.h
@@ -39,7 +39,7 @@
             const MemberInfo& self, const std::vector<Member>& members)
       : transport(scheduler),
         pool(self.availability_zone, 3),
-        sends(scheduler, &transport, &pool),
+        sends(scheduler, &transport, &pool, &log),
         budget({.ratio = 0.2, .window = seconds(10), .fixed_retries = 40}, {}),
         peers(network, self.address, scheduler),
         view(self, members),
@@ -56,13 +56,13 @@
         service(context, &peers) {}
 
   FakeReplicaTransport transport;
+  RecordingLog log;
   ReplicaPool pool;
   SendTracker sends;
   RetryBudget budget;
   FakePeerTransport peers;
   FixedMembers view;
   RelayClient relay;
-  RecordingLog log;
   CounterSet<RoutingCounter> counters;
   RoutingContext context;
   Router router;
