--- a/tests/soak/soak_platform.cc
+++ b/tests/soak/soak_platform.cc
@@ -77,7 +77,10 @@
   const bool is_expected_replica =
       FindHeader(request.headers, platform::kExpectedReplicaIdHeader) ==
       replica.id;
+  if (m_on_arrival) m_on_arrival(replica.id, id);
+  AddNotice(replica, id, &response);
   const bool is_refused =
+      m_scheduler->Now() < replica.back_off_end ||
       std::uniform_real_distribution<double>(0, 1)(m_random) < m_refusal_ratio;
   if (!is_expected_replica || is_refused) {
     response.status =
@@ -97,6 +100,58 @@
   m_scheduler->Schedule(work_time, [respond, response] { respond(response); });
 }
 
+void SoakPlatform::AddNotice(const Replica& replica,
+                             const std::string& request_id,
+                             HttpResponse* response) {
+  SaidNotice notice{replica.id, replica.leaving,
+                    replica.back_off_end - m_scheduler->Now()};
+  notice.back_off = std::max(notice.back_off, Duration::zero());
+  if (notice.leaving) {
+    response->headers.push_back({platform::kLeavingHeader, "1"});
+  }
+  if (notice.back_off > Duration::zero()) {
+    response->headers.push_back({platform::kRetryAfterHeader,
+                                 std::to_string(ToSeconds(notice.back_off))});
+  }
+  m_notices[request_id].push_back(std::move(notice));
+}
+
+const std::vector<SoakPlatform::SaidNotice>& SoakPlatform::NoticesTo(
+    const std::string& id) const {
+  static const std::vector<SaidNotice> kNone;
+  const auto found = m_notices.find(id);
+  return found == m_notices.end() ? kNone : found->second;
+}
+
+// Half of the time, picks one of the service whose requests may run at most
+// once, because only the gateways of these requests are known.
+std::size_t SoakPlatform::PickReplica() {
+  const bool any = std::bernoulli_distribution(0.5)(m_random);
+  std::vector<std::size_t> indices;
+  for (std::size_t i = 0; i < m_replicas.size(); ++i) {
+    if (any || m_replicas[i].service == kAtMostOnceService) {
+      indices.push_back(i);
+    }
+  }
+  return indices[std::uniform_int_distribution<std::size_t>(
+      0, indices.size() - 1)(m_random)];
+}
+
+void SoakPlatform::StartLeaving(Duration replaced_after) {
+  Replica& replica = m_replicas[PickReplica()];
+  if (std::exchange(replica.leaving, true)) return;
+  m_scheduler->Schedule(replaced_after, [&replica] {
+    replica.leaving = false;
+    replica.back_off_end = {};
+    replica.id = replica.id.substr(0, replica.id.find('.')) + "." +
+                 std::to_string(++replica.generation);
+  });
+}
+
+void SoakPlatform::StartBackOff(Duration time) {
+  m_replicas[PickReplica()].back_off_end = m_scheduler->Now() + time;
+}
+
 std::string SoakPlatform::ReplicaListJson() const {
   json entries = json::array();
   for (std::size_t i = 0; i < m_replicas.size(); ++i) {
--- a/tests/soak/soak_platform.h
+++ b/tests/soak/soak_platform.h
@@ -2,10 +2,12 @@
 #define CHICORYVALE_TESTS_SOAK_SOAK_PLATFORM_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "adapters/beast_http_server.h"
@@ -38,6 +40,33 @@
   /// statement that they have not run.
   void SetRefusalRatio(double ratio) { m_refusal_ratio = ratio; }
 
+  /// What a replica said of itself in its answer to a request.
+  struct SaidNotice {
+    std::string replica_id;
+    bool leaving = false;
+    /// Zero if it did not ask for a pause.
+    Duration back_off{};
+  };
+  /// Called for each request that arrives at the replica `replica_id`.
+  using ArrivalHandler = std::function<void(const std::string& replica_id,
+                                            const std::string& request_id)>;
+
+  void SetArrivalHandler(ArrivalHandler handler) {
+    m_on_arrival = std::move(handler);
+  }
+
+  /// Makes a random replica say that it leaves, until it is replaced by another
+  /// one at the same address after `replaced_after`. The list of replicas shows
+  /// nothing of it before.
+  void StartLeaving(Duration replaced_after);
+
+  /// Makes a random replica refuse all requests for `time`, and say so.
+  void StartBackOff(Duration time);
+
+  /// Returns what replicas said in their answers to the request `id`.
+  [[nodiscard]] const std::vector<SaidNotice>& NoticesTo(
+      const std::string& id) const;
+
   /// Returns how many times the request `id` ran at `service`.
   [[nodiscard]] int RunCount(const std::string& service,
                              const std::string& id) const;
@@ -69,8 +98,16 @@
     std::string service;
     std::unique_ptr<BeastHttpServer> server;
     std::unique_ptr<LoopbackProxy> proxy;
+    bool leaving = false;
+    TimePoint back_off_end{};
+    /// Number of replicas that this address had before.
+    int generation = 0;
   };
 
+  std::size_t PickReplica();
+  void AddNotice(const Replica& replica, const std::string& request_id,
+                 HttpResponse* response);
+
   void AddReplica(const std::string& service, int index_in_service);
   void HandleRequest(std::size_t index, const HttpRequest& request,
                      const HttpResponder& respond);
@@ -83,6 +120,8 @@
   std::vector<Replica> m_replicas;
   std::unique_ptr<BeastHttpServer> m_replica_list_server;
   double m_refusal_ratio = 0;
+  ArrivalHandler m_on_arrival;
+  std::map<std::string, std::vector<SaidNotice>> m_notices;
   /// Number of runs by service and request id.
   std::map<std::string, std::map<std::string, int>> m_run_counts;
 };
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -36,6 +36,13 @@
 /// Probes that a gateway must answer in a row to count as recovered.
 constexpr int kMinProbesServedInRow = 20;
 
+/// Time after a replica's word that it leaves from which on it gets nothing.
+constexpr Duration kDrainTime = seconds(3);
+/// Time after a refusal within which requests on their way may still arrive.
+constexpr Duration kBackOffSlack = milliseconds(500);
+/// Requests that may arrive while a replica wants none.
+constexpr int kMaxArrivalsInBackOff = 2;
+
 /// Returns whether `status` tells the caller that its request has not run.
 bool IsNotRunStatus(int status) {
   const std::set<int> statuses = {408, 421, 429, 503};
@@ -65,6 +72,10 @@
     node->index = i;
     m_nodes.push_back(std::move(node));
   }
+  m_platform.SetArrivalHandler(
+      [this](const std::string& replica_id, const std::string& request_id) {
+        CheckArrival(replica_id, request_id);
+      });
 }
 
 SoakRun::~SoakRun() {
@@ -225,7 +236,7 @@
   if (!m_faults_enabled) return;
   m_timers.push_back(m_scheduler.Schedule(DrawDuration(50, 700),
                                           [this] { InjectNextFault(); }));
-  constexpr int kMaxFaultNumber = 11;
+  constexpr int kMaxFaultNumber = 13;
   const int fault =
       std::uniform_int_distribution<int>(0, kMaxFaultNumber)(m_random);
   Node* gateway = PickRunningNode(Kind::kGateway);
@@ -243,6 +254,14 @@
   if (fault == 9 && control) return Freeze(control, DrawDuration(100, 3000));
   if (fault == 10) return WipeControl();
   if (fault == 11) return KillAllControls();
+  if (fault == 12) {
+    ++m_counts["leaves"];
+    return m_platform.StartLeaving(DrawDuration(2000, 8000));
+  }
+  if (fault == 13) {
+    ++m_counts["back_offs"];
+    return m_platform.StartBackOff(DrawDuration(700, 4000));
+  }
 }
 
 void SoakRun::StopFaults() {
@@ -272,6 +291,10 @@
                   {platform::kDeadlineHeader, "3000"}};
   call.timeout = kCallerTimeout;
   ++m_counts["asked"];
+  if (!request.is_gather) {
+    m_sent_requests[request.id] = {gateway, gateway->disturbance_count,
+                                   m_scheduler.Now()};
+  }
   m_client.Send(std::move(call), [this, request](const HttpCallResult& result) {
     CheckAnswer(request, result);
   });
@@ -298,6 +321,50 @@
   CheckAtMostOnceAnswer(request, result);
 }
 
+// The gateway of a request that may run once at most has heard each replica
+// that refused the request if it was served, or refused as not run, in the end.
+void SoakRun::RecordWords(const PendingRequest& request) {
+  if (request.gateway->disturbance_count != request.disturbance_count) return;
+  for (const auto& said : m_platform.NoticesTo(request.id)) {
+    ReplicaWord& word = m_words[{request.gateway, said.replica_id}];
+    if (word.disturbance_count != request.disturbance_count) word = {};
+    word.disturbance_count = request.disturbance_count;
+    const TimePoint now = m_scheduler.Now();
+    if (said.leaving && !word.leaving_since) word.leaving_since = now;
+    const TimePoint begin = now + kBackOffSlack;
+    const TimePoint end =
+        m_sent_requests.at(request.id).sent_at + said.back_off;
+    if (end > std::max(begin, word.back_off_end)) {
+      word.back_off_begin = begin;
+      word.back_off_end = end;
+      word.arrivals_in_back_off = 0;
+    }
+  }
+}
+
+void SoakRun::CheckArrival(const std::string& replica_id,
+                           const std::string& request_id) {
+  const auto sent = m_sent_requests.find(request_id);
+  if (sent == m_sent_requests.end()) return;
+  const SentRequest& request = sent->second;
+  const auto found = m_words.find({request.gateway, replica_id});
+  if (found == m_words.end()) return;
+  ReplicaWord& word = found->second;
+  const bool is_excused =
+      word.disturbance_count != request.gateway->disturbance_count;
+  if (is_excused) return;
+  if (word.leaving_since &&
+      request.sent_at > *word.leaving_since + kDrainTime) {
+    ReportViolation(request_id + " reached " + replica_id + ", which leaves");
+  }
+  const TimePoint now = m_scheduler.Now();
+  if (now < word.back_off_begin || now > word.back_off_end) return;
+  if (++word.arrivals_in_back_off > kMaxArrivalsInBackOff) {
+    ReportViolation(request_id + " reached " + replica_id +
+                    ", which wants no requests");
+  }
+}
+
 void SoakRun::CheckGatherAnswer(const PendingRequest& request,
                                 const HttpClientAnswer& answer) {
   if (answer.status != 200) return;
@@ -340,8 +407,10 @@
   const int run_count =
       m_platform.RunCount(SoakPlatform::kAtMostOnceService, request.id);
   if (run_count > 1) ReportViolation(request.id + " ran twice");
-  if (IsNotRunStatus(result.answer.status)) m_not_run_ids.push_back(request.id);
-  if (result.answer.status == 200 &&
+  const int status = result.answer.status;
+  if (status == 200 || IsNotRunStatus(status)) RecordWords(request);
+  if (IsNotRunStatus(status)) m_not_run_ids.push_back(request.id);
+  if (status == 200 &&
       FindHeader(result.answer.headers, platform::kSignatureHeader) !=
           SoakPlatform::Signature(SoakPlatform::kAtMostOnceService,
                                   request.id)) {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -4,8 +4,10 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "adapters/beast_http_client.h"
@@ -62,6 +64,23 @@
     std::uint64_t disturbance_count = 0;
   };
 
+  /// When a request to the service whose requests may run at most once was
+  /// sent, and what applied to its gateway then.
+  struct SentRequest {
+    Node* gateway = nullptr;
+    std::uint64_t disturbance_count = 0;
+    TimePoint sent_at{};
+  };
+
+  /// What a gateway has learned from the answers of one replica.
+  struct ReplicaWord {
+    std::uint64_t disturbance_count = 0;
+    std::optional<TimePoint> leaving_since;
+    TimePoint back_off_begin{};
+    TimePoint back_off_end{};
+    int arrivals_in_back_off = 0;
+  };
+
   void StartNode(Node* node);
   /// Runs `action` after `delay`, in place of the pending action of `node`.
   void ScheduleNodeAction(Node* node, Duration delay,
@@ -87,6 +106,12 @@
                          const HttpClientAnswer& answer);
   void CheckAtMostOnceAnswer(const PendingRequest& request,
                              const HttpCallResult& result);
+  /// Checks that the gateway which sent the request keeps to what the replica
+  /// has said.
+  void CheckArrival(const std::string& replica_id,
+                    const std::string& request_id);
+  /// Records what the gateway of an answered request has learned.
+  void RecordWords(const PendingRequest& request);
   void PutNextConfig();
   void PutConfig(std::uint64_t version);
   void ReadConfig();
@@ -118,6 +143,8 @@
   std::uint64_t m_last_sent_version = 0;
   std::uint64_t m_accepted_version = 0;
   std::map<std::string, int> m_counts;
+  std::map<std::string, SentRequest> m_sent_requests;
+  std::map<std::pair<const Node*, std::string>, ReplicaWord> m_words;
   /// Ids of requests that were answered with a status which means that the
   /// request has not run.
   std::vector<std::string> m_not_run_ids;
