Compact the log by what the state weighs

Cause: the log was compacted after 4,096 entries, or at 16 MiB with more than 256 entries, of which the last 256 were kept whatever they weigh. An emptied replica replayed all of it before it voted again.

--- a/src/replication/log_storage.cc
+++ b/src/replication/log_storage.cc
@@ -224,11 +224,24 @@
     m_memberships.pop_front();
   }
   m_snapshot = std::move(snapshot);
-  DropEntriesThrough(m_snapshot.index -
-                     std::min<LogIndex>(trailing_entries, m_snapshot.index));
+  DropEntriesThrough(m_snapshot.index - CountTrailing(trailing_entries));
   return RewriteFile();
 }
 
+// Returns how many of the entries up to the snapshot are kept, at most
+// `max_entries`.
+LogIndex LogStorage::CountTrailing(std::size_t max_entries) const {
+  const std::size_t max_bytes = m_snapshot.data.size();
+  LogIndex count = 0;
+  std::size_t bytes = 0;
+  while (count < max_entries && m_snapshot.index - count > m_base_index) {
+    bytes += EntryAt(m_snapshot.index - count).data.size();
+    if (bytes > max_bytes) break;
+    ++count;
+  }
+  return count;
+}
+
 Result<void> LogStorage::InstallSnapshot(LogSnapshot snapshot) {
   assert(snapshot.index > m_snapshot.index);
   const bool log_contains_snapshot = TermAt(snapshot.index) == snapshot.term;
--- a/src/replication/log_storage.h
+++ b/src/replication/log_storage.h
@@ -102,7 +102,8 @@
   Result<void> FormGroup(GroupId group_id, LogSnapshot initial_snapshot);
 
   /// Durably replaces the entries up to `snapshot`, but keeps the last
-  /// `trailing_entries` of them for followers that lag behind.
+  /// `trailing_entries` of them for followers that lag behind, or fewer so that
+  /// they are not larger than the snapshot.
   Result<void> Compact(LogSnapshot snapshot, std::size_t trailing_entries);
 
   /// Durably installs a snapshot that a leader sent. Entries after it are kept
@@ -140,6 +141,7 @@
   bool InsertEntry(LogEntry entry);
   void DropEntriesFrom(LogIndex index);
   void DropEntriesThrough(LogIndex index);
+  [[nodiscard]] LogIndex CountTrailing(std::size_t max_entries) const;
   Result<void> RewriteFile();
   Result<void> WriteNewFile(const std::string& frames);
   Result<void> TrackFailure(Result<void> result);
--- a/src/replication/replica_node_log.cc
+++ b/src/replication/replica_node_log.cc
@@ -230,8 +230,11 @@
       m_applied_index - m_log->Snapshot().index;
   const bool has_many_entries =
       entries_since_snapshot >= m_options.snapshot_threshold_entries;
-  const bool is_large = entries_since_snapshot > m_options.trailing_entries &&
-                        m_log->LogBytes() >= m_options.snapshot_threshold_bytes;
+  const std::size_t max_log_bytes = std::max(
+      m_options.min_compacted_log_bytes,
+      m_options.max_log_to_snapshot_ratio * m_log->Snapshot().data.size());
+  const bool is_large =
+      entries_since_snapshot > 0 && m_log->LogBytes() >= max_log_bytes;
   if (!has_many_entries && !is_large) return;
   m_counters.Add(ReplicationCounter::kSnapshotsTaken);
   LogSnapshot snapshot;
--- a/src/replication/replica_options.h
+++ b/src/replication/replica_options.h
@@ -43,11 +43,15 @@
   Duration new_member_reply_timeout = milliseconds(5000);
 
   ReplicatorOptions replicator;
-  /// The log is compacted into a snapshot after this many entries or bytes.
-  /// Compaction keeps the last `trailing_entries` for followers that lag
-  /// behind.
+  /// The log is compacted into a snapshot after this many entries, or when it
+  /// is larger than `max_log_to_snapshot_ratio` times the last snapshot and
+  /// than `min_compacted_log_bytes`. So a replica that has lost its disk
+  /// receives what the state weighs, however long its history is. Compaction
+  /// keeps the last `trailing_entries`, or fewer if they are larger than the
+  /// snapshot, for followers that lag behind.
   std::size_t snapshot_threshold_entries = 4096;
-  std::size_t snapshot_threshold_bytes = std::size_t{16} << 20;
+  std::size_t max_log_to_snapshot_ratio = 4;
+  std::size_t min_compacted_log_bytes = std::size_t{1} << 20;
   std::size_t trailing_entries = 256;
   /// Maximum size of a proposed command.
   std::size_t max_command_bytes = std::size_t{2} << 20;
