Answer relay calls that were cancelled

Cause: a relay dropped the responder of a call that its caller cancelled. Evidence: RelayTest.ACancelledCallIsAnswered failed before: none of 2,000 cancelled calls was answered. Change: a cancelled call is answered as not accepted, after its work is cancelled. Not done: 100,000 calls on one TCP connection, and the other tables with a bound.

--- a/src/routing/relay_service.cc
+++ b/src/routing/relay_service.cc
@@ -69,12 +69,11 @@
   const bool is_readable = Decode(bytes, &message);
   const Key key{from, message.relay_id};
   if (is_readable && message.cancel) {
-    auto query = m_queries.extract(key);
-    if (!query.empty()) query.mapped()->CancelOnDisconnect();
+    Cancel(key);
     return respond(Encode(RelayReplyMessage{}));
   }
   const bool is_acceptable = is_readable && !message.services.empty() &&
-                             !m_stopping && !m_queries.contains(key);
+                             !m_stopping && !m_calls.contains(key);
   if (!is_acceptable) return respond(Encode(RelayReplyMessage{}));
   Start(key, std::move(message), respond);
 }
@@ -107,17 +106,26 @@
         End(key);
       });
   RoutedQuery* started = query.get();
-  m_queries.emplace(key, std::move(query));
+  m_calls.emplace(key, OpenCall{std::move(query), respond});
   started->Start();
 }
 
+// A cancelled call is answered too: its connection counts it as open until
+// then.
+void RelayService::Cancel(const Key& key) {
+  auto node = m_calls.extract(key);
+  if (node.empty()) return;
+  node.mapped().query->CancelOnDisconnect();
+  node.mapped().respond(Encode(RelayReplyMessage{}));
+}
+
 void RelayService::End(const Key& key) {
-  auto node = m_queries.extract(key);
+  auto node = m_calls.extract(key);
   if (node.empty()) return;
   // The query is destroyed after its current call has returned.
-  m_context.scheduler->Schedule(
-      Duration::zero(),
-      [ended = std::shared_ptr<RoutedQuery>(std::move(node.mapped()))] {});
+  m_context.scheduler->Schedule(Duration::zero(),
+                                [ended = std::shared_ptr<RoutedQuery>(
+                                     std::move(node.mapped().query))] {});
 }
 
 }  // namespace chicoryvale
--- a/src/routing/relay_service.h
+++ b/src/routing/relay_service.h
@@ -26,22 +26,29 @@
   /// Refuses new requests from now on; those in progress are finished.
   void StopAccepting() { m_stopping = true; }
 
-  [[nodiscard]] std::size_t InFlight() const { return m_queries.size(); }
+  [[nodiscard]] std::size_t InFlight() const { return m_calls.size(); }
 
  private:
   /// The requesting process and its number of the relay request.
   using Key = std::pair<Address, std::uint64_t>;
 
+  /// A relay request that has not been answered.
+  struct OpenCall {
+    std::unique_ptr<RoutedQuery> query;
+    PeerTransport::Responder respond;
+  };
+
   void Handle(const Address& from, const std::string& bytes,
               const PeerTransport::Responder& respond);
   void Start(const Key& key, RelayRequestMessage message,
              const PeerTransport::Responder& respond);
+  void Cancel(const Key& key);
   void End(const Key& key);
 
   RoutingContext m_context;
   PeerTransport* m_peers;
   bool m_stopping = false;
-  std::map<Key, std::unique_ptr<RoutedQuery>> m_queries;
+  std::map<Key, OpenCall> m_calls;
 };
 
 }  // namespace chicoryvale
--- a/tests/routing/relay_test.cc
+++ b/tests/routing/relay_test.cc
@@ -275,6 +275,40 @@
   EXPECT_EQ(m_far->service.InFlight(), 0U);
 }
 
+// A cancelled call that was never answered stayed among the open calls of its
+// connection, which refused all further calls at its limit.
+TEST_F(RelayTest, ACancelledCallIsAnswered) {
+  m_far->transport.SetBehaviour([](const ReplicaSend&) {
+    return ReplicaBehaviour{{}, {}, true};
+  });
+  constexpr std::uint64_t kCalls = 2000;
+  std::size_t answered = 0;
+  for (std::uint64_t id = 1; id <= kCalls; ++id) {
+    RelayRequestMessage message;
+    message.relay_id = id;
+    message.request_id = "r" + std::to_string(id);
+    message.services = {"s3"};
+    message.target_latency_ms = 1000;
+    message.answer_within_ms = 60'000;
+    message.time_left_ms = 60'000;
+    m_near->peers.Call(EntryIn("b").address, PeerChannel::kRelay,
+                       Encode(message), seconds(70),
+                       [&answered](const Result<std::string>& bytes) {
+                         if (bytes) ++answered;
+                       });
+    m_scheduler.RunFor(milliseconds(5));
+    RelayRequestMessage cancellation;
+    cancellation.relay_id = id;
+    cancellation.cancel = true;
+    m_near->peers.Call(EntryIn("b").address, PeerChannel::kRelay,
+                       Encode(cancellation), seconds(1),
+                       [](const Result<std::string>&) {});
+    m_scheduler.RunFor(milliseconds(5));
+  }
+  EXPECT_EQ(answered, kCalls);
+  EXPECT_EQ(m_far->service.InFlight(), 0U);
+}
+
 TEST_F(RelayTest, UndecodableRequestsAreRefused) {
   std::optional<std::string> answer;
   m_near->peers.Call(
