Don't end a stopping process at a second signal

Callers saw (found by the review): a second SIGTERM cut all requests in flight. Cause: the daemon loop ended at once at any further SIGTERM or SIGINT. Evidence: DaemonLoopTest.FurtherSignalsDoNotCutRequestsInFlight failed before for SIGTERM and SIGINT: a request was in flight when the loop ended with an error. Change: further signals are logged (shutdown_signal_repeated). SIGHUP is tested too. Measured: the test passes for the three signals.

--- a/src/adapters/daemon_loop.cc
+++ b/src/adapters/daemon_loop.cc
@@ -56,7 +56,7 @@
 gboolean DaemonLoop::OnSignal(gpointer data) {
   auto* loop = static_cast<DaemonLoop*>(data);
   if (loop->m_shutting_down) {
-    loop->Fail();
+    Log(LogLevel::kInfo, "shutdown_signal_repeated");
   } else {
     loop->BeginShutdown();
   }
--- a/src/adapters/daemon_loop.h
+++ b/src/adapters/daemon_loop.h
@@ -48,8 +48,8 @@
 };
 
 /// The event loop of a daemon. Runs until SIGTERM or SIGINT, then shuts down
-/// gracefully; a second signal ends the loop immediately with kRunFailed. Not
-/// thread safe.
+/// gracefully; further ones are only logged, because they must not cut requests
+/// in flight. Not thread safe.
 class DaemonLoop {
  public:
   /// `scheduler` must outlive the loop.
--- a/tests/adapters/daemon_loop_test.cc
+++ b/tests/adapters/daemon_loop_test.cc
@@ -53,5 +53,25 @@
   EXPECT_EQ(m_in_flight, 0U);
 }
 
+// Signals after the first one ended the process at once and lost the requests
+// in flight.
+TEST_F(DaemonLoopTest, FurtherSignalsDoNotCutRequestsInFlight) {
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+    SCOPED_TRACE(signal);
+    DaemonLoop loop(&m_scheduler);
+    int reloads = 0;
+    m_steps.reload = [&reloads] { ++reloads; };
+    m_steps.stop_accepting = [this, signal] {
+      ReadRequestSoon();
+      m_scheduler.Schedule(kAnswerDelay / 2, [signal] { raise(signal); });
+    };
+    m_in_flight = 1;
+    m_scheduler.Schedule(kReadDelay * 2, [this] { --m_in_flight; });
+    m_scheduler.Schedule(Duration::zero(), [] { raise(SIGTERM); });
+    EXPECT_EQ(loop.Run({}, m_steps), ExitCode::kOk);
+    EXPECT_EQ(m_in_flight, 0U);
+  }
+}
+
 }  // namespace
 }  // namespace chicoryvale
