Check hedges at most once a millisecond

Cause: the hedge timer repeats after a part of the target latency. A route may have a target latency of 0, as configurations are accepted without a lower bound: the timer then fired again in the same instant, and the process did nothing else. Evidence: found by a test of the relay that left the field 0 and ran for 10 minutes until it was ended. ATargetLatencyOfZeroDoesNotKeepTheProcessBusy was written after that and not run on the code before, where it would not end. Change: a lower bound of 1 ms.

--- a/src/routing/answer_timing.cc
+++ b/src/routing/answer_timing.cc
@@ -27,6 +27,9 @@
 /// Lower bound of PartialAnswerTime as a percentage of the target latency.
 constexpr int kMinPartialAnswerPercent = 70;
 constexpr int kPercent = 100;
+/// A route may have a target latency of zero, and hedges are checked
+/// repeatedly.
+constexpr Duration kMinHedgeDelay = milliseconds(1);
 
 /// Tolerance for the rounding of a minimum share of shards that is given as a
 /// decimal fraction.
@@ -35,7 +38,8 @@
 }  // namespace
 
 Duration AnswerTiming::HedgeDelay() const {
-  return m_route->target_latency * kHedgeDelayPercent / kPercent;
+  return std::max<Duration>(
+      m_route->target_latency * kHedgeDelayPercent / kPercent, kMinHedgeDelay);
 }
 
 Duration AnswerTiming::PartialAnswerTime() const {
--- a/tests/routing/routed_query_test.cc
+++ b/tests/routing/routed_query_test.cc
@@ -171,6 +171,30 @@
   EXPECT_EQ(m_transport.OpenSends(), 0U);
 }
 
+// A route whose target latency is zero checked its hedges again and again in
+// the same instant, so that the process did nothing else.
+TEST_F(RoutedQueryTest, ATargetLatencyOfZeroDoesNotKeepTheProcessBusy) {
+  auto config = std::make_shared<RoutingConfig>();
+  config->version = 8;
+  Route route;
+  route.host = "h";
+  route.path_prefix = "/single/";
+  route.idempotent = true;
+  route.timeout = milliseconds(1000);
+  route.max_attempts = 2;
+  route.services = {{"one", 1}};
+  config->routes.push_back(route);
+  m_router.SetConfig(config);
+  m_transport.SetBehaviour([](const ReplicaSend& send) {
+    return ReplicaBehaviour{milliseconds(300), SignedAnswer(send.replica_id),
+                            false};
+  });
+  Send("/single/x");
+  m_scheduler.RunFor(milliseconds(400));
+  ASSERT_TRUE(m_answer.has_value());
+  EXPECT_FALSE(m_answer->error);
+}
+
 TEST_F(RoutedQueryTest, CountsTheLatencyOfEachRequest) {
   Run("/all/x");
   Run("/single/x");
