Send no body in answers to HEAD, nor with 204 and 304

Callers saw (found by the review): the system's own 503 to a HEAD had a body, which the caller found where its next answer was due. Cause: FormatResponse didn't know the method, and wrote a body for 204 and 304. Evidence: BeastHttpServerTest.AnswersWithoutABodyHaveNone failed before. Change: the server tells the method; the length of the body is still stated for HEAD. Measured: the test passes for eleven pairs of method and status. Not covered: 1xx.

--- a/src/adapters/beast_http_server.cc
+++ b/src/adapters/beast_http_server.cc
@@ -109,7 +109,7 @@
     if (response.abort_connection) return CloseNow();
     const bool close =
         m_close_after_response || m_server->m_closing_connections;
-    m_socket->Write(FormatResponse(response, close));
+    m_socket->Write(FormatResponse(response, close, m_is_head));
     if (close) return FinishAndLinger();
     ResetParser();
     m_socket->SetReading(true);
@@ -216,6 +216,7 @@
     ++m_server->m_in_flight;
     m_server->m_counters.Add(BeastHttpServerCounter::kRequests);
     m_close_after_response = !message.keep_alive();
+    m_is_head = message.method() == http::verb::head;
     HttpRequest request;
     request.connection = m_number;
     request.method = std::string{message.method_string()};
@@ -270,6 +271,8 @@
   bool m_continue_sent = false;
   bool m_awaiting_response = false;
   bool m_close_after_response = false;
+  /// Whether the current request has the method HEAD.
+  bool m_is_head = false;
   bool m_lingering = false;
   TimerId m_timer = 0;
 };
--- a/src/adapters/http_message_text.cc
+++ b/src/adapters/http_message_text.cc
@@ -52,7 +52,8 @@
   return text.append("\r\n");
 }
 
-std::string FormatResponse(const HttpResponse& response, bool close) {
+std::string FormatResponse(const HttpResponse& response, bool close,
+                           bool is_to_head) {
   const auto status = static_cast<boost::beast::http::status>(response.status);
   const auto reason_phrase = boost::beast::http::obsolete_reason(status);
   std::string text = "HTTP/1.1 " + std::to_string(response.status) + " ";
@@ -61,13 +62,17 @@
     text.append("Content-Type: ").append(response.content_type).append("\r\n");
   }
   AppendHeaders(response.headers, &text);
-  if (response.status != kNoContent && response.status != kNotModified) {
+  const bool may_have_body =
+      response.status != kNoContent && response.status != kNotModified;
+  if (may_have_body) {
     text.append("Content-Length: ")
         .append(std::to_string(response.body.size()))
         .append("\r\n");
   }
   if (close) text.append("Connection: close\r\n");
-  return text.append("\r\n").append(response.body);
+  text.append("\r\n");
+  if (may_have_body && !is_to_head) text.append(response.body);
+  return text;
 }
 
 bool IsHopByHopHeader(std::string_view name) {
--- a/src/adapters/http_message_text.h
+++ b/src/adapters/http_message_text.h
@@ -17,8 +17,10 @@
                               std::size_t body_bytes);
 
 /// Returns `response` in wire format, with a "Connection: close" header if
-/// `close` is set. Thread safe.
-std::string FormatResponse(const HttpResponse& response, bool close);
+/// `close` is set, and without the body if `is_to_head` says that the request
+/// was a HEAD. Thread safe.
+std::string FormatResponse(const HttpResponse& response, bool close,
+                           bool is_to_head = false);
 
 /// Returns whether the header `name` must not be forwarded, either because it
 /// applies to a single connection (RFC 9110, section 7.6.1) or because each
--- a/tests/adapters/beast_http_server_test.cc
+++ b/tests/adapters/beast_http_server_test.cc
@@ -194,5 +194,38 @@
   EXPECT_EQ(m_requests[0].body, "hi");
 }
 
+// A body after the head of an answer to HEAD, or of one that has no body, would
+// be read as the next answer.
+TEST_F(BeastHttpServerTest, AnswersWithoutABodyHaveNone) {
+  struct Case {
+    const char* method;
+    int status;
+    bool has_body;
+  };
+  const std::vector<Case> cases = {
+      {"GET", 200, true},   {"GET", 204, false},  {"GET", 304, false},
+      {"GET", 503, true},   {"HEAD", 200, false}, {"HEAD", 204, false},
+      {"HEAD", 304, false}, {"HEAD", 404, false}, {"HEAD", 503, false},
+      {"POST", 204, false}, {"POST", 500, true}};
+  for (const Case& c : cases) {
+    SCOPED_TRACE(std::string(c.method) + " " + std::to_string(c.status));
+    m_server->SetHandler([&](const HttpRequest&, const HttpResponder& respond) {
+      HttpResponse response;
+      response.status = c.status;
+      response.body = "body";
+      respond(response);
+    });
+    const std::string answer =
+        SendAndReceiveAll({std::string(c.method) +
+                           " /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"
+                           "Connection: close\r\n\r\n"});
+    EXPECT_EQ(answer.ends_with("\r\n\r\nbody"), c.has_body) << answer;
+    EXPECT_EQ(answer.ends_with("\r\n\r\n"), !c.has_body) << answer;
+    const bool states_length =
+        answer.find("Content-Length: 4") != std::string::npos;
+    EXPECT_EQ(states_length, c.status != 204 && c.status != 304) << answer;
+  }
+}
+
 }  // namespace
 }  // namespace chicoryvale
