Apply changed limits to requests on open connections

Callers saw (found by the review): after a configuration raised maxBodyBytes, each connection that was open before refused its next larger request with 413. Cause: the parser of the next request was made when the last response was sent, with the limits of that time. Evidence: BeastHttpServerTest.ChangedLimitsApplyOnOpenConnections failed before, for a connection with an earlier request and for one without. Change: the parser is made when the first byte of a request arrives. Not done: the table of all settings and when they bind.

--- a/src/adapters/beast_http_server.cc
+++ b/src/adapters/beast_http_server.cc
@@ -55,7 +55,6 @@
   bool Open(int fd) {
     m_socket = StreamSocket::Adopt(m_server->m_options.poller, fd, this);
     if (!m_socket) return false;
-    ResetParser();
     ArmIdleTimer();
     return true;
   }
@@ -111,7 +110,6 @@
         m_close_after_response || m_server->m_closing_connections;
     m_socket->Write(FormatResponse(response, close, m_is_head));
     if (close) return FinishAndLinger();
-    ResetParser();
     m_socket->SetReading(true);
     ArmIdleTimer();
     if (m_unparsed.empty()) return;
@@ -128,13 +126,16 @@
   }
 
  private:
-  void ResetParser() {
-    m_reading_request = false;
+  // Makes a parser with the current limits, which may have changed since the
+  // last request of the connection.
+  void BeginRequest() {
+    m_reading_request = true;
     m_continue_sent = false;
     m_parser.emplace();
     m_parser->eager(true);
     m_parser->header_limit(m_server->m_options.limits.max_header_bytes);
     m_parser->body_limit(m_server->m_options.limits.max_body_bytes);
+    ArmHeaderTimer();
   }
 
   void CancelTimer() {
@@ -163,10 +164,7 @@
   void Parse() {
     if (m_awaiting_response || m_lingering) return;
     while (!m_unparsed.empty()) {
-      if (!m_reading_request) {
-        m_reading_request = true;
-        ArmHeaderTimer();
-      }
+      if (!m_reading_request) BeginRequest();
       boost::system::error_code code;
       const std::size_t parsed_bytes = m_parser->put(
           boost::asio::buffer(m_unparsed.data(), m_unparsed.size()), code);
--- a/tests/adapters/beast_http_server_test.cc
+++ b/tests/adapters/beast_http_server_test.cc
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -227,5 +228,36 @@
   }
 }
 
+// The limits that are in force when a request begins apply to it, also on a
+// connection that was open before they changed.
+TEST_F(BeastHttpServerTest, ChangedLimitsApplyOnOpenConnections) {
+  std::vector<std::string> answers;
+  const std::string body(kMaxBodyBytes + 1, 'x');
+  const std::string request =
+      "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body;
+  std::atomic<bool> is_raised = false;
+  m_scheduler.Schedule(milliseconds(50), [&] {
+    HttpServerLimits limits;
+    limits.max_body_bytes = 2 * kMaxBodyBytes;
+    m_server->SetLimits(limits);
+    is_raised = true;
+  });
+  RunBeside([&] {
+    RawSocket used(m_server->LocalAddress());
+    RawSocket unused(m_server->LocalAddress());
+    used.Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    used.ReceiveUntil("ok1");
+    while (!is_raised) std::this_thread::yield();
+    for (RawSocket* connection : {&used, &unused}) {
+      connection->Send(request);
+      answers.push_back(connection->ReceiveUntil("\r\n\r\n"));
+    }
+  });
+  for (const std::string& answer : answers) {
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+  }
+}
+
 }  // namespace
 }  // namespace chicoryvale
