--- a/src/adapters/soup_http_server.cc
+++ b/src/adapters/soup_http_server.cc
@@ -98,10 +98,10 @@
 
 // Returns whether the caller has closed its sending side.
 bool HasPeerClosed(GSocket* socket) {
-  pollfd watched{g_socket_get_fd(socket),
-                 static_cast<short>(kPeerClosedCondition), 0};
-  return poll(&watched, 1, 0) > 0 &&
-         (watched.revents & static_cast<short>(kPeerClosedCondition)) != 0;
+  pollfd watched{};
+  watched.fd = g_socket_get_fd(socket);
+  watched.events = POLLRDHUP;
+  return poll(&watched, 1, 0) > 0 && (watched.revents & POLLRDHUP) != 0;
 }
 
 // Makes libsoup read the end of the stream at its next read.
--- a/tests/platform/http_replica_transport_test.cc
+++ b/tests/platform/http_replica_transport_test.cc
@@ -68,7 +68,7 @@
       constexpr std::string_view kIdHeader = "Request-Id: ";
       const std::size_t id = head.find(kIdHeader) + kIdHeader.size();
       connection->Send(
-          AnswerBytes("ran", head.substr(id, head.find("\r", id) - id)));
+          AnswerBytes("ran", head.substr(id, head.find('\r', id) - id)));
     }
   }
 
@@ -198,11 +198,11 @@
   for (const std::string& interim :
        {std::string(), std::string("HTTP/1.1 100 Continue\r\n\r\n")}) {
     for (const std::string& length : lengths) {
-      const std::string head = interim +
-                               "HTTP/1.1 200 OK\r\n"
-                               "Chicoryvale-Request-Id: a\r\n"
-                               "Chicoryvale-Server-Stamp: mac\r\n" +
-                               length + "\r\n";
+      std::string head = interim;
+      head += "HTTP/1.1 200 OK\r\nChicoryvale-Request-Id: a\r\n";
+      head += "Chicoryvale-Server-Stamp: mac\r\n";
+      head += length;
+      head += "\r\n";
       std::size_t cut = 0;
       RawUpstream upstream([&](RawSocket& connection, int) {
         connection.ReceiveUntil("\r\n\r\n");
--- a/tests/process/gateway_deployment.cc
+++ b/tests/process/gateway_deployment.cc
@@ -38,7 +38,7 @@
 }  // namespace
 
 GatewayDeployment::GatewayDeployment(
-    const std::vector<std::string>& replica_ids, ReplicaHandler handler,
+    const std::vector<std::string>& replica_ids, const ReplicaHandler& handler,
     ShutdownTimes times)
     : m_times(times) {
   for (const std::string& id : replica_ids) {
--- a/tests/process/gateway_deployment.h
+++ b/tests/process/gateway_deployment.h
@@ -32,7 +32,7 @@
   /// `handler` answers the requests at each of the replicas `replica_ids`. It
   /// is called on the thread of the main context.
   GatewayDeployment(const std::vector<std::string>& replica_ids,
-                    ReplicaHandler handler, ShutdownTimes times);
+                    const ReplicaHandler& handler, ShutdownTimes times);
 
   /// Starts the control process and `gateways` gateways, deploys the routes,
   /// and waits until each gateway is ready.
--- a/tests/routing/router_stop_test.cc
+++ b/tests/routing/router_stop_test.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "routing/test_entry.h"
@@ -156,9 +157,10 @@
     request->id = "id" + std::to_string(i);
     request->method = "GET";
     request->target = "/all/x";
-    m_entry.router.Handle(
-        {request, "h", "/all/x", std::nullopt},
-        [&answers](RoutedAnswer answer) { answers.push_back(answer); });
+    m_entry.router.Handle({request, "h", "/all/x", std::nullopt},
+                          [&answers](RoutedAnswer answer) {
+                            answers.push_back(std::move(answer));
+                          });
   }
   m_entry.router.EndAll();
   EXPECT_EQ(answers.size(), static_cast<std::size_t>(kRequests));
