Count retries over at least one whole window

What callers and replicas saw: after two bursts of failures 9.6 to 10 s apart, entries sent more retries in one window than the budget allows. Cause: the budget summed 20 buckets of half a second. The newest of them has just begun, so the sum covers 9.5 to 10 s, and what was used 9.5 s ago was granted again within the same window. Change: one more bucket. Retries are summed over all of them, at least one window; requests over the newest 20, at most one window. Class of fault: a sliding limit that is kept on aligned buckets. The other limits in windows (log lines, liveness) bound cost, not a promise.

--- a/src/routing/retry_budget.cc
+++ b/src/routing/retry_budget.cc
@@ -34,7 +34,7 @@
 RetryBudget::Window& RetryBudget::AdvanceWindow(const std::string& service,
                                                 TimePoint now) {
   Window& window = m_windows[service];
-  const Duration bucket_length = m_options.window / kBucketCount;
+  const Duration bucket_length = m_options.window / kBucketsPerWindow;
   const std::int64_t bucket_index = now.time_since_epoch() / bucket_length;
   const auto elapsed_buckets =
       std::min<std::int64_t>(bucket_index - window.newest_bucket, kBucketCount);
@@ -59,12 +59,20 @@
                     kBucketCount];
 }
 
+std::uint32_t RetryBudget::CountRequests(const Window& window) {
+  const auto oldest =
+      static_cast<std::size_t>(window.newest_bucket + 1) % kBucketCount;
+  return std::accumulate(window.requests.begin(), window.requests.end(), 0U) -
+         window.requests[oldest];
+}
+
+std::uint32_t RetryBudget::CountRetries(const Window& window) {
+  return std::accumulate(window.retries.begin(), window.retries.end(), 0U);
+}
+
 bool RetryBudget::TryAcquire(const std::string& service, Purpose purpose,
                              TimePoint now) {
   Window& window = AdvanceWindow(service, now);
-  const auto sum = [](const auto& counts) {
-    return std::accumulate(counts.begin(), counts.end(), 0U);
-  };
   const Duration since_start = now - m_started;
   const bool first_window = since_start < m_options.window;
   const double fixed_ratio = first_window && !m_options.first_start
@@ -79,8 +87,8 @@
                                   ? kUsableBudgetRatio * kHedgeBudgetRatio
                                   : kUsableBudgetRatio;
   const double limit =
-      usable_ratio * (m_options.ratio * sum(window.requests) + fixed_limit);
-  if (sum(window.retries) + 1 > limit) return false;
+      usable_ratio * (m_options.ratio * CountRequests(window) + fixed_limit);
+  if (CountRetries(window) + 1 > limit) return false;
   ++window
         .retries[static_cast<std::size_t>(window.newest_bucket) % kBucketCount];
   return true;
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -63,10 +63,12 @@
   bool TryAcquire(const std::string& service, Purpose purpose, TimePoint now);
 
  private:
-  static constexpr std::size_t kBucketCount = 20;
+  static constexpr std::size_t kBucketsPerWindow = 20;
+  /// The newest bucket has just begun, so a whole window also covers a part of
+  /// the one that is kBucketsPerWindow older.
+  static constexpr std::size_t kBucketCount = kBucketsPerWindow + 1;
 
-  /// Counts of the last window, in buckets of equal length; `retries` contains
-  /// the hedges too.
+  /// Counts in buckets of equal length; `retries` contains the hedges too.
   struct Window {
     std::array<std::uint32_t, kBucketCount> requests{};
     std::array<std::uint32_t, kBucketCount> retries{};
@@ -75,6 +77,10 @@
   };
 
   Window& AdvanceWindow(const std::string& service, TimePoint now);
+  /// Returns the number of requests of at most one window.
+  static std::uint32_t CountRequests(const Window& window);
+  /// Returns the number of retries and hedges of at least one window.
+  static std::uint32_t CountRetries(const Window& window);
 
   RetryBudgetOptions m_options;
   TimePoint m_started;
--- a/tests/routing/retry_budget_test.cc
+++ b/tests/routing/retry_budget_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <vector>
 
 namespace chicoryvale {
@@ -81,6 +83,33 @@
   EXPECT_EQ(AcquireAll(&budget, now + seconds(11)), first);
 }
 
+// Guards against granting a part of the budget twice within one window: two
+// bursts of failures that are almost a window apart made more retries than the
+// limits allow.
+TEST(RetryBudgetTest, TwoBurstsWithinAWindowStayWithinTheLimits) {
+  constexpr int kRequestsPerStep = 5;
+  constexpr Duration kStep = milliseconds(100);
+  const auto steps_per_window = static_cast<std::uint32_t>(seconds(10) / kStep);
+  const std::uint32_t allowed =
+      kOptions.fixed_retries + steps_per_window * kRequestsPerStep / 5;
+  for (Duration gap = seconds(5); gap < seconds(10); gap += kStep) {
+    for (Duration phase{}; phase < milliseconds(500); phase += kStep) {
+      RetryBudget budget(kOptions, kStart);
+      const TimePoint first = kStart + seconds(30) + phase;
+      std::uint32_t acquired = 0;
+      for (TimePoint now = kStart; now <= first + gap; now += kStep) {
+        for (int i = 0; i < kRequestsPerStep; ++i) {
+          budget.RecordRequest("s", now);
+        }
+        const bool is_burst = now == first || now == first + gap;
+        if (is_burst) acquired += AcquireAll(&budget, now);
+      }
+      EXPECT_LE(acquired, allowed)
+          << "gap " << gap.count() << " us, phase " << phase.count() << " us";
+    }
+  }
+}
+
 TEST(RetryBudgetTest, HedgesLeaveBudgetForRetries) {
   RetryBudget budget(kOptions, kStart);
   const TimePoint now = kStart + seconds(30);
