Stop routed requests that crash the replicas that run them

What replicas saw: a request that crashes each replica was passed on at each resend, through all entries; callers whose requests those replicas ran lost them too. Cause: the quarantine of the query path wasn't connected to routed requests; they were bounded by attempts and budget only, for each resend anew. Class of fault: a limit that is kept for each request where the promise is about all its resends together. Change: CrashGuard applies the same CrashQuarantine to whole routed requests and shares its marks by gossip (CrashMarkPublisher, now one for both paths). Relays report a lost replica to the entry that knows the whole request. Retries of a scattered request wait for a surviving replica; a marked request runs at one replica first. Logged and counted.

--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -97,6 +97,12 @@
                          .peers = m_peers->TcpTransport(),
                          .members = m_peers->membership()},
       RandomSeed());
+  m_crash_guard = std::make_unique<CrashGuard>(
+      CrashGuard::Ports{.scheduler = &m_scheduler,
+                        .gossip = m_peers->membership(),
+                        .log = &m_log},
+      m_peers->LocalAddress().host_port + "/" + std::to_string(RandomSeed()));
+  m_crash_guard->Start();
   const RoutingContext routing_context{.scheduler = &m_scheduler,
                                        .sends = m_send_tracker.get(),
                                        .pool = m_replica_pool.get(),
@@ -104,7 +110,8 @@
                                        .log = &m_log,
                                        .counters = &m_counters,
                                        .latencies = &m_latencies,
-                                       .relay = m_relay_client.get()};
+                                       .relay = m_relay_client.get(),
+                                       .crash_guard = m_crash_guard.get()};
   m_router = std::make_unique<Router>(routing_context, RandomSeed());
   m_relay_service =
       std::make_unique<RelayService>(routing_context, m_peers->TcpTransport());
@@ -266,7 +273,8 @@
       .Add("callers", m_caller_server->Counters())
       .Add("settings", m_settings_watch.Counters())
       .Add("replicas", m_http_client->Counters())
-      .Add("replica_pool", m_replica_pool->Counters());
+      .Add("replica_pool", m_replica_pool->Counters())
+      .Add("crash_guard", m_crash_guard->Counters());
   m_latencies.Visit([&page](const std::string& name, std::uint64_t count) {
     page.AddValue("gateway", "request_latency_" + name, count);
   });
--- a/programs/chicory-gatewayd/gateway_daemon.h
+++ b/programs/chicory-gatewayd/gateway_daemon.h
@@ -17,6 +17,7 @@
 #include "chicory-gatewayd/gateway_settings.h"
 #include "platform/http_replica_directory.h"
 #include "platform/http_replica_transport.h"
+#include "routing/crash_guard.h"
 #include "routing/relay_client.h"
 #include "routing/relay_service.h"
 #include "routing/replica_list_sync.h"
@@ -72,6 +73,7 @@
   std::unique_ptr<ReplicaPool> m_replica_pool;
   std::unique_ptr<SendTracker> m_send_tracker;
   std::unique_ptr<RetryBudget> m_retry_budget;
+  std::unique_ptr<CrashGuard> m_crash_guard;
   std::unique_ptr<RelayClient> m_relay_client;
   std::unique_ptr<RelayService> m_relay_service;
   std::unique_ptr<Router> m_router;
--- a/src/ports/relay.h
+++ b/src/ports/relay.h
@@ -65,6 +65,9 @@
   std::vector<MissingSubRequest> missing;
   /// Ids of replicas that said in their answers that they drain.
   std::vector<std::string> draining_replicas;
+  /// A replica to which the connection was lost while it ran a sub-request, if
+  /// there is one.
+  std::optional<Address> lost_replica;
 };
 
 /// Interface that sends sub-requests through other entries. A relay may use all
--- /dev/null
+++ b/src/routing/crash_guard.cc
@@ -0,0 +1,111 @@
+#include "routing/crash_guard.h"
+
+#include <utility>
+
+#include "base/hash.h"
+
+namespace chicoryvale {
+namespace {
+
+/// A crashed replica needs longer than this to start again, so one that answers
+/// a send of this time has not crashed.
+constexpr Duration kMinReplicaRestartTime = seconds(1);
+
+constexpr char kHostHeader[] = "Host";
+
+// Replicas differ in slots and shards, and a routed request has no workspace:
+// only the request itself is known to be at fault.
+CrashSettings Settings() {
+  CrashSettings settings;
+  settings.canary = CanaryPolicy::kNever;
+  settings.origin = OriginPolicy::kIgnore;
+  return settings;
+}
+
+}  // namespace
+
+CrashGuard::CrashGuard(const Ports& ports, std::string self_id)
+    : m_ports(ports),
+      m_quarantine(Settings()),
+      m_publisher(&m_quarantine, ports.gossip, std::move(self_id)) {}
+
+void CrashGuard::Start() {
+  m_ports.gossip->AddItemListener(
+      [this](const GossipItem& item) { Merge(item); });
+  for (const GossipItem& item : m_ports.gossip->Items(GossipKind::kCrashMark)) {
+    Merge(item);
+  }
+}
+
+void CrashGuard::Merge(const GossipItem& item) {
+  if (item.kind != GossipKind::kCrashMark) return;
+  const auto mark = CrashMarkPublisher::DecodeItem(item);
+  if (!mark) return;
+  m_has_marks = true;
+  m_quarantine.Merge(*mark, m_ports.scheduler->Now());
+  // The entry that observed the crashes publishes them.
+  m_quarantine.PopChanges();
+}
+
+CrashKey CrashGuard::KeyOf(const OpaqueRequest& request) {
+  constexpr std::string_view kSeparator("\0", 1);
+  std::uint64_t hash = HashBytes(request.method);
+  for (const std::string_view part :
+       {kSeparator, std::string_view(request.target), kSeparator}) {
+    hash = HashBytes(part, hash);
+  }
+  hash = HashBytes(FindHeader(request.headers, kHostHeader), hash);
+  hash = HashBytes(kSeparator, hash);
+  if (request.body) hash = HashBytes(*request.body, hash);
+  return {.fingerprint = MixHash(hash), .workspace = 0, .service = 0};
+}
+
+bool CrashGuard::MayRun(const OpaqueRequest& request) {
+  if (!m_has_marks) return true;
+  const CrashKey key = KeyOf(request);
+  const RunVerdict verdict = m_quarantine.Check(key, m_ports.scheduler->Now());
+  m_publisher.PublishChanges();
+  if (verdict == RunVerdict::kRun) return true;
+  m_counters.Add(CrashGuardCounter::kRequestsQuarantined);
+  m_ports.log->Write(
+      LogLevel::kWarning, "request_quarantined",
+      {{"id", request.id}, {"fingerprint", std::to_string(key.fingerprint)}});
+  return false;
+}
+
+bool CrashGuard::IsMarked(const OpaqueRequest& request) const {
+  return m_has_marks && m_quarantine.IsMarked(KeyOf(request).fingerprint);
+}
+
+void CrashGuard::RecordLoss(const OpaqueRequest& request,
+                            const Address& replica) {
+  m_has_marks = true;
+  const CrashKey key = KeyOf(request);
+  m_quarantine.RecordCrash(key, replica, m_ports.scheduler->Now());
+  m_publisher.PublishChanges();
+  m_counters.Add(CrashGuardCounter::kRequestsLostWithReplica);
+  m_ports.log->Write(
+      LogLevel::kWarning, "request_lost_with_replica",
+      {{"id", request.id},
+       {"fingerprint", std::to_string(key.fingerprint)},
+       {"replica", replica.host_port},
+       {"quarantined",
+        m_quarantine.IsQuarantined(key.fingerprint) ? "yes" : "no"}});
+}
+
+void CrashGuard::RecordSurvival(const OpaqueRequest& request) {
+  if (!m_has_marks) return;
+  const CrashKey key = KeyOf(request);
+  if (!m_quarantine.IsMarked(key.fingerprint)) return;
+  m_quarantine.RecordSurvival(key, m_ports.scheduler->Now());
+  m_publisher.PublishChanges();
+  m_counters.Add(CrashGuardCounter::kRequestsCleared);
+}
+
+void CrashGuard::RecordAnswer(const Address& replica, TimePoint sent_at) {
+  if (!m_has_marks) return;
+  m_quarantine.OnReplicaSurvived(replica, sent_at - kMinReplicaRestartTime);
+  m_publisher.PublishChanges();
+}
+
+}  // namespace chicoryvale
--- /dev/null
+++ b/src/routing/crash_guard.h
@@ -0,0 +1,95 @@
+#ifndef CHICORYVALE_SRC_ROUTING_CRASH_GUARD_H_
+#define CHICORYVALE_SRC_ROUTING_CRASH_GUARD_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "base/counters.h"
+#include "base/time.h"
+#include "ports/event_log.h"
+#include "ports/peer_gossip.h"
+#include "ports/replica_transport.h"
+#include "ports/scheduler.h"
+#include "upstream/crash_mark_publisher.h"
+#include "upstream/crash_quarantine.h"
+
+namespace chicoryvale {
+
+/// Events of a CrashGuard.
+enum class CrashGuardCounter : std::uint8_t {
+  /// Requests that ended with a lost replica and without a surviving one.
+  kRequestsLostWithReplica,
+  /// Marked requests that a replica survived.
+  kRequestsCleared,
+  /// Requests that were not run because they are quarantined.
+  kRequestsQuarantined,
+};
+
+template <>
+struct CounterNames<CrashGuardCounter> {
+  static constexpr std::array<std::string_view, 3> kNames = {
+      "requests_lost_with_replica", "requests_cleared", "requests_quarantined"};
+};
+
+/// Stops routed requests that crash each replica which runs them, at all
+/// entries. A request is marked when it ends with a lost connection to a
+/// replica and no replica has answered it; marks are shared by gossip. Resends
+/// are recognized by method, host, target and body. Not thread safe.
+class CrashGuard {
+ public:
+  /// Ports of the guard. The pointees must outlive it.
+  struct Ports {
+    Scheduler* scheduler = nullptr;
+    PeerGossip* gossip = nullptr;
+    EventLog* log = nullptr;
+  };
+
+  /// `self_id` identifies this run of the process.
+  CrashGuard(const Ports& ports, std::string self_id);
+
+  /// Starts to merge the marks of other entries.
+  void Start();
+
+  /// Returns whether the request may run now.
+  bool MayRun(const OpaqueRequest& request);
+
+  /// Returns whether the request has crashed a replica and none has survived it
+  /// since. It should run at one replica before it runs at many.
+  [[nodiscard]] bool IsMarked(const OpaqueRequest& request) const;
+
+  /// Records that the request ended after the connection to `replica` was lost
+  /// while the replica ran it, and that no replica answered it. The mark is
+  /// published at once, so it precedes the answer to the caller.
+  void RecordLoss(const OpaqueRequest& request, const Address& replica);
+
+  /// Records that a replica answered the request.
+  void RecordSurvival(const OpaqueRequest& request);
+
+  /// Records that `replica` answered a send that began at `sent_at`. A loss
+  /// shortly before that was a lost connection, not a crash.
+  void RecordAnswer(const Address& replica, TimePoint sent_at);
+
+  [[nodiscard]] const CounterSet<CrashGuardCounter>& Counters() const {
+    return m_counters;
+  }
+
+  /// Returns the key by which resends of the request are recognized.
+  static CrashKey KeyOf(const OpaqueRequest& request);
+
+ private:
+  void Merge(const GossipItem& item);
+
+  Ports m_ports;
+  CrashQuarantine m_quarantine;
+  CrashMarkPublisher m_publisher;
+  CounterSet<CrashGuardCounter> m_counters;
+  /// Whether a mark was ever recorded or received. Without one, nothing is
+  /// looked up.
+  bool m_has_marks = false;
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_ROUTING_CRASH_GUARD_H_
--- a/src/routing/relay_client.cc
+++ b/src/routing/relay_client.cc
@@ -230,6 +230,7 @@
   }
   answer.body = std::move(reply.body);
   answer.draining_replicas = std::move(reply.draining_replicas);
+  if (!reply.lost_replica.empty()) answer.lost_replica = {reply.lost_replica};
   request.callback(std::move(answer));
 }
 
--- a/src/routing/relay_messages.h
+++ b/src/routing/relay_messages.h
@@ -77,20 +77,28 @@
   std::vector<RelayedSubRequestMessage> answered;
   std::vector<MissingSubRequestMessage> missing;
   std::string body;
-  /// Ids of replicas that said in their answers that they drain. Encoded only
-  /// if there are any, so that entries of an earlier version read other
-  /// replies.
+  /// Ids of replicas that said in their answers that they drain. This and the
+  /// following fields are encoded only as far as they are set, so that entries
+  /// of an earlier version read other replies.
   std::vector<std::string> draining_replicas;
+  /// Address of a replica to which the connection was lost while it ran a
+  /// sub-request; empty if there is none.
+  std::string lost_replica;
 
   template <class Archive>
   void save(Archive& archive) const {  // NOLINT(readability-identifier-naming)
     archive(accepted, answered, missing, body);
-    if (!draining_replicas.empty()) archive(draining_replicas);
+    const bool has_lost_replica = !lost_replica.empty();
+    if (has_lost_replica || !draining_replicas.empty()) {
+      archive(draining_replicas);
+    }
+    if (has_lost_replica) archive(lost_replica);
   }
   template <class Archive>
   void load(Archive& archive) {  // NOLINT(readability-identifier-naming)
     archive(accepted, answered, missing, body);
     if (archive.Remaining() > 0) archive(draining_replicas);
+    if (archive.Remaining() > 0) archive(lost_replica);
   }
 };
 
--- a/src/routing/relay_service.cc
+++ b/src/routing/relay_service.cc
@@ -38,6 +38,7 @@
   }
   reply.body = std::move(answer.body);
   reply.draining_replicas = std::move(answer.draining_replicas);
+  if (answer.lost_replica) reply.lost_replica = answer.lost_replica->host_port;
   return reply;
 }
 
--- a/src/routing/routed_query.cc
+++ b/src/routing/routed_query.cc
@@ -55,14 +55,28 @@
             m_input.waited,
         [this] { OnPartialAnswerTimer(); });
   }
+  m_is_canary = m_context.crash_guard != nullptr && !IsForRelay() &&
+                m_input.route->IsScattered() &&
+                m_context.crash_guard->IsMarked(*m_input.request);
+  if (m_is_canary) {
+    SendDirectly(0);
+  } else {
+    SendAll();
+  }
+  FinishIfSettled();
+}
+
+void RoutedQuery::SendAll() {
   SendToRelays();
   for (std::size_t i = 0; i < m_sub_requests.size(); ++i) {
-    if (m_sub_requests[i].at_relay) continue;
-    m_context.budget->RecordRequest(m_sub_requests[i].service,
-                                    m_context.scheduler->Now());
-    SendFirstAttempt(i);
+    if (!m_sub_requests[i].IsSent()) SendDirectly(i);
   }
-  FinishIfSettled();
+}
+
+void RoutedQuery::SendDirectly(std::size_t index) {
+  m_context.budget->RecordRequest(m_sub_requests[index].service,
+                                  m_context.scheduler->Now());
+  SendFirstAttempt(index);
 }
 
 // Returns whether enough services have a usable replica.
@@ -109,7 +123,7 @@
       [this, alive, index, send_id](ReplicaAnswer answer) {
         if (!alive.expired()) OnAttemptEnd(index, *send_id, std::move(answer));
       });
-  sub_request.open.push_back({*send_id, choice->id, now});
+  sub_request.open.push_back({*send_id, choice->id, choice->address, now});
   return true;
 }
 
@@ -117,7 +131,7 @@
   SubRequest& sub_request = m_sub_requests[index];
   const Route& route = *m_input.route;
   if (sub_request.runs >= route.max_attempts ||
-      sub_request.total_attempts >= kMaxTotalAttempts) {
+      sub_request.total_attempts >= kMaxTotalAttempts || MayCrashReplicas()) {
     return false;
   }
   const TimePoint now = m_context.scheduler->Now();
@@ -161,8 +175,13 @@
     if (IsForRelay() && answer.notice.draining) {
       m_draining_replicas.push_back(ended->replica_id);
     }
+    RecordReplicaState(*ended, answer.end);
     sub_request.open.erase(ended);
   }
+  if (m_is_canary && m_replica_survived && !m_finished) {
+    m_is_canary = false;
+    SendAll();
+  }
   if (sub_request.resolved || m_finished) return;
   if (!answer.IsSuccess()) return OnAttemptFailed(index, answer);
   for (const Send& send : sub_request.open) m_context.sends->Release(send.id);
@@ -172,6 +191,25 @@
   FinishIfSettled();
 }
 
+void RoutedQuery::RecordReplicaState(const Send& send, SendEnd end) {
+  if (end == SendEnd::kBroken) {
+    ++m_lost_count;
+    m_lost_replica = send.address;
+  }
+  if (end != SendEnd::kAnswered) return;
+  m_replica_survived = true;
+  if (m_context.crash_guard != nullptr) {
+    m_context.crash_guard->RecordAnswer(send.address, send.sent_at);
+  }
+}
+
+// Of a request at one replica nothing else is open that could survive, so it is
+// retried once.
+bool RoutedQuery::MayCrashReplicas() const {
+  const bool awaits_others = m_input.route->IsScattered() && !m_is_canary;
+  return !m_replica_survived && m_lost_count > (awaits_others ? 0U : 1U);
+}
+
 void RoutedQuery::OnAttemptFailed(std::size_t index,
                                   const ReplicaAnswer& answer) {
   SubRequest& sub_request = m_sub_requests[index];
@@ -187,9 +225,12 @@
   const RetryReason reason = answer.end == SendEnd::kAnswered
                                  ? RetryReason::kFailed
                                  : RetryReason::kBroken;
-  if (m_input.route->idempotent && sub_request.open.empty() &&
-      TryRetry(index, reason)) {
-    return;
+  if (m_input.route->idempotent && sub_request.open.empty()) {
+    if (TryRetry(index, reason)) return;
+    // The retry waits until a replica has survived the request.
+    if (MayCrashReplicas() && MayRetryRefused(sub_request)) {
+      return ScheduleRetry(index, reason);
+    }
   }
   ResolveUnanswered(index);
 }
@@ -318,6 +359,10 @@
   if (is_sufficient && (unresolved == 0 || m_partial_answer_due)) {
     return FinishWithAnswers();
   }
+  // No replica has survived the first sub-request, so the others aren't sent.
+  if (m_is_canary && m_sub_requests.front().resolved) {
+    return FinishWithoutAnswer(false);
+  }
   const bool can_become_sufficient =
       m_input.route->IsScattered()
           ? m_timing.IsSufficient(answered + unresolved, m_sub_requests.size())
--- a/src/routing/routed_query.h
+++ b/src/routing/routed_query.h
@@ -17,6 +17,7 @@
 #include "ports/replica_transport.h"
 #include "ports/scheduler.h"
 #include "routing/answer_timing.h"
+#include "routing/crash_guard.h"
 #include "routing/rank_merger.h"
 #include "routing/relay_plan.h"
 #include "routing/replica_pool.h"
@@ -60,13 +61,15 @@
   kRefusedReplicasBusy,
   /// Requests whose replicas had asked for no requests for a while.
   kRefusedReplicasBackingOff,
+  /// Requests that have crashed the replicas that ran them.
+  kRefusedQuarantined,
   kFailedBroken,
   kFailedDeadline,
 };
 
 template <>
 struct CounterNames<RoutingCounter> {
-  static constexpr std::array<std::string_view, 23> kNames = {
+  static constexpr std::array<std::string_view, 24> kNames = {
       "requests",
       "answered_whole",
       "answered_short",
@@ -88,6 +91,7 @@
       "refused_no_replica",
       "refused_replicas_busy",
       "refused_replicas_backing_off",
+      "refused_quarantined",
       "failed_broken",
       "failed_deadline",
   };
@@ -116,6 +120,9 @@
   std::vector<MissingSubRequest> missing;
   /// For a relay request: ids of replicas that said that they drain.
   std::vector<std::string> draining_replicas;
+  /// For a relay request: a replica to which the connection was lost while it
+  /// ran a sub-request, if there is one.
+  std::optional<Address> lost_replica;
 };
 
 /// Context that all queries share; the pointees outlive the queries.
@@ -131,6 +138,8 @@
   /// Sends sub-requests by way of other entries. If null, all of them are sent
   /// directly.
   Relay* relay = nullptr;
+  /// Stops requests that crash replicas. If null, none is stopped.
+  CrashGuard* crash_guard = nullptr;
 };
 
 /// One routed request: sends its sub-requests to replicas, retries those that
@@ -198,6 +207,7 @@
   struct Send {
     std::uint64_t id = 0;
     std::string replica_id;
+    Address address;
     TimePoint sent_at{};
   };
 
@@ -231,6 +241,9 @@
     /// Whether the sub-request was sent to a relay that has not replied.
     bool at_relay = false;
 
+    /// Whether an attempt was made, here or at a relay.
+    [[nodiscard]] bool IsSent() const { return total_attempts > 0; }
+
     /// Records that a relay request was sent; the relay makes at least one
     /// attempt.
     void BeginRelay() {
@@ -260,6 +273,8 @@
   [[nodiscard]] bool IsForRelay() const {
     return m_input.answer_within.has_value();
   }
+  /// Sends the sub-requests that have not been sent.
+  void SendAll();
   void SendToRelays();
   void SendToNeighbors();
   void SendGroup(const RelayGroup& group);
@@ -272,6 +287,8 @@
   /// there is none or the remaining time is too short.
   bool SendAttempt(std::size_t index);
   void SendFirstAttempt(std::size_t index);
+  /// Sends a sub-request for the first time, and not by way of a relay.
+  void SendDirectly(std::size_t index);
   [[nodiscard]] bool MayRetryRefused(const SubRequest& sub_request) const;
   void ScheduleRetry(std::size_t index, RetryReason reason);
   /// Sends a retry or hedge if the maximum numbers of attempts, the retry
@@ -281,6 +298,13 @@
   void OnAttemptEnd(std::size_t index, std::uint64_t send_id,
                     ReplicaAnswer answer);
   void OnAttemptFailed(std::size_t index, const ReplicaAnswer& answer);
+  /// Records whether the replica of `send` survived the request.
+  void RecordReplicaState(const Send& send, SendEnd end);
+  /// Reports to the crash guard how the request ended.
+  void ReportToCrashGuard() const;
+  /// Returns whether the request has lost so many replicas, without a surviving
+  /// one, that a retry should wait for one.
+  [[nodiscard]] bool MayCrashReplicas() const;
   void ResolveUnanswered(std::size_t index);
   void OnHedgeTimer();
   void OnPartialAnswerTimer();
@@ -319,6 +343,16 @@
   bool m_finished = false;
   /// Number of retries and hedges.
   std::uint32_t m_retry_count = 0;
+  /// Whether a replica has answered the request, with success or not.
+  bool m_replica_survived = false;
+  /// Whether only the first sub-request may be sent until a replica survives
+  /// it, because the request has crashed a replica before. Source: Dean and
+  /// Barroso, The Tail at Scale, 2013 ("canary requests").
+  bool m_is_canary = false;
+  /// Number of connections to replicas that were lost while the replica ran the
+  /// request, and the replica of the last one.
+  std::uint32_t m_lost_count = 0;
+  std::optional<Address> m_lost_replica;
   /// Expires when the query is destroyed.
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/src/routing/routed_query_end.cc
+++ b/src/routing/routed_query_end.cc
@@ -49,6 +49,7 @@
   answer.missing_shard_count = m_sub_requests.size() - answer.signatures.size();
   answer.body = merger.ExtractMerged();
   answer.draining_replicas = std::move(m_draining_replicas);
+  answer.lost_replica = m_lost_replica;
   const bool is_complete = answer.missing_shard_count == 0;
   m_context.counters->Add(is_complete ? RoutingCounter::kAnsweredWhole
                                       : RoutingCounter::kAnsweredShort);
@@ -158,8 +159,20 @@
   RecordEnd({}, "caller_gone");
 }
 
+// A relay reports what it observed to the entry that sent it the request, which
+// knows the other sub-requests.
+void RoutedQuery::ReportToCrashGuard() const {
+  if (m_context.crash_guard == nullptr || IsForRelay()) return;
+  if (m_replica_survived) {
+    m_context.crash_guard->RecordSurvival(*m_input.request);
+  } else if (m_lost_replica) {
+    m_context.crash_guard->RecordLoss(*m_input.request, *m_lost_replica);
+  }
+}
+
 void RoutedQuery::RecordEnd(const RoutedAnswer& answer,
                             std::string_view outcome) const {
+  ReportToCrashGuard();
   const Duration elapsed = m_context.scheduler->Now() - m_started;
   if (m_context.latencies != nullptr) m_context.latencies->Record(elapsed);
   std::string missing;
--- a/src/routing/routed_query_relay.cc
+++ b/src/routing/routed_query_relay.cc
@@ -17,6 +17,7 @@
   const TimePoint now = m_context.scheduler->Now();
   std::vector<RemoteSubRequest> remote;
   for (std::size_t i = 0; i < m_sub_requests.size(); ++i) {
+    if (m_sub_requests[i].IsSent()) continue;
     std::vector<std::string> zones =
         m_context.pool->RemoteZones(m_sub_requests[i].service, now);
     if (!zones.empty()) remote.push_back({i, std::move(zones)});
@@ -37,7 +38,7 @@
 void RoutedQuery::SendToNeighbors() {
   RelayGroup group{m_context.pool->OwnZone(), {}};
   for (std::size_t i = 0; i < m_sub_requests.size(); ++i) {
-    if (!m_sub_requests[i].at_relay) group.indices.push_back(i);
+    if (!m_sub_requests[i].IsSent()) group.indices.push_back(i);
   }
   const bool use_neighbors = group.indices.size() > kMaxDirectSubRequests;
   if (use_neighbors && m_context.relay->HasNeighbor()) SendGroup(group);
@@ -119,6 +120,11 @@
     m_context.pool->RecordNotice(id, {.draining = true, .back_off = {}},
                                  m_context.scheduler->Now());
   }
+  if (!answer.answered.empty()) m_replica_survived = true;
+  if (answer.lost_replica) {
+    ++m_lost_count;
+    m_lost_replica = answer.lost_replica;
+  }
   for (const RelayedSubRequest& answered : answer.answered) {
     if (answered.index >= call.indices.size()) continue;
     SubRequest& sub_request = m_sub_requests[call.indices[answered.index]];
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -11,6 +11,9 @@
 /// the time that it needs to receive the configuration.
 constexpr Duration kRetryAfterStart = milliseconds(500);
 
+/// Time after which callers of a quarantined request should retry.
+constexpr Duration kRetryAfterQuarantine = seconds(60);
+
 /// Upper bound of the random factor by which callers are told to return later,
 /// so that those that were refused together don't return together.
 constexpr double kMaxRetryAfterFactor = 1.25;
@@ -59,6 +62,14 @@
            Duration::zero(), callback);
     return 0;
   }
+  if (m_context.crash_guard != nullptr &&
+      !m_context.crash_guard->MayRun(*request.request)) {
+    Refuse(request, RoutingCounter::kRefusedQuarantined,
+           {ErrorKind::kUpstreamUnavailable,
+            "this request has crashed the replicas that ran it", Ran::kNo},
+           kRetryAfterQuarantine, callback);
+    return 0;
+  }
   RoutedQuery::Input input;
   input.request = request.request;
   input.config = m_table->Config();
--- a/src/upstream/crash_quarantine.cc
+++ b/src/upstream/crash_quarantine.cc
@@ -278,6 +278,37 @@
   }
 }
 
+RunVerdict CrashQuarantine::Check(const CrashKey& key, TimePoint now) {
+  if (m_operator_list.contains(key.fingerprint)) {
+    return RunVerdict::kQuarantined;
+  }
+  const auto found = m_by_fingerprint.find(key.fingerprint);
+  if (found == m_by_fingerprint.end()) return RunVerdict::kRun;
+  Record* record = &*found->second;
+  Expire(record, now);
+  if (now < record->refused_until) return RunVerdict::kTryLater;
+  if (!IsAtCrashLimit(record->mark)) return RunVerdict::kRun;
+  return RaiseCrashLimitIfCommonCause(record, now) ? RunVerdict::kTryLater
+                                                   : RunVerdict::kQuarantined;
+}
+
+void CrashQuarantine::RecordCrash(const CrashKey& key, const Address& replica,
+                                  TimePoint now) {
+  const Admission run = StartRun(FindOrCreateRecord(key, now), 0, false);
+  OnRunEnded(run.run, RunOutcome::kCrashed, replica, now);
+}
+
+void CrashQuarantine::RecordSurvival(const CrashKey& key, TimePoint now) {
+  const Admission run = StartRun(FindOrCreateRecord(key, now), 0, false);
+  OnRunEnded(run.run, RunOutcome::kSurvived, {}, now);
+}
+
+bool CrashQuarantine::IsMarked(std::uint64_t fingerprint) const {
+  const auto found = m_by_fingerprint.find(fingerprint);
+  return found != m_by_fingerprint.end() &&
+         !found->second->mark.crashes.empty();
+}
+
 bool CrashQuarantine::DidCrash(const Record& record, const Address& replica) {
   const std::vector<UpstreamCrash>& crashes = record.mark.crashes;
   if (crashes.empty()) return false;
--- a/src/upstream/crash_quarantine.h
+++ b/src/upstream/crash_quarantine.h
@@ -172,6 +172,21 @@
   /// Removes and returns the fingerprints whose verdict may no longer be kWait.
   std::vector<std::uint64_t> PopReady();
 
+  /// Decides whether the request may run, for callers that report only how
+  /// whole requests end (RecordCrash, RecordSurvival). Never returns kWait.
+  RunVerdict Check(const CrashKey& key, TimePoint now);
+
+  /// Records that `replica` crashed while it ran the request, and that no
+  /// upstream survived it.
+  void RecordCrash(const CrashKey& key, const Address& replica, TimePoint now);
+
+  /// Records that an upstream survived the request. Needed only for requests
+  /// that are marked.
+  void RecordSurvival(const CrashKey& key, TimePoint now);
+
+  /// Returns whether the request has crashed an upstream since one survived it.
+  [[nodiscard]] bool IsMarked(std::uint64_t fingerprint) const;
+
   /// Returns whether requests with this fingerprint are refused permanently.
   [[nodiscard]] bool IsQuarantined(std::uint64_t fingerprint) const;
 
--- a/src/upstream/gate_gossip.cc
+++ b/src/upstream/gate_gossip.cc
@@ -8,13 +8,8 @@
 namespace chicoryvale {
 namespace {
 
-/// Times for which published items of each kind are kept.
+/// Time for which a published signal is kept.
 constexpr std::uint32_t kAvailabilitySignalLifetimeSeconds = 600;
-constexpr std::uint32_t kCrashMarkLifetimeSeconds = 3600;
-
-/// Maximum number of crashes in the payload of a published mark. Further ones
-/// change no verdict.
-constexpr std::size_t kMaxInPayload = 8;
 
 std::string SignalKey(const AvailabilitySignal& signal) {
   return signal.replica.host_port + "/" +
@@ -28,7 +23,7 @@
     : m_gate(gate),
       m_gossip(gossip),
       m_scheduler(scheduler),
-      m_self_id(std::move(self_id)) {}
+      m_crash_marks(gate->Quarantine(), gossip, std::move(self_id)) {}
 
 GateGossip::~GateGossip() { m_gate->SetChangeListener({}); }
 
@@ -52,9 +47,9 @@
     m_gate->Availability()->Merge(signal, m_scheduler->Now());
     m_gate->Availability()->PopChanges();
   } else if (item.kind == GossipKind::kCrashMark) {
-    CrashMark mark;
-    if (!Decode(item.payload, &mark)) return;
-    m_gate->MergeCrashMark(mark);
+    const auto mark = CrashMarkPublisher::DecodeItem(item);
+    if (!mark) return;
+    m_gate->MergeCrashMark(*mark);
     m_gate->Quarantine()->PopChanges();
   }
 }
@@ -68,13 +63,7 @@
                        stamp, Encode(signal),
                        kAvailabilitySignalLifetimeSeconds});
   }
-  for (CrashMark& mark : m_gate->Quarantine()->PopChanges()) {
-    if (mark.crashes.size() > kMaxInPayload) mark.crashes.resize(kMaxInPayload);
-    m_gossip->Publish({GossipKind::kCrashMark,
-                       std::to_string(mark.key.fingerprint) + "/" + m_self_id,
-                       ++m_last_stamp, Encode(mark),
-                       kCrashMarkLifetimeSeconds});
-  }
+  m_crash_marks.PublishChanges();
 }
 
 }  // namespace chicoryvale
--- a/src/upstream/gate_gossip.h
+++ b/src/upstream/gate_gossip.h
@@ -6,16 +6,16 @@
 
 #include "ports/peer_gossip.h"
 #include "ports/scheduler.h"
+#include "upstream/crash_mark_publisher.h"
 
 namespace chicoryvale {
 
 class UpstreamGate;
 
 /// Publishes a gate's availability signals and crash marks to the gates of
-/// other entries, and merges theirs. Each entry publishes its crash marks under
-/// its own key, because two entries may have lost different upstreams to the
-/// same request. Changes are published immediately, before the caller of the
-/// attempt receives its answer and can resend the request. Not thread safe.
+/// other entries, and merges theirs. Changes are published immediately, before
+/// the caller of the attempt receives its answer and can resend the request.
+/// Not thread safe.
 class GateGossip {
  public:
   /// The pointers must outlive the object. `self_id` identifies this entry.
@@ -35,8 +35,7 @@
   UpstreamGate* m_gate;
   PeerGossip* m_gossip;
   Scheduler* m_scheduler;
-  std::string m_self_id;
-  std::uint64_t m_last_stamp = 0;
+  CrashMarkPublisher m_crash_marks;
 };
 
 }  // namespace chicoryvale
--- a/tests/process/gateway_deployment.cc
+++ b/tests/process/gateway_deployment.cc
@@ -26,6 +26,8 @@
 constexpr char kKeys[] =
     "[keys]\npeer_key = \"test-key-0123456789abcdef0123456789\"\n";
 
+const Address kAnyPort = {"127.0.0.1:0"};
+
 /// Host number of the control process; those of the gateways follow.
 constexpr int kControlHost = 100;
 
@@ -40,17 +42,9 @@
 GatewayDeployment::GatewayDeployment(
     const std::vector<std::string>& replica_ids, const ReplicaHandler& handler,
     ShutdownTimes times)
-    : m_times(times) {
-  for (const std::string& id : replica_ids) {
-    Replica& replica = m_replicas.emplace_back();
-    replica.id = id;
-    replica.server = MakeServer();
-    replica.server->SetHandler([id, handler](const HttpRequest& request,
-                                             const HttpResponder& respond) {
-      handler(id, request, respond);
-    });
-  }
-  m_list_server = MakeServer();
+    : m_handler(handler), m_times(times) {
+  for (const std::string& id : replica_ids) StartReplica(id, kAnyPort);
+  m_list_server = MakeServer(kAnyPort);
   m_list_server->SetHandler(
       [this](const HttpRequest&, const HttpResponder& respond) {
         HttpResponse response;
@@ -59,20 +53,43 @@
       });
 }
 
-std::unique_ptr<BeastHttpServer> GatewayDeployment::MakeServer() {
+std::unique_ptr<BeastHttpServer> GatewayDeployment::MakeServer(
+    const Address& address) {
   BeastHttpServerOptions options;
   options.poller = &m_poller;
   options.scheduler = &m_scheduler;
-  options.bind = {"127.0.0.1:0"};
+  options.bind = address;
   return std::move(*BeastHttpServer::Make(options));
 }
 
+void GatewayDeployment::StartReplica(const std::string& replica_id,
+                                     const Address& address) {
+  Replica& replica = m_replicas[replica_id];
+  replica.server = MakeServer(address);
+  replica.address = replica.server->LocalAddress();
+  replica.server->SetHandler([this, replica_id](const HttpRequest& request,
+                                                const HttpResponder& respond) {
+    m_handler(replica_id, request, respond);
+  });
+}
+
+void GatewayDeployment::CrashReplica(const std::string& replica_id,
+                                     Duration downtime) {
+  // A server must not be destroyed by its own handler.
+  m_scheduler.Schedule(Duration::zero(), [this, replica_id] {
+    m_replicas.at(replica_id).server.reset();
+  });
+  m_scheduler.Schedule(downtime, [this, replica_id] {
+    StartReplica(replica_id, m_replicas.at(replica_id).address);
+  });
+}
+
 std::string GatewayDeployment::ReplicaListJson() const {
   std::string entries;
-  for (const Replica& replica : m_replicas) {
+  for (const auto& [id, replica] : m_replicas) {
     if (!entries.empty()) entries += ",";
-    entries += R"({"id":")" + replica.id + R"(","backend":"s","address":")" +
-               replica.server->LocalAddress().host_port +
+    entries += R"({"id":")" + id + R"(","backend":"s","address":")" +
+               replica.address.host_port +
                R"(","zone":"a","version":"v1","slots":50,"state":"ready",)"
                R"("warmupLeftMs":0})";
   }
--- a/tests/process/gateway_deployment.h
+++ b/tests/process/gateway_deployment.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -52,6 +53,11 @@
   /// Returns the status that the readiness check of a gateway answers, or 0.
   [[nodiscard]] int Readiness(int index) const;
 
+  /// Ends the connections of the replica `replica_id` as a crash does; it
+  /// listens again at its address after `downtime`. To be called on the thread
+  /// of the main context, possibly from the handler of the replica.
+  void CrashReplica(const std::string& replica_id, Duration downtime);
+
   [[nodiscard]] GlibScheduler* scheduler() { return &m_scheduler; }
 
   /// Returns the bytes of a request of the caller.
@@ -64,21 +70,24 @@
                                  const std::string& id) const;
 
  private:
-  std::unique_ptr<BeastHttpServer> MakeServer();
+  std::unique_ptr<BeastHttpServer> MakeServer(const Address& address);
+  void StartReplica(const std::string& replica_id, const Address& address);
   [[nodiscard]] std::string ReplicaListJson() const;
   [[nodiscard]] static std::string PeerAddress(int host);
   void StartControl();
   void DeployRoutes() const;
 
   struct Replica {
-    std::string id;
+    Address address;
+    /// Null while the replica is down after a crash.
     std::unique_ptr<BeastHttpServer> server;
   };
 
+  ReplicaHandler m_handler;
   ShutdownTimes m_times;
   GlibScheduler m_scheduler;
   FdPoller m_poller;
-  std::vector<Replica> m_replicas;
+  std::map<std::string, Replica> m_replicas;
   std::unique_ptr<BeastHttpServer> m_list_server;
   ScratchFolder m_folder;
   std::unique_ptr<Process> m_control;
--- a/tests/routing/test_entry.h
+++ b/tests/routing/test_entry.h
@@ -1,6 +1,7 @@
 #ifndef CHICORYVALE_TESTS_ROUTING_TEST_ENTRY_H_
 #define CHICORYVALE_TESTS_ROUTING_TEST_ENTRY_H_
 
+#include <memory>
 #include <utility>
 #include <vector>
 
@@ -67,6 +68,8 @@
   RoutingContext context;
   Router router;
   RelayService service;
+  /// A router with what a test adds to `context`, if the test makes one.
+  std::unique_ptr<Router> guarded_router;
 };
 
 /// Returns a route for all paths of host "h"; the test adds its shards.
