Soak: check retries, attempts and the time given to replicas

Nothing in the soak counted what arrives at replicas against the limits that all entries share. RetryCheck checks the budget of each service in any window, the replicas that run one request, and the time that replicas are given; the fixed number is lowered from 100 to 40, so that it binds.

--- a/tests/soak/soak_platform.cc
+++ b/tests/soak/soak_platform.cc
@@ -77,12 +77,20 @@
   const bool is_expected_replica =
       FindHeader(request.headers, platform::kExpectedReplicaIdHeader) ==
       replica.id;
-  if (m_on_arrival) m_on_arrival(replica.id, id);
   AddNotice(replica, id, &response);
   const bool is_refused =
       m_scheduler->Now() < replica.back_off_end ||
       std::uniform_real_distribution<double>(0, 1)(m_random) < m_refusal_ratio;
-  if (!is_expected_replica || is_refused) {
+  const bool runs = is_expected_replica && !is_refused;
+  const std::string time_left_ms =
+      FindHeader(request.headers, platform::kDeadlineHeader);
+  RetryCheck::Arrival arrival{replica.id, replica.service,   id, std::nullopt,
+                              runs,       m_scheduler->Now()};
+  if (!time_left_ms.empty()) {
+    arrival.time_left = milliseconds(std::stol(time_left_ms));
+  }
+  if (m_on_arrival) m_on_arrival(arrival);
+  if (!runs) {
     response.status =
         is_expected_replica ? kStatusUnavailable : platform::kStatusMisdirected;
     response.headers.push_back({platform::kNotRunHeader, "1"});
@@ -168,6 +176,14 @@
   return json{{"instances", entries}, {"nextPageToken", nullptr}}.dump();
 }
 
+std::vector<std::string> SoakPlatform::ShardNames() {
+  std::vector<std::string> names;
+  for (int shard = 0; shard < kShardCount; ++shard) {
+    names.push_back(ShardName(shard));
+  }
+  return names;
+}
+
 int SoakPlatform::RunCount(const std::string& service,
                            const std::string& id) const {
   const auto runs = m_run_counts.find(service);
--- a/tests/soak/soak_platform.h
+++ b/tests/soak/soak_platform.h
@@ -14,6 +14,7 @@
 #include "adapters/fd_poller.h"
 #include "adapters/glib_scheduler.h"
 #include "soak/loopback_proxy.h"
+#include "soak/retry_check.h"
 
 namespace chicoryvale {
 
@@ -47,9 +48,9 @@
     /// Zero if it did not ask for a pause.
     Duration back_off{};
   };
-  /// Called for each request that arrives at the replica `replica_id`.
-  using ArrivalHandler = std::function<void(const std::string& replica_id,
-                                            const std::string& request_id)>;
+  /// Called for each request that arrives at a replica.
+  using ArrivalHandler =
+      std::function<void(const RetryCheck::Arrival& arrival)>;
 
   void SetArrivalHandler(ArrivalHandler handler) {
     m_on_arrival = std::move(handler);
@@ -80,6 +81,7 @@
   static std::string ShardName(int shard) {
     return "shard" + std::to_string(shard);
   }
+  static std::vector<std::string> ShardNames();
 
   /// Returns the records with which each replica of `service` answers the
   /// request `id`.
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -23,6 +23,12 @@
 constexpr int kPeerPort = 7000;
 constexpr char kHost[] = "soak.example";
 
+/// Retries in a window that all gateways together may make beyond the ratio.
+constexpr std::uint32_t kFixedRetries = 40;
+
+/// Time that callers wait for an answer, as stated in their requests.
+constexpr Duration kCallerDeadline = seconds(3);
+
 constexpr Duration kRequestInterval = milliseconds(12);
 constexpr Duration kConfigPutInterval = milliseconds(700);
 constexpr Duration kConfigReadInterval = milliseconds(250);
@@ -65,7 +71,11 @@
     : m_seed(seed),
       m_random(seed),
       m_platform(&m_poller, &m_scheduler, seed),
-      m_client({.poller = &m_poller, .scheduler = &m_scheduler}) {
+      m_client({.poller = &m_poller, .scheduler = &m_scheduler}),
+      m_retry_check({.ratio = 0.2,
+                     .window = seconds(10),
+                     .fixed = kFixedRetries,
+                     .max_attempts = 2}) {
   for (int i = 0; i < kControlCount + kGatewayCount; ++i) {
     auto node = std::make_unique<Node>();
     node->kind = i < kControlCount ? Kind::kControl : Kind::kGateway;
@@ -73,9 +83,7 @@
     m_nodes.push_back(std::move(node));
   }
   m_platform.SetArrivalHandler(
-      [this](const std::string& replica_id, const std::string& request_id) {
-        CheckArrival(replica_id, request_id);
-      });
+      [this](const RetryCheck::Arrival& arrival) { CheckArrival(arrival); });
 }
 
 SoakRun::~SoakRun() {
@@ -124,7 +132,8 @@
     settings << "[control]\naddresses = " << ControlAddressArray()
              << "\n[platform]\nreplica_list = \""
              << m_platform.ReplicaListAddress().host_port
-             << "\"\n[repeats]\nratio = 0.2\nwindow_ms = 10000\nfixed = 100\n";
+             << "\"\n[repeats]\nratio = 0.2\nwindow_ms = 10000\nfixed = "
+             << kFixedRetries << "\n";
   }
   node->is_frozen = false;
   node->is_stopping = false;
@@ -291,6 +300,10 @@
                   {platform::kDeadlineHeader, "3000"}};
   call.timeout = kCallerTimeout;
   ++m_counts["asked"];
+  std::vector<std::string> services = {SoakPlatform::kAtMostOnceService};
+  if (request.is_gather) services = SoakPlatform::ShardNames();
+  m_retry_check.RecordRequest(request.id, services, m_scheduler.Now(),
+                              m_scheduler.Now() + kCallerDeadline);
   if (!request.is_gather) {
     m_sent_requests[request.id] = {gateway, gateway->disturbance_count,
                                    m_scheduler.Now()};
@@ -342,8 +355,10 @@
   }
 }
 
-void SoakRun::CheckArrival(const std::string& replica_id,
-                           const std::string& request_id) {
+void SoakRun::CheckArrival(const RetryCheck::Arrival& arrival) {
+  m_retry_check.RecordArrival(arrival);
+  const std::string& replica_id = arrival.replica_id;
+  const std::string& request_id = arrival.request_id;
   const auto sent = m_sent_requests.find(request_id);
   if (sent == m_sent_requests.end()) return;
   const SentRequest& request = sent->second;
@@ -503,13 +518,16 @@
 // increments `served_in_row`, a failure resets it.
 void SoakRun::SendProbe(Node* gateway, int* served_in_row) {
   if (!gateway->IsUp()) return;
+  const std::string id = "p" + std::to_string(++m_last_request_number);
+  m_retry_check.RecordRequest(id, {SoakPlatform::ShardName(0)},
+                              m_scheduler.Now(),
+                              m_scheduler.Now() + kCallerDeadline);
   HttpCall call;
   call.to = {gateway->process->AddressOf("callers")};
   call.method = "GET";
   call.target = "/v" + std::to_string(m_accepted_version) + "/x";
   call.headers = {{"Host", kHost},
-                  {platform::kRequestIdHeader,
-                   "p" + std::to_string(++m_last_request_number)},
+                  {platform::kRequestIdHeader, id},
                   {platform::kDeadlineHeader, "3000"}};
   call.timeout = kCallerTimeout;
   m_client.Send(std::move(call), [served_in_row](const HttpCallResult& result) {
@@ -561,6 +579,9 @@
       ReportViolation(id + " ran although its caller was told that it did not");
     }
   }
+  for (const std::string& violation : m_retry_check.FindViolations()) {
+    ReportViolation(violation);
+  }
   EXPECT_GT(m_counts["status_200"], 0);
 }
 
@@ -569,6 +590,7 @@
   for (const auto& [name, count] : m_counts) {
     text += " " + name + "=" + std::to_string(count);
   }
+  text += " retry_budget_use=" + std::to_string(m_retry_check.HighestUse());
   return text;
 }
 
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -108,8 +108,7 @@
                              const HttpCallResult& result);
   /// Checks that the gateway which sent the request keeps to what the replica
   /// has said.
-  void CheckArrival(const std::string& replica_id,
-                    const std::string& request_id);
+  void CheckArrival(const RetryCheck::Arrival& arrival);
   /// Records what the gateway of an answered request has learned.
   void RecordWords(const PendingRequest& request);
   void PutNextConfig();
@@ -144,6 +143,7 @@
   std::uint64_t m_accepted_version = 0;
   std::map<std::string, int> m_counts;
   std::map<std::string, SentRequest> m_sent_requests;
+  RetryCheck m_retry_check;
   std::map<std::pair<const Node*, std::string>, ReplicaWord> m_words;
   /// Ids of requests that were answered with a status which means that the
   /// request has not run.
