Keep the limits that replicas state for all entries together

Class of fault: a limit on a sum that is known to each sender, which must be divided among them. Change: platform/ translates it; ReplicaPool keeps this entry's part with a token bucket (RateBucket), which every send takes from; ShareOfRate divides the limit by the membership, with more for entries in the zone of the replica. Requests that too few shards can take are refused at once, as not run.

--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -131,10 +131,13 @@
 }
 
 // Sets this entry's shares of the limits that apply to all entries together:
-// the fixed number of retries and the connections that each replica accepts.
+// the fixed number of retries, and the connections and requests that each
+// replica accepts.
 void GatewayDaemon::UpdateLimitShares() {
   const std::uint32_t entry_count = CountLimitSharers(*m_peers->membership());
   m_retry_budget->SetEntryCount(entry_count);
+  m_replica_pool->SetRateSharers(ListRateSharers(*m_peers->membership()),
+                                 m_scheduler.Now());
   if (!m_routing_config) return;
   for (const RoutedService& service : m_routing_config->services) {
     if (service.max_connections == 0) continue;
--- a/src/ports/replica_transport.h
+++ b/src/ports/replica_transport.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -53,6 +54,13 @@
   bool draining = false;
   /// The replica wants no requests from this process for this long.
   std::optional<Duration> back_off;
+  /// The requests a second that the replica takes from all processes together,
+  /// or kNoRateLimit. Absent if the answer doesn't tell; what the replica said
+  /// before still holds then.
+  std::optional<double> max_requests_per_s = std::nullopt;
+
+  static constexpr double kNoRateLimit =
+      std::numeric_limits<double>::infinity();
 };
 
 /// How a send ended.
--- a/src/routing/replica_pool.cc
+++ b/src/routing/replica_pool.cc
@@ -76,6 +76,10 @@
 /// address, the list shows it for longer than this.
 constexpr Duration kWrongReplicaAvoidTime = seconds(15);
 
+/// Requests a second that are sent to a replica by all entries together even if
+/// it states a lower limit, to learn when the limit ends.
+constexpr double kMinRatePerSecond = 1.0;
+
 double DecayFactor(Duration age, double half_life_s) {
   return std::exp2(-ToSeconds(age) / half_life_s);
 }
@@ -83,7 +87,10 @@
 }  // namespace
 
 ReplicaPool::ReplicaPool(std::string own_zone, std::uint64_t seed)
-    : m_own_zone(std::move(own_zone)), m_random(seed), m_notices(seed) {}
+    : m_own_zone(std::move(own_zone)),
+      m_random(seed),
+      m_rate_sharers{{{}, m_own_zone}, {}},
+      m_notices(seed) {}
 
 void ReplicaPool::SetReplicas(const std::vector<ListedReplica>& replicas,
                               TimePoint now) {
@@ -126,6 +133,48 @@
   return change;
 }
 
+void ReplicaPool::SetRateSharers(RateSharers sharers, TimePoint now) {
+  m_rate_sharers = std::move(sharers);
+  for (auto& [id, replica] : m_replicas) {
+    if (replica.rate) replica.rate->SetRate(RateOf(replica), now);
+  }
+}
+
+double ReplicaPool::RateOf(const Replica& replica) const {
+  return ShareOfRate(std::max(replica.max_requests_per_s, kMinRatePerSecond),
+                     {replica.listed.id, replica.listed.availability_zone},
+                     m_rate_sharers);
+}
+
+bool ReplicaPool::RecordRateLimit(const std::string& id,
+                                  std::optional<double> max_requests_per_s,
+                                  TimePoint now) {
+  const auto found = m_replicas.find(id);
+  if (found == m_replicas.end() || !max_requests_per_s) return false;
+  Replica& replica = found->second;
+  if (replica.max_requests_per_s == *max_requests_per_s) return false;
+  replica.max_requests_per_s = *max_requests_per_s;
+  if (*max_requests_per_s == ReplicaNotice::kNoRateLimit) {
+    replica.rate.reset();
+    return true;
+  }
+  m_counters.Add(ReplicaPoolCounter::kRateLimitsStated);
+  if (replica.rate) {
+    replica.rate->SetRate(RateOf(replica), now);
+  } else {
+    replica.rate.emplace(RateOf(replica), now);
+  }
+  return true;
+}
+
+bool ReplicaPool::HasRate(const Replica& replica, Reach reach,
+                          TimePoint now) const {
+  const bool is_up_to_relay = reach == Reach::kByRelay &&
+                              replica.listed.availability_zone != m_own_zone;
+  return is_up_to_relay || !replica.rate ||
+         replica.rate->NextTokenAt(now) <= now;
+}
+
 void ReplicaPool::CountAvoided(const Replica& replica) {
   m_counters.Add(replica.says_draining
                      ? ReplicaPoolCounter::kChoicesWithoutDraining
@@ -135,6 +184,12 @@
 std::optional<ChosenReplica> ReplicaPool::Choose(
     const std::string& service, const std::vector<std::string>& excluded,
     TimePoint now) {
+  return ChooseReachable(service, excluded, Reach::kDirect, now);
+}
+
+std::optional<ChosenReplica> ReplicaPool::ChooseReachable(
+    const std::string& service, const std::vector<std::string>& excluded,
+    Reach reach, TimePoint now) {
   const auto usable = m_usable.find(service);
   if (usable == m_usable.end()) return std::nullopt;
   // Jitter keeps entries with the same information from choosing the same
@@ -152,6 +207,10 @@
       CountAvoided(replica);
       continue;
     }
+    if (!HasRate(replica, reach, now)) {
+      m_counters.Add(ReplicaPoolCounter::kChoicesWithoutRate);
+      continue;
+    }
     const double cost = ExpectedCostUs(replica, now) * jitter(m_random);
     if (best != nullptr && cost >= best_cost) continue;
     best = &replica;
@@ -165,7 +224,7 @@
 
 std::vector<std::string> ReplicaPool::RemoteZones(const std::string& service,
                                                   TimePoint now) {
-  const auto choice = Choose(service, {}, now);
+  const auto choice = ChooseReachable(service, {}, Reach::kByRelay, now);
   if (!choice || choice->availability_zone == m_own_zone) return {};
   std::vector<std::string> zones;
   for (const std::string& id : m_usable.at(service)) {
@@ -258,7 +317,9 @@
 std::uint64_t ReplicaPool::BeginSend(const std::string& id, TimePoint now) {
   const std::uint64_t send = ++m_last_send_number;
   const auto replica = m_replicas.find(id);
-  if (replica != m_replicas.end()) replica->second.open_sends[send] = now;
+  if (replica == m_replicas.end()) return send;
+  replica->second.open_sends[send] = now;
+  if (replica->second.rate) replica->second.rate->Take(now);
   return send;
 }
 
@@ -319,13 +380,14 @@
   if (found != m_replicas.end()) found->second.open_sends.erase(send);
 }
 
-std::size_t ReplicaPool::CountUsable(const std::string& service,
-                                     TimePoint now) const {
+std::size_t ReplicaPool::CountUsable(const std::string& service, TimePoint now,
+                                     Reach reach) const {
   const auto usable = m_usable.find(service);
   if (usable == m_usable.end()) return 0;
-  return static_cast<std::size_t>(
-      std::ranges::count_if(usable->second, [this, now](const std::string& id) {
-        return WantsRequests(m_replicas.at(id), now);
+  return static_cast<std::size_t>(std::ranges::count_if(
+      usable->second, [this, reach, now](const std::string& id) {
+        const Replica& replica = m_replicas.at(id);
+        return WantsRequests(replica, now) && HasRate(replica, reach, now);
       }));
 }
 
@@ -337,7 +399,10 @@
   for (const std::string& id : usable->second) {
     const Replica& replica = m_replicas.at(id);
     if (replica.says_draining) continue;
-    const TimePoint usable_at = std::max(now, replica.back_off_end);
+    TimePoint usable_at = std::max(now, replica.back_off_end);
+    if (replica.rate) {
+      usable_at = std::max(usable_at, replica.rate->NextTokenAt(now));
+    }
     if (!earliest || usable_at < *earliest) earliest = usable_at;
   }
   return earliest;
--- a/src/routing/replica_pool.h
+++ b/src/routing/replica_pool.h
@@ -17,6 +17,8 @@
 #include "base/time.h"
 #include "ports/event_log.h"
 #include "ports/replica_transport.h"
+#include "routing/limit_shares.h"
+#include "routing/rate_bucket.h"
 #include "routing/replica_notices.h"
 
 namespace chicoryvale {
@@ -54,13 +56,19 @@
   /// Choices that left out a replica because it had said so.
   kChoicesWithoutDraining,
   kChoicesWithoutBackingOff,
+  /// Limits that replicas stated, or stated anew with another value.
+  kRateLimitsStated,
+  /// Choices that left out a replica because this entry's share of its limit
+  /// was used.
+  kChoicesWithoutRate,
 };
 
 template <>
 struct CounterNames<ReplicaPoolCounter> {
-  static constexpr std::array<std::string_view, 4> kNames = {
-      "draining_announced", "back_offs_announced", "choices_without_draining",
-      "choices_without_backing_off"};
+  static constexpr std::array<std::string_view, 6> kNames = {
+      "draining_announced",       "back_offs_announced",
+      "choices_without_draining", "choices_without_backing_off",
+      "rate_limits_stated",       "choices_without_rate"};
 };
 
 /// The replicas that this process knows: the list of the platform, and the
@@ -91,9 +99,14 @@
     m_connection_shares[service] = share;
   }
 
+  /// Sets the entries among which the limits are divided that replicas state
+  /// for all entries together.
+  void SetRateSharers(RateSharers sharers, TimePoint now);
+
   /// Chooses a replica of `service` that is not in `excluded`, is not draining
-  /// or backing off, has an unused connection, and is not avoided because
-  /// another replica answered at its address; returns nothing if there is none.
+  /// or backing off, has an unused connection, has room in this entry's share
+  /// of its stated limit, and is not avoided because another replica answered
+  /// at its address; returns nothing if there is none.
   std::optional<ChosenReplica> Choose(const std::string& service,
                                       const std::vector<std::string>& excluded,
                                       TimePoint now);
@@ -123,14 +136,31 @@
                                       const ReplicaNotice& notice,
                                       TimePoint now);
 
-  /// Returns the number of replicas of `service` that are listed and neither
-  /// draining nor backing off.
+  /// Records the limit that the replica `id` states in an answer. Does nothing
+  /// if the answer doesn't tell. Returns whether the limit differs from that of
+  /// the last answer.
+  bool RecordRateLimit(const std::string& id,
+                       std::optional<double> max_requests_per_s, TimePoint now);
+
+  /// How requests reach replicas in other availability zones.
+  enum class Reach : std::uint8_t {
+    /// From this entry, within its share of what they accept.
+    kDirect,
+    /// By way of other entries, within theirs.
+    kByRelay,
+  };
+
+  /// Returns the number of replicas of `service` that are listed, neither
+  /// draining nor backing off, and have room in the share of their stated
+  /// limit.
   [[nodiscard]] std::size_t CountUsable(const std::string& service,
-                                        TimePoint now) const;
+                                        TimePoint now,
+                                        Reach reach = Reach::kDirect) const;
 
   /// Returns the earliest time, `now` or later, at which `service` has a
-  /// replica that is listed and neither draining nor backing off. Returns
-  /// nothing if all of them drain or none is listed.
+  /// replica that is listed, neither draining nor backing off, and has room in
+  /// this entry's share of its stated limit. Returns nothing if all of them
+  /// drain or none is listed.
   [[nodiscard]] std::optional<TimePoint> UsableAt(const std::string& service,
                                                   TimePoint now) const;
 
@@ -144,6 +174,10 @@
     /// What the replica said of itself, copied from the notices.
     bool says_draining = false;
     TimePoint back_off_end{};
+    /// The stated limit in requests a second for all entries together, and this
+    /// entry's share of it; absent without a limit.
+    double max_requests_per_s = ReplicaNotice::kNoRateLimit;
+    std::optional<RateBucket> rate;
     /// Start times of the sends that have not ended, by number.
     std::map<std::uint64_t, TimePoint> open_sends;
     std::optional<TimePoint> last_answer_at;
@@ -187,11 +221,20 @@
   static bool WantsRequests(const Replica& replica, TimePoint now) {
     return !replica.says_draining && now >= replica.back_off_end;
   }
+  // Returns whether `replica` has room in the share of its stated limit.
+  [[nodiscard]] bool HasRate(const Replica& replica, Reach reach,
+                             TimePoint now) const;
+  // Returns this entry's share of the limit that `replica` states.
+  [[nodiscard]] double RateOf(const Replica& replica) const;
+  std::optional<ChosenReplica> ChooseReachable(
+      const std::string& service, const std::vector<std::string>& excluded,
+      Reach reach, TimePoint now);
   // Counts a choice without `replica` because of what it said.
   void CountAvoided(const Replica& replica);
 
   std::string m_own_zone;
   std::mt19937_64 m_random;
+  RateSharers m_rate_sharers;
   ReplicaNotices m_notices;
   CounterSet<ReplicaPoolCounter> m_counters;
   bool m_has_list = false;
--- a/src/routing/routed_query.cc
+++ b/src/routing/routed_query.cc
@@ -82,9 +82,13 @@
 // Returns whether enough services have a usable replica.
 bool RoutedQuery::CanBeServed() const {
   const TimePoint now = m_context.scheduler->Now();
+  const bool may_relay =
+      m_input.route->IsScattered() && m_context.relay != nullptr;
+  const auto reach =
+      may_relay ? ReplicaPool::Reach::kByRelay : ReplicaPool::Reach::kDirect;
   const auto servable = static_cast<std::size_t>(std::ranges::count_if(
-      m_sub_requests, [this, now](const SubRequest& sub_request) {
-        return m_context.pool->CountUsable(sub_request.service, now) > 0;
+      m_sub_requests, [this, reach, now](const SubRequest& sub_request) {
+        return m_context.pool->CountUsable(sub_request.service, now, reach) > 0;
       }));
   return m_input.route->IsScattered()
              ? m_timing.IsSufficient(servable, m_sub_requests.size())
@@ -95,8 +99,7 @@
   SubRequest& sub_request = m_sub_requests[index];
   if (SendAttempt(index)) {
     m_context.counters->Add(RoutingCounter::kFirstSends);
-  } else if (m_context.pool->CountUsable(sub_request.service,
-                                         m_context.scheduler->Now()) > 0) {
+  } else if (MayRetryRefused(sub_request)) {
     ScheduleRetry(index, RetryReason::kNotRun);
   } else {
     sub_request.resolved = true;
--- a/src/routing/routed_query_relay.cc
+++ b/src/routing/routed_query_relay.cc
@@ -117,8 +117,9 @@
                                     const RelayAnswer& answer) {
   m_relay_bodies.push_back(answer.body);
   for (const std::string& id : answer.draining_replicas) {
-    m_context.pool->RecordNotice(id, {.draining = true, .back_off = {}},
-                                 m_context.scheduler->Now());
+    ReplicaNotice notice;
+    notice.draining = true;
+    m_context.pool->RecordNotice(id, notice, m_context.scheduler->Now());
   }
   if (!answer.answered.empty()) m_replica_survived = true;
   if (answer.lost_replica) {
--- a/src/routing/send_tracker.cc
+++ b/src/routing/send_tracker.cc
@@ -42,8 +42,16 @@
 
 void SendTracker::RecordNotice(const OpenSend& send,
                                const ReplicaNotice& notice) {
-  const auto change =
-      m_pool->RecordNotice(send.replica_id, notice, m_scheduler->Now());
+  const TimePoint now = m_scheduler->Now();
+  if (m_pool->RecordRateLimit(send.replica_id, notice.max_requests_per_s,
+                              now)) {
+    m_log->Write(
+        LogLevel::kInfo, "replica_limit_changed",
+        {{"id", send.request->id},
+         {"replica", send.replica_id},
+         {"requests_per_s", std::to_string(*notice.max_requests_per_s)}});
+  }
+  const auto change = m_pool->RecordNotice(send.replica_id, notice, now);
   if (change == ReplicaNotices::Change::kNone) return;
   const bool is_draining = change == ReplicaNotices::Change::kDraining;
   m_log->Write(
--- a/tests/platform/http_replica_transport_test.cc
+++ b/tests/platform/http_replica_transport_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -12,6 +13,7 @@
 
 #include "adapters/beast_http_client.h"
 #include "adapters/glib_scheduler.h"
+#include "adapters/http_message_text.h"
 #include "fakes/main_context.h"
 #include "fakes/raw_upstream.h"
 #include "fakes/recording_log.h"
@@ -339,6 +341,48 @@
   EXPECT_LE(m_log.Lines().back().fields.at("text").size(), 100U);
 }
 
+TEST_F(HttpReplicaTransportTest, ReadsTheLimitThatAReplicaStates) {
+  const std::vector<std::pair<std::string, std::optional<double>>> cases = {
+      {"Server-Limit: 24.3\r\n", 24.3},
+      {"server-limit: 0\r\n", 0.0},
+      {"", ReplicaNotice::kNoRateLimit},
+      {"Server-Limit: many\r\n", std::nullopt}};
+  for (const auto& [header, expected] : cases) {
+    for (const char* status : {"200 OK", "503 Full", "500 Failed"}) {
+      RawUpstream upstream([&](RawSocket& connection, int) {
+        connection.ReceiveUntil("\r\n\r\n");
+        connection.Send(std::string("HTTP/1.1 ") + status +
+                        "\r\nChicoryvale-Request-Id: a\r\n" + header +
+                        "Content-Length: 0\r\n\r\n");
+      });
+      const ReplicaAnswer answer = SendAndWait(upstream.LocalAddress(), "a");
+      EXPECT_EQ(answer.notice.max_requests_per_s, expected) << header << status;
+      EXPECT_TRUE(
+          std::ranges::none_of(answer.headers, [](const HttpHeader& forwarded) {
+            return HeaderNamesEqual(forwarded.name, "Server-Limit");
+          }));
+    }
+  }
+  EXPECT_EQ(m_log.Count("replica_limit_unreadable"), 3U);
+}
+
+TEST(RateLimitTest, EachTextHasOneMeaning) {
+  const std::vector<std::pair<std::string, std::optional<double>>> cases = {
+      {"0", 0.0},
+      {"5", 5.0},
+      {"12.5", 12.5},
+      {".5", 0.5},
+      {"-1", std::nullopt},
+      {"1e3", std::nullopt},
+      {"1,5", std::nullopt},
+      {"nan", std::nullopt},
+      {"", std::nullopt},
+      {std::string(400, '9'), ReplicaNotice::kNoRateLimit}};
+  for (const auto& [text, expected] : cases) {
+    EXPECT_EQ(DecodeRateLimit(text), expected) << text;
+  }
+}
+
 TEST(RetryAfterTest, EachTextHasOneMeaning) {
   const std::vector<std::pair<std::string, std::optional<Duration>>> cases = {
       {"0", Duration::zero()},
--- a/tests/routing/replica_pool_test.cc
+++ b/tests/routing/replica_pool_test.cc
@@ -2,8 +2,14 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <map>
+#include <memory>
+#include <optional>
+#include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chicoryvale {
@@ -264,5 +270,117 @@
   EXPECT_EQ(m_pool.RemoteZones("s", kStart), (std::vector<std::string>{"d"}));
 }
 
+TEST_F(ReplicaPoolTest, LeavesOutAReplicaWhoseStatedLimitIsUsed) {
+  m_pool.SetReplicas({Listed("r1")}, kStart);
+  EXPECT_TRUE(m_pool.RecordRateLimit("r1", 2.0, kStart));
+  EXPECT_FALSE(m_pool.RecordRateLimit("r1", 2.0, kStart));
+  EXPECT_FALSE(m_pool.Choose("s", {}, kStart));
+  EXPECT_EQ(m_pool.CountUsable("s", kStart), 0U);
+  const auto usable_at = m_pool.UsableAt("s", kStart);
+  EXPECT_EQ(usable_at, kStart + milliseconds(500));
+  EXPECT_TRUE(m_pool.Choose("s", {}, *usable_at));
+  EXPECT_EQ(m_pool.CountUsable("s", *usable_at), 1U);
+  m_pool.BeginSend("r1", *usable_at);
+  EXPECT_FALSE(m_pool.Choose("s", {}, *usable_at));
+}
+
+TEST_F(ReplicaPoolTest, AStatedLimitHoldsUntilAnAnswerWithoutIt) {
+  m_pool.SetReplicas({Listed("r1")}, kStart);
+  m_pool.RecordRateLimit("r1", 0.0, kStart);
+  m_pool.BeginSend("r1", kStart);
+  // An answer that doesn't tell, and a list that still has the replica.
+  m_pool.RecordRateLimit("r1", std::nullopt, kStart);
+  m_pool.SetReplicas({Listed("r1")}, kStart);
+  EXPECT_FALSE(m_pool.Choose("s", {}, kStart));
+  EXPECT_TRUE(
+      m_pool.RecordRateLimit("r1", ReplicaNotice::kNoRateLimit, kStart));
+  EXPECT_TRUE(m_pool.Choose("s", {}, kStart));
+}
+
+// A relay in the zone of a replica has its own share of the replica's limit.
+TEST_F(ReplicaPoolTest, ALimitedReplicaOfAnotherZoneIsLeftToItsRelays) {
+  m_pool.SetReplicas({Listed("r1", "b")}, kStart);
+  m_pool.RecordRateLimit("r1", 1.0, kStart);
+  m_pool.BeginSend("r1", kStart);
+  EXPECT_FALSE(m_pool.Choose("s", {}, kStart));
+  EXPECT_EQ(m_pool.CountUsable("s", kStart), 0U);
+  EXPECT_EQ(m_pool.CountUsable("s", kStart, ReplicaPool::Reach::kByRelay), 1U);
+  EXPECT_EQ(m_pool.RemoteZones("s", kStart), std::vector<std::string>{"b"});
+}
+
+/// Entries that all want to send to one replica of a stated limit.
+class StatedLimitTest : public testing::TestWithParam<std::size_t> {
+ protected:
+  StatedLimitTest() {
+    std::vector<LimitSharer> all;
+    for (std::size_t i = 0; i < GetParam(); ++i) {
+      all.push_back({{"10.0.0.1:" + std::to_string(i)},
+                     std::string(1, static_cast<char>('a' + i % 4))});
+    }
+    for (std::size_t i = 0; i < all.size(); ++i) {
+      auto pool =
+          std::make_unique<ReplicaPool>(all[i].availability_zone, i + 1);
+      pool->SetReplicas({Listed("r1")}, kStart);
+      RateSharers sharers{all[i], all};
+      sharers.others.erase(sharers.others.begin() +
+                           static_cast<std::ptrdiff_t>(i));
+      pool->SetRateSharers(sharers, kStart);
+      m_pools.push_back(std::move(pool));
+    }
+  }
+
+  // Lets each entry send `per_second` requests at random times for 40 s, all of
+  // them at the same moment after each pause of 5 s. Returns the most sends of
+  // 4 s.
+  std::ptrdiff_t MostSends(double limit, double per_second) {
+    std::mt19937_64 random(7);
+    std::exponential_distribution<double> gap_s(per_second);
+    std::vector<TimePoint> sends;
+    for (const auto& pool : m_pools) pool->RecordRateLimit("r1", limit, kStart);
+    for (const auto& pool : m_pools) {
+      double at_s = 4;
+      while (at_s < 44) {
+        const TimePoint now = kStart + Duration(std::int64_t(at_s * 1e6));
+        const bool is_paused = (now - kStart) / seconds(5) % 2 == 1;
+        if (is_paused) {
+          at_s = 5.0 * static_cast<double>((now - kStart) / seconds(5) + 1);
+          continue;
+        }
+        at_s += gap_s(random);
+        if (!pool->Choose("s", {}, now)) continue;
+        pool->EndSend("r1", pool->BeginSend("r1", now), Good(), now);
+        sends.push_back(now);
+      }
+    }
+    std::ranges::sort(sends);
+    std::ptrdiff_t most = 0;
+    for (auto first = sends.begin(); first != sends.end(); ++first) {
+      const auto last =
+          std::upper_bound(first, sends.end(), *first + seconds(4));
+      most = std::max(most, last - first);
+    }
+    return most;
+  }
+
+  std::vector<std::unique_ptr<ReplicaPool>> m_pools;
+};
+
+// Each entry sent a replica its usual share of requests, whatever limit the
+// replica had stated, and kept alone the sum would be a multiple of the limit.
+TEST_P(StatedLimitTest, AllEntriesTogetherKeepTheLimitThatAReplicaStates) {
+  for (const double limit : {2.0, 7.5, 24.3, 60.0}) {
+    for (const double demand_ratio : {0.5, 2.0, 20.0}) {
+      const double per_second =
+          limit * demand_ratio / static_cast<double>(m_pools.size());
+      EXPECT_LE(static_cast<double>(MostSends(limit, per_second)),
+                1.5 * 4 * limit + 5)
+          << "limit " << limit << ", demand " << demand_ratio;
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Entries, StatedLimitTest,
+                         testing::Values(1, 12, 20, 106));
+
 }  // namespace
 }  // namespace chicoryvale
