Don't let a silent control VM keep others out of the group

What operators see: after a loss the control group stays without a successor while a live spare VM waits, so the next loss can end it. Cause: the reconciler planned the first live VM that is no member, waited 5 s for its reply, and planned the same one again; the membership shows a VM as alive for some seconds after its end. Change: a VM that didn't reply within 1 s is left out of the plans for 3 s, and the next plan is made at once.

--- a/src/control/control_group_reconciler.cc
+++ b/src/control/control_group_reconciler.cc
@@ -17,6 +17,10 @@
 /// group of two has no quorum without it.
 constexpr std::size_t kMinVotersToShrink = 4;
 
+/// Time for which a VM that could not be added is not tried again, so that
+/// others are, and other changes are made.
+constexpr Duration kUnresponsiveAvoidTime = seconds(3);
+
 /// Returns whether a member in `state` is dead, has left or lost its lease.
 bool IsUnavailable(MemberState state) {
   return state != MemberState::kAlive && state != MemberState::kSuspect;
@@ -26,14 +30,19 @@
 class GroupView {
  public:
   GroupView(const std::vector<Member>& members, const GroupMembership& group,
-            const std::vector<NodeId>& silent_members)
-      : m_members(members), m_group(group), m_silent_members(silent_members) {}
+            const std::vector<NodeId>& silent_members,
+            const std::set<Address>& unresponsive_vms)
+      : m_members(members),
+        m_group(group),
+        m_silent_members(silent_members),
+        m_unresponsive_vms(unresponsive_vms) {}
 
   [[nodiscard]] std::optional<Address> FindNewControlVm() const {
     const auto found =
         std::ranges::find_if(m_members, [this](const Member& member) {
           return member.info.role == MemberRole::kControl &&
                  member.state == MemberState::kAlive &&
+                 !m_unresponsive_vms.contains(member.info.address) &&
                  FindMemberAt(m_group, member.info.address) == nullptr;
         });
     if (found == m_members.end()) return std::nullopt;
@@ -75,14 +84,16 @@
   const std::vector<Member>& m_members;
   const GroupMembership& m_group;
   const std::vector<NodeId>& m_silent_members;
+  const std::set<Address>& m_unresponsive_vms;
 };
 
 }  // namespace
 
 std::optional<GroupChangePlan> PlanGroupChange(
     const std::vector<Member>& members, const GroupMembership& group,
-    const std::vector<NodeId>& silent_members) {
-  const GroupView view(members, group, silent_members);
+    const std::vector<NodeId>& silent_members,
+    const std::set<Address>& unresponsive_vms) {
+  const GroupView view(members, group, silent_members, unresponsive_vms);
   const auto new_vm = view.FindNewControlVm();
   const auto lost_voter = view.FindLostVoter();
   if (new_vm && lost_voter) return GroupChangePlan{*lost_voter, *new_vm};
@@ -108,13 +119,37 @@
                                                [this] { Reconcile(); });
   const ReplicaStatus status = m_status();
   if (status.role != ReplicaRole::kLeader || m_change_in_flight) return;
-  const auto plan = PlanGroupChange(m_dependencies.members->Members(),
-                                    status.membership, status.silent_members);
+  const auto plan = Plan(status);
   const bool is_confirmed = plan && plan == m_last_plan;
   m_last_plan = plan;
   if (is_confirmed) MakeChange(*plan, status);
 }
 
+std::optional<GroupChangePlan> ControlGroupReconciler::Plan(
+    const ReplicaStatus& status) {
+  const TimePoint now = m_dependencies.scheduler->Now();
+  std::erase_if(m_unresponsive_until,
+                [now](const auto& entry) { return entry.second <= now; });
+  std::set<Address> unresponsive_vms;
+  for (const auto& [address, until] : m_unresponsive_until) {
+    unresponsive_vms.insert(address);
+  }
+  return PlanGroupChange(m_dependencies.members->Members(), status.membership,
+                         status.silent_members, unresponsive_vms);
+}
+
+// The next plan is made at once: the loss that it answers is confirmed.
+void ControlGroupReconciler::OnChangeFailed(const GroupChangePlan& change) {
+  if (change.add.host_port.empty()) return;
+  m_unresponsive_until[change.add] =
+      m_dependencies.scheduler->Now() + kUnresponsiveAvoidTime;
+  const ReplicaStatus status = m_status();
+  if (status.role != ReplicaRole::kLeader) return;
+  const auto plan = Plan(status);
+  const bool replaces_the_same = plan && plan->remove == change.remove;
+  if (replaces_the_same) MakeChange(*plan, status);
+}
+
 void ControlGroupReconciler::MakeChange(const GroupChangePlan& change,
                                         const ReplicaStatus& status) {
   m_change_in_flight = true;
@@ -132,6 +167,9 @@
              {"voters_before", std::to_string(voters)},
              {"silent_members", std::to_string(silent)},
              {"reason", result ? "" : result.error().message}});
+        const bool has_no_reply =
+            !result && result.error().kind == ErrorKind::kUpstreamUnavailable;
+        if (has_no_reply) OnChangeFailed(change);
       });
 }
 
--- a/src/control/control_group_reconciler.h
+++ b/src/control/control_group_reconciler.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,17 +31,19 @@
 /// members of the group that don't reply to the leader. A member of the group
 /// is lost if it is silent, or if `members` reports it as dead or left.
 ///
-/// A live control VM that is not in the group is added, and replaces a lost
-/// voter if there is one. Without such a VM, a lost voter is removed only from
-/// a group with an even number of voters, which then tolerates one loss more:
-/// its quorum becomes smaller. From an odd number it is not removed, because
-/// the group would not tolerate more losses, and entries would be stored on
-/// fewer disks. A lost learner is removed; it rejoins when it returns.
+/// A live control VM that is not in the group and not in `unresponsive_vms` is
+/// added, and replaces a lost voter if there is one. Without such a VM, a lost
+/// voter is removed only from a group with an even number of voters, which then
+/// tolerates one loss more: its quorum becomes smaller. From an odd number it
+/// is not removed, because the group would not tolerate more losses, and
+/// entries would be stored on fewer disks. A lost learner is removed; it
+/// rejoins when it returns.
 ///
 /// Thread safe.
 std::optional<GroupChangePlan> PlanGroupChange(
     const std::vector<Member>& members, const GroupMembership& group,
-    const std::vector<NodeId>& silent_members);
+    const std::vector<NodeId>& silent_members,
+    const std::set<Address>& unresponsive_vms = {});
 
 /// Adjusts the members of the control group to the live control VMs, for
 /// deployments that do not list the members because VMs are replaced by others
@@ -69,7 +72,10 @@
 
  private:
   void Reconcile();
+  [[nodiscard]] std::optional<GroupChangePlan> Plan(
+      const ReplicaStatus& status);
   void MakeChange(const GroupChangePlan& change, const ReplicaStatus& status);
+  void OnChangeFailed(const GroupChangePlan& change);
 
   Dependencies m_dependencies;
   StatusCallback m_status;
@@ -78,6 +84,9 @@
   /// The change planned by the last call of Reconcile. It is made once the next
   /// call plans the same one.
   std::optional<GroupChangePlan> m_last_plan;
+  /// VMs that could not be added, and until when they are not tried again. The
+  /// membership may show a VM as alive that doesn't reply.
+  std::map<Address, TimePoint> m_unresponsive_until;
 };
 
 }  // namespace chicoryvale
--- a/src/replication/replica_options.h
+++ b/src/replication/replica_options.h
@@ -40,7 +40,7 @@
   /// to work without the heartbeats of a leader.
   Duration silent_member_timeout = milliseconds(1500);
   /// Time that a membership change waits for the reply of the new replica.
-  Duration new_member_reply_timeout = milliseconds(5000);
+  Duration new_member_reply_timeout = milliseconds(1000);
 
   ReplicatorOptions replicator;
   /// The log is compacted into a snapshot after this many entries, or when it
--- a/tests/control/control_group_replacement_test.cc
+++ b/tests/control/control_group_replacement_test.cc
@@ -248,6 +248,23 @@
   }
 }
 
+// Guards against a lost voter that stays because the leader asks the same VM
+// again and again, which is shown as alive and doesn't reply.
+TEST(ControlGroupReplacementTest, ASilentCandidateDoesNotBlockAnotherOne) {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    ReplacementModel model(5, 2, seed);
+    ASSERT_TRUE(model.Group().AwaitLeader());
+    model.RunFor(seconds(2));
+    model.SetState(5, MemberState::kAlive);
+    model.LoseVm((*model.Group().Leader() + 1) % 5);
+    model.RunFor(seconds(1));
+    model.StartVm(6);
+    model.RunFor(kCatchUpTime);
+    EXPECT_EQ(model.SpareVoters(), 2)
+        << "seed " << seed << model.Group().Describe();
+  }
+}
+
 // A voter that is away for a moment stays in a group that it cannot leave
 // without a loss of tolerance.
 TEST(ControlGroupReplacementTest, GroupOfOddSizeKeepsAVoterThatMayReturn) {
