Let control VMs that were replaced become voters again

What operators would see: disks full for some seconds in turn, and long after changes are refused: the group has lost a voter with each replaced VM, and VMs that run don't become voters. Cause: the successor of a replaced voter kept naming it. When the replaced VM came back under its identity and became a voter, the plan removed it as replaced, again and again. Change: the reference is removed with the replaced member, and when its identity is added anew.

--- a/src/replication/membership_plan.cc
+++ b/src/replication/membership_plan.cc
@@ -15,6 +15,14 @@
   return membership;
 }
 
+// Once the replaced voter has left, its identity may return as a new member,
+// which the successor doesn't replace.
+void ForgetReplaced(NodeId node_id, GroupMembership* membership) {
+  for (GroupMember& member : membership->members) {
+    if (member.replaced_voter_id == node_id) member.replaced_voter_id = 0;
+  }
+}
+
 /// Returns the voter that `member` replaces, or nullptr if there is none or
 /// if it is no longer a voter.
 const GroupMember* FindReplacedVoter(const GroupMembership& membership,
@@ -43,6 +51,7 @@
   std::erase_if(membership.members, [&address](const GroupMember& member) {
     return !member.voter && member.address == address;
   });
+  ForgetReplaced(node_id, &membership);
   membership.members.push_back({node_id, address, false, replaced_voter_id});
   return membership;
 }
@@ -51,6 +60,7 @@
   std::erase_if(membership.members, [node_id](const GroupMember& member) {
     return member.node_id == node_id;
   });
+  ForgetReplaced(node_id, &membership);
   return membership;
 }
 
--- a/tests/control/control_group_replacement_test.cc
+++ b/tests/control/control_group_replacement_test.cc
@@ -12,6 +12,7 @@
 
 #include "control/control_group_reconciler.h"
 #include "fakes/recording_log.h"
+#include "replication/membership_plan.h"
 #include "replication/replica_group.h"
 
 namespace chicoryvale {
@@ -121,6 +122,35 @@
         {{address.host_port, address, "z", MemberRole::kControl}, state, 1});
   }
 
+  /// Runs for `duration` while the disk of the VM `i` takes no bytes and
+  /// changes are proposed. The process ends at each failed write, and starts
+  /// again.
+  void RunWithFullDisk(std::size_t i, Duration duration) {
+    m_group.vms[i]->storage.SetFull(true);
+    const TimePoint end = m_group.scheduler.Now() + duration;
+    while (m_group.scheduler.Now() < end) {
+      ProposeChange();
+      RunFor(milliseconds(250));
+      RestartFailedVms();
+    }
+    m_group.vms[i]->storage.SetFull(false);
+    RestartFailedVms();
+  }
+
+  /// Proposes a change at the leader, if there is one.
+  void ProposeChange() {
+    const auto leader = m_group.Leader();
+    if (!leader) return;
+    m_group.vms[*leader]->node->Propose(
+        EncodeCommand(PlacementChange()),
+        [this](const Result<std::string>& result) {
+          if (result) m_accepted_at = m_group.scheduler.Now();
+        });
+  }
+
+  /// Time of the last accepted change.
+  [[nodiscard]] TimePoint AcceptedAt() const { return m_accepted_at; }
+
   /// Makes the members forget the VM `i`, as they do after a restart of all.
   void Forget(std::size_t i) {
     std::erase_if(m_members.members, [&](const Member& member) {
@@ -130,6 +160,15 @@
 
   void RunFor(Duration duration) { m_group.scheduler.RunFor(duration); }
 
+  /// Returns whether the VM `i` is a voter of the group as its leader knows it.
+  [[nodiscard]] bool IsVoter(std::size_t i) const {
+    const GroupMembership membership =
+        m_group.vms[*m_group.Leader()]->node->Status().membership;
+    const GroupMember* member =
+        FindMemberAt(membership, m_group.vms[i]->address);
+    return member != nullptr && member->voter;
+  }
+
   /// Returns how many more VMs the group can lose and still elect a leader;
   /// negative if it can't elect one now.
   [[nodiscard]] int SpareVoters() const {
@@ -150,11 +189,25 @@
     std::unique_ptr<ControlGroupReconciler> reconciler;
   };
 
+  /// Ends the processes whose disk has failed, and starts all that have ended.
+  void RestartFailedVms() {
+    for (std::size_t i = 0; i < m_group.vms.size(); ++i) {
+      ReplicaVm& vm = *m_group.vms[i];
+      const bool failed =
+          vm.node && vm.node->Status().role == ReplicaRole::kFailed;
+      if (failed) CrashVm(i);
+      if (vm.node) continue;
+      m_group.Start(i);
+      if (vm.node) StartVm(i);
+    }
+  }
+
   [[nodiscard]] bool IsRunning(const GroupMember& member) const {
     const ReplicaVm* vm = m_group.VmAt(member.address);
     return vm->node && vm->node->Status().identity.node_id == member.node_id;
   }
 
+  TimePoint m_accepted_at{};
   RecordingLog m_log;
   ScriptedMembers m_members;
   ReplicaGroup m_group;
@@ -265,6 +318,59 @@
   }
 }
 
+// Guards against a VM that can't become a voter again after it was replaced:
+// its successor still named it as replaced, and removed it once it was one.
+TEST(ControlGroupReplacementTest, AReplacedVmThatReturnsBecomesAVoterAgain) {
+  for (const std::size_t size : {3U, 5U}) {
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+      ReplacementModel model(size, 1, seed);
+      ASSERT_TRUE(model.Group().AwaitLeader());
+      model.RunFor(seconds(2));
+      model.CrashVm(0);
+      model.RunFor(kCatchUpTime);
+      model.StartVm(size);
+      model.RunFor(kCatchUpTime);
+      ASSERT_FALSE(model.IsVoter(0)) << model.Group().Describe();
+      model.StartVm(0);
+      model.RunFor(seconds(10));
+      for (int i = 0; i < 20; ++i) {
+        ASSERT_TRUE(model.IsVoter(0))
+            << "size " << size << " seed " << seed << model.Group().Describe();
+        model.RunFor(milliseconds(300));
+      }
+    }
+  }
+}
+
+// Reported by operators of a similar system: disks were full for some seconds,
+// one after another, and changes were refused long after the last had room.
+TEST(ControlGroupReplacementTest, ChangesAreAcceptedAfterDisksWereFullInTurn) {
+  for (const auto& [size, spares] :
+       std::vector<std::pair<std::size_t, std::size_t>>{
+           {3, 0}, {4, 0}, {5, 1}, {7, 1}}) {
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+      ReplacementModel model(size, spares, seed);
+      for (std::size_t i = size; i < size + spares; ++i) model.StartVm(i);
+      ASSERT_TRUE(model.Group().AwaitLeader());
+      model.RunFor(seconds(2));
+      std::mt19937_64 random(seed);
+      for (std::size_t i = 0; i < 2 * (size + spares); ++i) {
+        model.RunWithFullDisk(i % (size + spares),
+                              milliseconds(500 + random() % 3500));
+        model.RunFor(milliseconds(random() % 500));
+      }
+      model.RunFor(kCatchUpTime);
+      const TimePoint end = model.Group().scheduler.Now();
+      model.ProposeChange();
+      model.RunFor(seconds(1));
+      EXPECT_GE(model.AcceptedAt(), end)
+          << "size " << size << " seed " << seed << model.Group().Describe();
+      EXPECT_GE(model.SpareVoters(), (static_cast<int>(size) - 1) / 2)
+          << "size " << size << " seed " << seed << model.Group().Describe();
+    }
+  }
+}
+
 // A voter that is away for a moment stays in a group that it cannot leave
 // without a loss of tolerance.
 TEST(ControlGroupReplacementTest, GroupOfOddSizeKeepsAVoterThatMayReturn) {
--- a/tests/fakes/fake_storage.h
+++ b/tests/fakes/fake_storage.h
@@ -29,6 +29,10 @@
     m_ops_until_fault = operations;
   }
 
+  /// Makes each operation that changes the disk fail, also after a restart,
+  /// until it is called with false.
+  void SetFull(bool full) { m_full = full; }
+
   [[nodiscard]] bool Crashed() const { return m_crashed; }
   /// Number of attempted operations that change the disk, excluding those after
   /// a crash.
@@ -183,6 +187,7 @@
   Fault CountOperation() {
     if (m_crashed) return Fault::kCrash;
     ++m_operations;
+    if (m_full) return Fault::kFullDisk;
     if (m_fault == Fault::kNone || m_ops_until_fault-- > 0) return Fault::kNone;
     if (m_fault == Fault::kCrash) m_crashed = true;
     return m_fault;
@@ -203,6 +208,7 @@
   std::uint64_t m_operations = 0;
   std::uint64_t m_syncs = 0;
   bool m_crashed = false;
+  bool m_full = false;
 };
 
 }  // namespace chicoryvale
