Let relays retry a lost sub-request at once

After a relay whose only sub-request was lost with a replica waited for a replica to survive it, which could not happen, and the entry that had sent it repeated it to another zone. Change: only the entry that knows the whole request waits, and only while other sub-requests are open or more than one replica was lost. CrashGuardTest and CrashingRequestTest pass as before.

--- a/src/routing/routed_query.cc
+++ b/src/routing/routed_query.cc
@@ -134,7 +134,8 @@
   SubRequest& sub_request = m_sub_requests[index];
   const Route& route = *m_input.route;
   if (sub_request.runs >= route.max_attempts ||
-      sub_request.total_attempts >= kMaxTotalAttempts || MayCrashReplicas()) {
+      sub_request.total_attempts >= kMaxTotalAttempts ||
+      AwaitsSurvivor(index)) {
     return false;
   }
   const TimePoint now = m_context.scheduler->Now();
@@ -206,11 +207,20 @@
   }
 }
 
-// Of a request at one replica nothing else is open that could survive, so it is
-// retried once.
-bool RoutedQuery::MayCrashReplicas() const {
-  const bool awaits_others = m_input.route->IsScattered() && !m_is_canary;
-  return !m_replica_survived && m_lost_count > (awaits_others ? 0U : 1U);
+// A relay knows only a part of the sub-requests, and a request to a single
+// replica has no others that may survive.
+bool RoutedQuery::AwaitsSurvivor(std::size_t index) const {
+  const bool may_survive_elsewhere =
+      m_input.route->IsScattered() && !IsForRelay();
+  if (m_replica_survived || m_lost_count == 0 || !may_survive_elsewhere) {
+    return false;
+  }
+  const auto& own = m_sub_requests[index];
+  const bool others_open =
+      std::ranges::any_of(m_sub_requests, [&own](const SubRequest& other) {
+        return &other != &own && !other.open.empty();
+      });
+  return others_open || m_lost_count > 1;
 }
 
 void RoutedQuery::OnAttemptFailed(std::size_t index,
@@ -231,7 +241,7 @@
   if (m_input.route->idempotent && sub_request.open.empty()) {
     if (TryRetry(index, reason)) return;
     // The retry waits until a replica has survived the request.
-    if (MayCrashReplicas() && MayRetryRefused(sub_request)) {
+    if (AwaitsSurvivor(index) && MayRetryRefused(sub_request)) {
       return ScheduleRetry(index, reason);
     }
   }
--- a/src/routing/routed_query.h
+++ b/src/routing/routed_query.h
@@ -302,9 +302,9 @@
   void RecordReplicaState(const Send& send, SendEnd end);
   /// Reports to the crash guard how the request ended.
   void ReportToCrashGuard() const;
-  /// Returns whether the request has lost so many replicas, without a surviving
-  /// one, that a retry should wait for one.
-  [[nodiscard]] bool MayCrashReplicas() const;
+  /// Returns whether a retry of the sub-request waits until a replica has
+  /// survived the request, which may be what crashes replicas.
+  [[nodiscard]] bool AwaitsSurvivor(std::size_t index) const;
   void ResolveUnanswered(std::size_t index);
   void OnHedgeTimer();
   void OnPartialAnswerTimer();
