--- a/src/routing/crash_guard.cc
+++ b/src/routing/crash_guard.cc
@@ -48,12 +48,11 @@
 }
 
 CrashKey CrashGuard::KeyOf(const OpaqueRequest& request) {
-  constexpr std::string_view kSeparator("\0", 1);
+  constexpr std::string_view kSeparator{"\0", 1};
   std::uint64_t hash = HashBytes(request.method);
-  for (const std::string_view part :
-       {kSeparator, std::string_view(request.target), kSeparator}) {
-    hash = HashBytes(part, hash);
-  }
+  hash = HashBytes(kSeparator, hash);
+  hash = HashBytes(request.target, hash);
+  hash = HashBytes(kSeparator, hash);
   hash = HashBytes(FindHeader(request.headers, kHostHeader), hash);
   hash = HashBytes(kSeparator, hash);
   if (request.body) hash = HashBytes(*request.body, hash);
--- a/tests/platform/http_replica_transport_test.cc
+++ b/tests/platform/http_replica_transport_test.cc
@@ -347,7 +347,9 @@
       {"server-limit: 0\r\n", 0.0},
       {"", ReplicaNotice::kNoRateLimit},
       {"Server-Limit: many\r\n", std::nullopt}};
-  for (const auto& [header, expected] : cases) {
+  for (const auto& limit_case : cases) {
+    const std::string& header = limit_case.first;
+    const std::optional<double>& expected = limit_case.second;
     for (const char* status : {"200 OK", "503 Full", "500 Failed"}) {
       RawUpstream upstream([&](RawSocket& connection, int) {
         connection.ReceiveUntil("\r\n\r\n");
--- a/tests/routing/replica_pool_test.cc
+++ b/tests/routing/replica_pool_test.cc
@@ -340,7 +340,8 @@
     for (const auto& pool : m_pools) {
       double at_s = 4;
       while (at_s < 44) {
-        const TimePoint now = kStart + Duration(std::int64_t(at_s * 1e6));
+        const TimePoint now =
+            kStart + Duration(static_cast<std::int64_t>(at_s * 1e6));
         const bool is_paused = (now - kStart) / seconds(5) % 2 == 1;
         if (is_paused) {
           at_s = 5.0 * static_cast<double>((now - kStart) / seconds(5) + 1);
--- a/tests/soak/soak_platform.cc
+++ b/tests/soak/soak_platform.cc
@@ -178,6 +178,7 @@
 
 std::vector<std::string> SoakPlatform::ShardNames() {
   std::vector<std::string> names;
+  names.reserve(kShardCount);
   for (int shard = 0; shard < kShardCount; ++shard) {
     names.push_back(ShardName(shard));
   }
