Let an entry that is behind say so, since when and whom it asked

A process that lacks a version writes configuration_behind after 500 ms, and each second from then on: version in force, highest version heard of, from whom, since when, whom it is asking and for how long. Each failed pull is configuration_pull_failed with its reason, the end configuration_caught_up. Metrics: config_highest_known_version, config_behind_ms.

No decision changes.

--- a/programs/chicory-controld/control_daemon.cc
+++ b/programs/chicory-controld/control_daemon.cc
@@ -96,6 +96,7 @@
 Result<void> ControlDaemon::StartPeers() {
   PeerStackOptions options = m_settings.peers;
   options.scheduler = &m_scheduler;
+  options.log = &m_log;
   auto peers = PeerStack::Make(options);
   if (!peers) return tl::unexpected(peers.error());
   m_peers = std::move(*peers);
--- a/programs/chicory-entryd/entry_daemon.cc
+++ b/programs/chicory-entryd/entry_daemon.cc
@@ -52,6 +52,7 @@
 Result<void> EntryDaemon::StartPeers() {
   PeerStackOptions options = m_settings.peers;
   options.scheduler = &m_scheduler;
+  options.log = &m_log;
   auto peers = PeerStack::Make(options);
   if (!peers) return tl::unexpected(peers.error());
   m_peers = std::move(*peers);
--- a/programs/chicory-entryd/entry_daemon.h
+++ b/programs/chicory-entryd/entry_daemon.h
@@ -7,6 +7,7 @@
 #include "adapters/command_line.h"
 #include "adapters/daemon_loop.h"
 #include "adapters/glib_scheduler.h"
+#include "adapters/log.h"
 #include "adapters/peer_stack.h"
 #include "adapters/platform_poller.h"
 #include "adapters/soup_http_server.h"
@@ -54,6 +55,7 @@
   EntrySettings m_settings;
   GlibScheduler m_scheduler;
   DaemonLoop m_loop{&m_scheduler};
+  ProcessLog m_log;
   std::unique_ptr<PeerStack> m_peers;
   std::unique_ptr<SoupUpstreamTransport> m_transport;
   std::unique_ptr<UpstreamGate> m_gate;
--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -66,6 +66,7 @@
 Result<void> GatewayDaemon::StartPeers() {
   PeerStackOptions options = m_settings.peers;
   options.scheduler = &m_scheduler;
+  options.log = &m_log;
   // Limits are divided among all entries that may be running, with or without a
   // lease, so this process needs no lease.
   options.keeps_lease = false;
--- a/src/adapters/peer_stack.cc
+++ b/src/adapters/peer_stack.cc
@@ -83,6 +83,7 @@
   distributor.recovery.gossip = m_membership.get();
   distributor.availability_zone = options.availability_zone;
   distributor.random_seed = RandomSeed();
+  distributor.log = options.log;
   auto result = ConfigDistributor::Make(std::move(distributor));
   if (!result) return tl::unexpected(result.error());
   m_distributor = std::move(*result);
@@ -105,7 +106,14 @@
       .Add("datagram", m_udp->counters())
       .Add("peers", m_membership->counters())
       .Add("peers", m_distributor->counters())
-      .AddValue("peers", "members", m_membership->Members().size());
+      .AddValue("peers", "members", m_membership->Members().size())
+      .AddValue("peers", "config_highest_known_version",
+                m_distributor->Lag().HighestVersion())
+      .AddValue("peers", "config_behind_ms",
+                static_cast<std::uint64_t>(
+                    std::chrono::duration_cast<milliseconds>(
+                        m_distributor->BehindFor())
+                        .count()));
 }
 
 }  // namespace chicoryvale
--- a/src/adapters/peer_stack.h
+++ b/src/adapters/peer_stack.h
@@ -12,6 +12,7 @@
 
 namespace chicoryvale {
 
+class EventLog;
 class MetricsPage;
 
 /// Settings of a PeerStack.
@@ -36,6 +37,9 @@
   std::set<Address> refused_peers;
   /// Must outlive the stack.
   Scheduler* scheduler = nullptr;
+  /// Receives the lines of the configuration distribution. May be null; must
+  /// outlive the stack.
+  EventLog* log = nullptr;
 };
 
 /// The components with which each process of the system communicates with its
--- a/src/config/config_distributor.cc
+++ b/src/config/config_distributor.cc
@@ -14,6 +14,16 @@
 /// highest version of its peers without confirmation.
 constexpr Duration kTimeBeforeUnconfirmed = milliseconds(2500);
 
+/// Time behind after which a process logs that it is behind, and the interval
+/// of further lines.
+constexpr Duration kLagReportDelay = milliseconds(500);
+constexpr Duration kLagReportInterval = seconds(1);
+
+std::string ToMillisecondText(Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
 }  // namespace
 
 Result<std::unique_ptr<ConfigDistributor>> ConfigDistributor::Make(
@@ -42,7 +52,10 @@
       m_history(m_options.max_history_bytes),
       m_serve_budget_bytes(static_cast<double>(m_options.serve_burst_bytes)) {}
 
-ConfigDistributor::~ConfigDistributor() { m_scheduler->Cancel(m_retry_timer); }
+ConfigDistributor::~ConfigDistributor() {
+  m_scheduler->Cancel(m_retry_timer);
+  m_scheduler->Cancel(m_lag_timer);
+}
 
 void ConfigDistributor::Start() {
   const std::weak_ptr<int> alive = m_alive;
@@ -89,6 +102,9 @@
   m_counters.Add(DistributionCounter::kAdopted);
   m_digest = {config.version, hash};
   m_config = std::move(config);
+  const Duration behind_for = m_lag.BehindFor(m_scheduler->Now());
+  m_lag.OnAdopted(m_digest.version);
+  if (!m_lag.IsBehind()) ReportCaughtUp(behind_for);
   std::erase_if(m_sources, [this](const auto& source) {
     return source.second.digest.version <= m_digest.version;
   });
@@ -132,6 +148,8 @@
     m_counters.Add(DistributionCounter::kConflictingHash);
   }
   if (digest.version <= m_digest.version) return;
+  m_lag.OnHeard(digest.version, from, m_scheduler->Now());
+  if (m_lag_timer == 0) ArmLagTimer(kLagReportDelay);
   const bool is_known = m_sources.contains(from);
   if (!is_known && m_sources.size() >= kMaxSources) {
     m_sources.erase(m_sources.begin());
@@ -146,6 +164,8 @@
   if (m_pull_in_flight || m_retry_timer != 0 || m_sources.empty()) return;
   const Address from = PickSource();
   m_pull_in_flight = true;
+  m_asked = from;
+  m_asked_at = m_scheduler->Now();
   m_counters.Add(DistributionCounter::kPulls);
   const DistributionRequest request{
       DistributionRequestKind::kPull,
@@ -181,15 +201,18 @@
   DistributionAnswer answer;
   if (!bytes || !Decode(*bytes, &answer)) {
     m_counters.Add(DistributionCounter::kPullsFailed);
+    LogFailedPull(from, bytes ? "malformed answer" : bytes.error().message);
     m_sources.erase(from);
     return ScheduleRetry();
   }
   if (answer.kind == DistributionAnswerKind::kBusy) {
     m_counters.Add(DistributionCounter::kPullsBusy);
+    LogFailedPull(from, "the source has used up its serving budget");
     return ScheduleRetry();
   }
   if (!AdoptAnswer(answer)) {
     m_counters.Add(DistributionCounter::kRefusedDamaged);
+    LogFailedPull(from, "the configuration received is damaged");
     m_sources.erase(from);
     m_request_full_config = true;
     return ScheduleRetry();
@@ -250,6 +273,55 @@
   });
 }
 
+void ConfigDistributor::ArmLagTimer(Duration delay) {
+  m_lag_timer = m_scheduler->Schedule(delay, [this] {
+    m_lag_timer = 0;
+    ReportLag();
+  });
+}
+
+void ConfigDistributor::ReportLag() {
+  const auto newest = m_lag.Newest();
+  if (!newest) return;
+  const TimePoint now = m_scheduler->Now();
+  const Duration behind_for = m_lag.BehindFor(now);
+  if (behind_for < kLagReportDelay) {
+    return ArmLagTimer(kLagReportDelay - behind_for);
+  }
+  ArmLagTimer(kLagReportInterval);
+  if (m_options.log == nullptr) return;
+  m_lag_reported = true;
+  m_options.log->Write(
+      LogLevel::kWarning, "configuration_behind",
+      {{"version", std::to_string(m_digest.version)},
+       {"known_version", std::to_string(newest->version)},
+       {"heard_from", newest->from.host_port},
+       {"behind_ms", ToMillisecondText(behind_for)},
+       {"sources", std::to_string(m_sources.size())},
+       {"asked", m_pull_in_flight ? m_asked.host_port : ""},
+       {"asked_ms_ago",
+        m_pull_in_flight ? ToMillisecondText(now - m_asked_at) : ""}});
+}
+
+void ConfigDistributor::ReportCaughtUp(Duration behind_for) {
+  if (!std::exchange(m_lag_reported, false)) return;
+  m_options.log->Write(LogLevel::kInfo, "configuration_caught_up",
+                       {{"version", std::to_string(m_digest.version)},
+                        {"behind_ms", ToMillisecondText(behind_for)}});
+}
+
+void ConfigDistributor::LogFailedPull(const Address& from,
+                                      std::string_view reason) {
+  if (m_options.log == nullptr) return;
+  m_options.log->Write(
+      LogLevel::kWarning, "configuration_pull_failed",
+      {{"from", from.host_port},
+       {"version", std::to_string(m_digest.version)},
+       {"known_version", std::to_string(m_lag.HighestVersion())},
+       {"asked_ms_ago", ToMillisecondText(m_scheduler->Now() - m_asked_at)},
+       {"reason", std::string(reason)}});
+}
+
 void ConfigDistributor::OnRequest(const std::string& bytes,
                                   const PeerTransport::Responder& respond) {
   DistributionRequest request;
--- a/src/config/config_distributor.h
+++ b/src/config/config_distributor.h
@@ -19,6 +19,8 @@
 #include "config/config_history.h"
 #include "config/config_recovery.h"
 #include "config/distribution_message.h"
+#include "config/version_lag.h"
+#include "ports/event_log.h"
 #include "ports/member_view.h"
 #include "ports/peer_gossip.h"
 #include "ports/peer_transport.h"
@@ -84,6 +86,9 @@
   /// Availability zone of this process. Sources in this zone are preferred.
   std::string availability_zone;
   std::uint64_t random_seed = 0;
+  /// Receives a line while this process is behind, and for each failed pull.
+  /// May be null.
+  EventLog* log = nullptr;
   Duration pull_timeout = seconds(2);
   /// Mean delay before a failed pull is retried.
   Duration retry_pause = milliseconds(100);
@@ -149,6 +154,15 @@
     return m_counters;
   }
 
+  /// Returns the newer versions that this process has heard of.
+  [[nodiscard]] const VersionLag& Lag() const { return m_lag; }
+
+  /// Returns for how long this process has known of the oldest version that it
+  /// lacks.
+  [[nodiscard]] Duration BehindFor() const {
+    return m_lag.BehindFor(m_scheduler->Now());
+  }
+
  private:
   /// A peer that has a higher version.
   struct Source {
@@ -178,6 +192,12 @@
   bool AdoptFull(const DistributionAnswer& answer);
   void ScheduleRetry();
 
+  // Reporting that this process is behind.
+  void ArmLagTimer(Duration delay);
+  void ReportLag();
+  void ReportCaughtUp(Duration behind_for);
+  void LogFailedPull(const Address& from, std::string_view reason);
+
   // Serving peers.
   void OnRequest(const std::string& bytes,
                  const PeerTransport::Responder& respond);
@@ -202,6 +222,13 @@
   /// Peers whose last digest had a higher version.
   std::map<Address, Source> m_sources;
   bool m_pull_in_flight = false;
+  /// The source that was asked last, and when.
+  Address m_asked;
+  TimePoint m_asked_at{};
+  VersionLag m_lag;
+  TimerId m_lag_timer = 0;
+  /// Whether the log has a line on the present lag.
+  bool m_lag_reported = false;
   bool m_request_full_config = false;
   TimerId m_retry_timer = 0;
   double m_serve_budget_bytes;
--- a/tests/fakes/fake_cluster.h
+++ b/tests/fakes/fake_cluster.h
@@ -10,6 +10,7 @@
 
 #include "config/config_distributor.h"
 #include "fakes/fake_group.h"
+#include "fakes/recording_log.h"
 
 namespace chicoryvale {
 
@@ -83,6 +84,8 @@
 
   FakeGroup group;
   Observer observer;
+  /// Lines of the distributors of all nodes.
+  RecordingLog log;
 
  private:
   void StartDistributor(std::size_t i) {
@@ -96,6 +99,7 @@
     options.recovery.transport = node.calls.get();
     options.recovery.gossip = node.membership.get();
     options.random_seed = m_seed * 7919 + i;
+    options.log = &log;
     m_distributors[i] = std::move(*ConfigDistributor::Make(options));
     m_distributors[i]->SetListener(
         [this, i](const ClusterConfig& config, ConfigStatus) {
