--- a/tests/config/config_distributor_test.cc
+++ b/tests/config/config_distributor_test.cc
@@ -321,6 +321,32 @@
   EXPECT_EQ(Entry().digest().version, 2U);
 }
 
+/// Time from the acceptance of a change within which it is in force at an entry
+/// although sources fall silent.
+constexpr Duration kSilentSourceTarget = milliseconds(1500);
+
+// An entry waited 2 s for each source that had lost its power.
+TEST(SilentSourceTest, AnEntryAsksAnotherSourceBeforeTheCallTimesOut) {
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    FakeCluster cluster(1, 1, seed);
+    cluster.Change(AddService);
+    cluster.group.scheduler().RunFor(seconds(10));
+    ASSERT_TRUE(cluster.AllHaveVersion(1));
+    constexpr std::size_t kSilentCount = 2;
+    for (std::size_t i = 0; i < kSilentCount; ++i) {
+      cluster.group.node(i).calls->SetHandler(
+          PeerChannel::kConfig, [](const Address&, const std::string&,
+                                   const PeerTransport::Responder&) {});
+    }
+    cluster.Change(RaiseLimits);
+    const Duration elapsed =
+        cluster.group.RunUntil(seconds(10), [&] {
+          return cluster.Version(FakeCluster::kControlCount) == 2;
+        });
+    EXPECT_LT(elapsed, kSilentSourceTarget) << "seed " << seed;
+  }
+}
+
 TEST_F(ConfigPullTest, ServesWithinItsBudget) {
   GroupNode& asker = m_cluster.group.node(1);
   std::map<DistributionAnswerKind, int> replies;
--- a/tests/config/routing_document_test.cc
+++ b/tests/config/routing_document_test.cc
@@ -5,6 +5,7 @@
 
 #include "config/config_delta.h"
 #include "config/config_state.h"
+#include "fakes/routing_text.h"
 
 namespace chicoryvale {
 namespace {
@@ -63,6 +64,25 @@
   EXPECT_EQ(from, to);
 }
 
+// The version at the head and a route at the end made the delta nearly the
+// whole text, which entries then received for each change of a storm.
+TEST(RoutingDocumentTest, ADeltaOfDistantChangesWeighsWhatTheyChange) {
+  constexpr std::size_t kMaxDeltaBytes = 1000;
+  for (const std::size_t routes : {20U, 1400U, 5600U}) {
+    ClusterConfig from;
+    from.version = 1;
+    from.routing = {1, MakeRoutingText(1, routes)};
+    ClusterConfig to = from;
+    to.version = 2;
+    to.routing = {2, MakeRoutingText(2, routes, routes - 1)};
+    const auto delta = MakeDelta(from, to);
+    ASSERT_TRUE(delta);
+    EXPECT_LT(delta->bytes.size(), kMaxDeltaBytes) << routes;
+    ASSERT_TRUE(ApplyDelta(*delta, &from));
+    EXPECT_EQ(from, to);
+  }
+}
+
 TEST(RoutingDocumentTest, DeltasBetweenRandomTextsGiveTheNewText) {
   constexpr int kTrials = 500;
   std::mt19937 random(11);
--- a/tests/process/gateway_deployment.cc
+++ b/tests/process/gateway_deployment.cc
@@ -105,7 +105,7 @@
 
 void GatewayDeployment::Start(int gateways) {
   StartControl();
-  DeployRoutes();
+  Deploy(std::string(kConfig));
   m_gateways.resize(static_cast<std::size_t>(gateways));
   for (int i = 0; i < gateways; ++i) StartGateway(i);
 }
@@ -120,13 +120,12 @@
           "\"]\nmay_form = true\nkeep_members = true\n");
 }
 
-void GatewayDeployment::DeployRoutes() const {
-  WaitFor([this] {
+void GatewayDeployment::Deploy(const std::string& text) const {
+  WaitFor([this, &text] {
     return Exchange({m_control->AddressOf("routing")},
                     "PUT /config HTTP/1.1\r\nHost: c\r\nConnection: close\r\n"
                     "Content-Type: application/json\r\nContent-Length: " +
-                        std::to_string(kConfig.size()) + "\r\n\r\n" +
-                        std::string(kConfig))
+                        std::to_string(text.size()) + "\r\n\r\n" + text)
         .starts_with("HTTP/1.1 200");
   });
 }
--- a/tests/process/gateway_deployment.h
+++ b/tests/process/gateway_deployment.h
@@ -43,6 +43,11 @@
   /// ready.
   void StartGateway(int index);
 
+  /// Replaces the routes by the configuration `text` and waits until the control
+  /// process has accepted it.
+  void Deploy(const std::string& text) const;
+
+  Process& Control() { return *m_control; }
   Process& Gateway(int index) {
     return *m_gateways.at(static_cast<std::size_t>(index));
   }
@@ -75,8 +80,6 @@
   [[nodiscard]] std::string ReplicaListJson() const;
   [[nodiscard]] static std::string PeerAddress(int host);
   void StartControl();
-  void DeployRoutes() const;
-
   struct Replica {
     Address address;
     /// Null while the replica is down after a crash.
--- a/tests/replication/replica_node_test.cc
+++ b/tests/replication/replica_node_test.cc
@@ -61,6 +61,35 @@
             (ChangeResult{ChangeOutcome::kAccepted, 1, {}}));
 }
 
+// The next leader needs seconds to commit an entry. Until then no replica could
+// tell that the change was committed, and entries did not receive it.
+TEST(ReplicaNodeTest, AChangeIsKnownToBeCommittedWhenItsLeaderIsLost) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    ReplicaGroup group(5, seed);
+    group.StartAll();
+    const std::uint64_t version = ApplyChanges(&group, 0, 3);
+    ASSERT_TRUE(group.AwaitAgreement());
+    const std::size_t leader = *group.AwaitLeader();
+    group.scheduler.RunFor(milliseconds(37) * seed);
+    bool accepted = false;
+    group.vms[leader]->node->Propose(
+        EncodeCommand(LimitsChange("last", version, 5)),
+        [&](const Result<std::string>& result) {
+          accepted = result.has_value();
+          // What the leader sends from now on is lost with it.
+          group.Isolate(leader);
+        });
+    ASSERT_TRUE(group.scheduler.RunUntil([&] { return accepted; })) << seed;
+    group.Wipe(leader);
+    group.scheduler.RunFor(milliseconds(50));
+    const auto knows = [&](const auto& vm) {
+      return vm->node &&
+             vm->machine->Inner().Config().Config().version == version + 1;
+    };
+    EXPECT_TRUE(std::ranges::any_of(group.vms, knows)) << "seed " << seed;
+  }
+}
+
 /// A leader in term 3 of a group of three. The test sends the messages of one
 /// follower; the other never replies. The leader's log contains an entry of
 /// term 2 that may be on no other disk.
