Ask another source for a configuration while one is silent

Cause: one pull at a time, with 2 s for its answer. With two of three sources silent an entry had a change after up to 8.5 s.

Change: after 400 ms without an answer another source is asked as well, up to four at a time; the first answer counts. An answer that leads from a version replaced meanwhile is not taken for damage.

--- a/src/config/config_distributor.cc
+++ b/src/config/config_distributor.cc
@@ -69,6 +69,7 @@
 ConfigDistributor::~ConfigDistributor() {
   m_scheduler->Cancel(m_retry_timer);
   m_scheduler->Cancel(m_lag_timer);
+  m_scheduler->Cancel(m_patience_timer);
 }
 
 void ConfigDistributor::Start() {
@@ -175,15 +176,26 @@
 }
 
 void ConfigDistributor::PullIfBehind() {
-  if (m_pull_in_flight || m_retry_timer != 0 || m_sources.empty()) return;
-  const Address from = PickSource();
-  m_pull_in_flight = true;
-  m_asked = from;
-  m_asked_at = m_scheduler->Now();
+  if (m_retry_timer != 0 || IsAwaitingAnswer()) return;
+  if (m_pulls.size() >= m_options.max_pulls_in_flight) return;
+  if (const auto from = PickSource()) StartPull(*from);
+}
+
+bool ConfigDistributor::IsAwaitingAnswer() const {
+  const TimePoint impatient_before =
+      m_scheduler->Now() - m_options.pull_patience;
+  return std::ranges::any_of(m_pulls, [impatient_before](const auto& pull) {
+    return pull.second.asked_at > impatient_before;
+  });
+}
+
+void ConfigDistributor::StartPull(const Address& from) {
+  m_pulls[from] = {m_scheduler->Now(), m_digest.version};
   m_counters.Add(DistributionCounter::kPulls);
   const DistributionRequest request{
       DistributionRequestKind::kPull,
       m_request_full_config ? ConfigDigest{} : m_digest};
+  ArmPatienceTimer();
   const std::weak_ptr<int> alive = m_alive;
   m_options.recovery.transport->Call(
       from, PeerChannel::kConfig, Encode(request), m_options.pull_timeout,
@@ -192,18 +204,29 @@
       });
 }
 
-Address ConfigDistributor::PickSource() {
+void ConfigDistributor::ArmPatienceTimer() {
+  m_scheduler->Cancel(m_patience_timer);
+  m_patience_timer = m_scheduler->Schedule(m_options.pull_patience, [this] {
+    m_patience_timer = 0;
+    PullIfBehind();
+  });
+}
+
+std::optional<Address> ConfigDistributor::PickSource() {
   std::uint64_t highest = 0;
   for (const auto& [address, source] : m_sources) {
+    if (m_pulls.contains(address)) continue;
     highest = std::max(highest, source.digest.version);
   }
   std::vector<Address> all;
   std::vector<Address> in_same_zone;
   for (const auto& [address, source] : m_sources) {
+    if (m_pulls.contains(address)) continue;
     all.push_back(address);
     const bool newest = source.digest.version == highest;
     if (source.in_same_zone && newest) in_same_zone.push_back(address);
   }
+  if (all.empty()) return std::nullopt;
   const std::vector<Address>& from = in_same_zone.empty() ? all : in_same_zone;
   std::uniform_int_distribution<std::size_t> index(0, from.size() - 1);
   return from[index(m_random)];
@@ -211,23 +234,26 @@
 
 void ConfigDistributor::OnPullAnswer(const Address& from,
                                      const Result<std::string>& bytes) {
-  m_pull_in_flight = false;
+  const Pull pull = m_pulls.extract(from).mapped();
   DistributionAnswer answer;
   if (!bytes || !Decode(*bytes, &answer)) {
     m_counters.Add(DistributionCounter::kPullsFailed);
-    LogFailedPull(from, bytes ? "malformed answer" : bytes.error().message);
+    LogFailedPull(from, pull,
+                  bytes ? "malformed answer" : bytes.error().message);
     m_sources.erase(from);
     return ScheduleRetry();
   }
   if (answer.kind == DistributionAnswerKind::kBusy) {
     m_counters.Add(DistributionCounter::kPullsBusy);
-    LogFailedPull(from, "the source has used up its serving budget");
+    LogFailedPull(from, pull, "the source has used up its serving budget");
     return ScheduleRetry();
   }
   const std::uint64_t source_version = answer.digest.version;
   if (!AdoptAnswer(std::move(answer))) {
+    // The answer may lead from a version that another pull has replaced.
+    if (m_digest.version != pull.version) return PullIfBehind();
     m_counters.Add(DistributionCounter::kRefusedDamaged);
-    LogFailedPull(from, "the configuration received is damaged");
+    LogFailedPull(from, pull, "the configuration received is damaged");
     m_sources.erase(from);
     m_request_full_config = true;
     return ScheduleRetry();
@@ -280,6 +306,7 @@
   std::uniform_real_distribution<double> jitter(0.5, 1.5);
   const Duration delay(static_cast<Duration::rep>(
       jitter(m_random) * static_cast<double>(m_options.retry_pause.count())));
+  m_scheduler->Cancel(m_retry_timer);
   m_retry_timer = m_scheduler->Schedule(delay, [this] {
     m_retry_timer = 0;
     PullIfBehind();
@@ -304,16 +331,19 @@
   ArmLagTimer(kLagReportInterval);
   if (m_options.log == nullptr) return;
   m_lag_reported = true;
-  m_options.log->Write(
-      LogLevel::kWarning, "configuration_behind",
-      {{"version", std::to_string(m_digest.version)},
-       {"known_version", std::to_string(newest->version)},
-       {"heard_from", newest->from.host_port},
-       {"behind_ms", ToMillisecondText(behind_for)},
-       {"sources", std::to_string(m_sources.size())},
-       {"asked", m_pull_in_flight ? m_asked.host_port : ""},
-       {"asked_ms_ago",
-        m_pull_in_flight ? ToMillisecondText(now - m_asked_at) : ""}});
+  std::string asked;
+  for (const auto& [address, pull] : m_pulls) {
+    if (!asked.empty()) asked += ' ';
+    asked +=
+        address.host_port + '/' + ToMillisecondText(now - pull.asked_at) + "ms";
+  }
+  m_options.log->Write(LogLevel::kWarning, "configuration_behind",
+                       {{"version", std::to_string(m_digest.version)},
+                        {"known_version", std::to_string(newest->version)},
+                        {"heard_from", newest->from.host_port},
+                        {"behind_ms", ToMillisecondText(behind_for)},
+                        {"sources", std::to_string(m_sources.size())},
+                        {"asked", asked}});
 }
 
 void ConfigDistributor::ReportCaughtUp(Duration behind_for) {
@@ -323,7 +353,7 @@
                         {"behind_ms", ToMillisecondText(behind_for)}});
 }
 
-void ConfigDistributor::LogFailedPull(const Address& from,
+void ConfigDistributor::LogFailedPull(const Address& from, const Pull& pull,
                                       std::string_view reason) {
   if (m_options.log == nullptr) return;
   m_options.log->Write(
@@ -331,7 +361,7 @@
       {{"from", from.host_port},
        {"version", std::to_string(m_digest.version)},
        {"known_version", std::to_string(m_lag.HighestVersion())},
-       {"asked_ms_ago", ToMillisecondText(m_scheduler->Now() - m_asked_at)},
+       {"asked_ms_ago", ToMillisecondText(m_scheduler->Now() - pull.asked_at)},
        {"reason", std::string(reason)}});
 }
 
--- a/src/config/config_distributor.h
+++ b/src/config/config_distributor.h
@@ -90,6 +90,12 @@
   /// May be null.
   EventLog* log = nullptr;
   Duration pull_timeout = seconds(2);
+  /// Time without an answer after which another source is asked as well. Leaves
+  /// time for a full configuration on a slow link, and for several silent
+  /// sources within the time in which a change has to be in force.
+  Duration pull_patience = milliseconds(400);
+  /// Maximum number of sources that are asked at the same time.
+  std::size_t max_pulls_in_flight = 4;
   /// Mean delay before a failed pull is retried.
   Duration retry_pause = milliseconds(100);
   std::size_t max_history_bytes = std::size_t{4} * 1024 * 1024;
@@ -172,6 +178,13 @@
     bool in_same_zone = false;
   };
 
+  /// A request for a newer version that has not been answered.
+  struct Pull {
+    TimePoint asked_at{};
+    /// Version in force when it was sent.
+    std::uint64_t version = 0;
+  };
+
   explicit ConfigDistributor(DistributorOptions options);
 
   // Adopting configurations.
@@ -184,8 +197,13 @@
   // Pulling from peers.
   void RecordSource(const Address& from, bool in_same_zone,
                     const ConfigDigest& digest);
-  [[nodiscard]] Address PickSource();
+  /// Returns a source that is not being asked, if there is one.
+  [[nodiscard]] std::optional<Address> PickSource();
+  /// Asks a source unless one is being asked that may still answer soon.
   void PullIfBehind();
+  void StartPull(const Address& from);
+  [[nodiscard]] bool IsAwaitingAnswer() const;
+  void ArmPatienceTimer();
   void OnPullAnswer(const Address& from, const Result<std::string>& bytes);
   bool AdoptAnswer(DistributionAnswer answer);
   bool AdoptDeltas(std::vector<ConfigDelta> deltas);
@@ -196,7 +214,8 @@
   void ArmLagTimer(Duration delay);
   void ReportLag();
   void ReportCaughtUp(Duration behind_for);
-  void LogFailedPull(const Address& from, std::string_view reason);
+  void LogFailedPull(const Address& from, const Pull& pull,
+                     std::string_view reason);
 
   // Serving peers.
   void OnRequest(const std::string& bytes,
@@ -221,10 +240,9 @@
   Listener m_listener;
   /// Peers whose last digest had a higher version.
   std::map<Address, Source> m_sources;
-  bool m_pull_in_flight = false;
-  /// The source that was asked last, and when.
-  Address m_asked;
-  TimePoint m_asked_at{};
+  /// The open pulls by the source that is asked.
+  std::map<Address, Pull> m_pulls;
+  TimerId m_patience_timer = 0;
   VersionLag m_lag;
   TimerId m_lag_timer = 0;
   /// Whether the log has a line on the present lag.
