Refuse a request as unknown only by a confirmed configuration

Cause: an entry refused by whatever configuration it had, also when it had heard of a newer one, and when it could reach no control VM. The lack of a route says that there is none only if the configuration is current.

Change: before a 404 the entry confirms its version with the leader of the control group, which confirms its leadership with a quorum (VersionService; any control VM asks the leader). One confirmation counts for 1 s, so control VMs get a request a second and entry at most, and none while no request lacks a route. A caller waits 300 ms at most, for the confirmation and for the change that the entry lacks; then it is served, or refused with 503 and Retry-After, which says truthfully that the request has not run.

--- a/programs/chicory-controld/control_daemon.cc
+++ b/programs/chicory-controld/control_daemon.cc
@@ -134,6 +134,12 @@
   m_peers->Distributor()->Offer(m_group->Config());
   m_peers->Distributor()->SetKnownVersionCallback(
       [this] { return m_group->HighestLoggedVersion(); });
+  m_version_service = std::make_unique<VersionService>(
+      m_group.get(), m_peers->TcpTransport(), m_peers->LocalAddress());
+  m_peers->Distributor()->SetConfirmVersion(
+      [this](bool may_forward, ConfigDistributor::VersionCallback callback) {
+        m_version_service->Confirm(may_forward, std::move(callback));
+      });
   m_claim_service = std::make_unique<ClaimService>(m_group.get(), &m_clock,
                                                    m_peers->TcpTransport());
   return {};
--- a/programs/chicory-controld/control_daemon.h
+++ b/programs/chicory-controld/control_daemon.h
@@ -19,6 +19,7 @@
 #include "control/claim_service.h"
 #include "control/control_group_reconciler.h"
 #include "control/routing_service.h"
+#include "control/version_service.h"
 #include "endpoint/operator_endpoint.h"
 #include "platform/routing_endpoint.h"
 #include "replication/replicated_control_group.h"
@@ -60,6 +61,7 @@
   SchemaChangeRules m_rules;
   SystemWallClock m_clock;
   std::unique_ptr<RolloutTracker> m_rollout_tracker;
+  std::unique_ptr<VersionService> m_version_service;
   std::unique_ptr<ReplicatedControlGroup> m_group;
   std::unique_ptr<ClaimService> m_claim_service;
   std::unique_ptr<OperatorEndpoint> m_operator_endpoint;
--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -113,7 +113,8 @@
                                        .latencies = &m_latencies,
                                        .relay = m_relay_client.get(),
                                        .crash_guard = m_crash_guard.get()};
-  m_router = std::make_unique<Router>(routing_context, RandomSeed());
+  m_router = std::make_unique<Router>(routing_context, RandomSeed(),
+                                      m_peers->Freshness());
   m_relay_service =
       std::make_unique<RelayService>(routing_context, m_peers->TcpTransport());
   m_replica_list_sync = std::make_unique<ReplicaListSync>(
@@ -216,7 +217,9 @@
 }
 
 void GatewayDaemon::ApplyConfig(const ClusterConfig& config) {
-  if (config.routing.version <= m_router->ConfigVersion()) return;
+  if (config.routing.version <= m_router->ConfigVersion()) {
+    return m_peers->Freshness()->OnApplied(config.version);
+  }
   auto routing = platform::DecodeRoutingConfig(config.routing.text);
   if (!routing) {
     // A control VM has checked the configuration before accepting it, so this
@@ -236,6 +239,7 @@
   UpdateLimitShares();
   Log(LogLevel::kInfo, "configuration_in_force",
       {{"version", std::to_string(m_router->ConfigVersion())}});
+  m_peers->Freshness()->OnApplied(config.version);
 }
 
 void GatewayDaemon::HandleCallerRequest(HttpRequest request,
--- a/src/adapters/peer_stack.cc
+++ b/src/adapters/peer_stack.cc
@@ -36,6 +36,7 @@
   if (auto ok = stack->MakeDistributor(options); !ok) {
     return tl::unexpected(ok.error());
   }
+  stack->MakeFreshnessCheck(options);
   return stack;
 }
 
@@ -90,6 +91,20 @@
   return {};
 }
 
+void PeerStack::MakeFreshnessCheck(const PeerStackOptions& options) {
+  FreshnessOptions freshness;
+  freshness.scheduler = options.scheduler;
+  freshness.transport = m_tcp.get();
+  freshness.members = m_membership.get();
+  freshness.control_addresses = options.controls;
+  freshness.random_seed = RandomSeed();
+  m_freshness = std::make_unique<FreshnessCheck>(
+      std::move(freshness),
+      [this](const Address& from, const ConfigDigest& digest) {
+        m_distributor->OnDigest(from, digest);
+      });
+}
+
 void PeerStack::Start() {
   m_membership->Start();
   m_distributor->Start();
@@ -99,6 +114,7 @@
                                     const std::vector<Address>& controls) {
   m_membership->SetSeeds(seeds);
   m_distributor->SetControlAddresses(controls);
+  m_freshness->SetControlAddresses(controls);
 }
 
 void PeerStack::AddMetrics(MetricsPage* page) const {
@@ -106,14 +122,15 @@
       .Add("datagram", m_udp->counters())
       .Add("peers", m_membership->counters())
       .Add("peers", m_distributor->counters())
+      .Add("peers", m_freshness->Counters())
       .AddValue("peers", "members", m_membership->Members().size())
       .AddValue("peers", "config_highest_known_version",
                 m_distributor->Lag().HighestVersion())
-      .AddValue("peers", "config_behind_ms",
-                static_cast<std::uint64_t>(
-                    std::chrono::duration_cast<milliseconds>(
-                        m_distributor->BehindFor())
-                        .count()));
+      .AddValue(
+          "peers", "config_behind_ms",
+          static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
+                                         m_distributor->BehindFor())
+                                         .count()));
 }
 
 }  // namespace chicoryvale
--- a/src/adapters/peer_stack.h
+++ b/src/adapters/peer_stack.h
@@ -8,6 +8,7 @@
 #include "adapters/tcp_peer_transport.h"
 #include "adapters/udp_transport.h"
 #include "config/config_distributor.h"
+#include "config/freshness_check.h"
 #include "membership/membership.h"
 
 namespace chicoryvale {
@@ -69,6 +70,8 @@
   [[nodiscard]] TcpPeerTransport* TcpTransport() { return m_tcp.get(); }
   [[nodiscard]] Membership* membership() { return m_membership.get(); }
   [[nodiscard]] ConfigDistributor* Distributor() { return m_distributor.get(); }
+  /// Confirms the configuration that the daemon has reported with OnApplied.
+  [[nodiscard]] FreshnessCheck* Freshness() { return m_freshness.get(); }
 
   /// Adds the counters of all components to `page`.
   void AddMetrics(MetricsPage* page) const;
@@ -78,11 +81,13 @@
   Result<void> Bind(const PeerStackOptions& options);
   Result<void> MakeMembership(const PeerStackOptions& options);
   Result<void> MakeDistributor(const PeerStackOptions& options);
+  void MakeFreshnessCheck(const PeerStackOptions& options);
 
   std::unique_ptr<TcpPeerTransport> m_tcp;
   std::unique_ptr<UdpTransport> m_udp;
   std::unique_ptr<Membership> m_membership;
   std::unique_ptr<ConfigDistributor> m_distributor;
+  std::unique_ptr<FreshnessCheck> m_freshness;
 };
 
 }  // namespace chicoryvale
--- a/src/config/config_distributor.cc
+++ b/src/config/config_distributor.cc
@@ -369,13 +369,17 @@
                                   const PeerTransport::Responder& respond) {
   DistributionRequest request;
   if (!Decode(bytes, &request) ||
-      request.kind > DistributionRequestKind::kPull) {
+      request.kind > DistributionRequestKind::kConfirmedVersionOfLeader) {
     m_counters.Add(DistributionCounter::kMalformedRequests);
     return respond("");
   }
   if (request.kind == DistributionRequestKind::kPull) {
     return respond(Encode(AnswerPull(request.digest)));
   }
+  if (request.kind != DistributionRequestKind::kKnownVersion) {
+    return AnswerConfirmedVersion(
+        request.kind == DistributionRequestKind::kConfirmedVersion, respond);
+  }
   DistributionAnswer answer;
   answer.digest = m_digest;
   answer.known_version = m_digest.version;
@@ -386,6 +390,25 @@
   respond(Encode(answer));
 }
 
+void ConfigDistributor::AnswerConfirmedVersion(
+    bool may_forward, const PeerTransport::Responder& respond) {
+  if (!m_confirm_version) {
+    m_counters.Add(DistributionCounter::kMalformedRequests);
+    return respond("");
+  }
+  const std::weak_ptr<int> alive = m_alive;
+  m_confirm_version(may_forward, [this, alive, respond](
+                                     std::optional<std::uint64_t> version) {
+    if (alive.expired()) return;
+    DistributionAnswer answer;
+    answer.digest = m_digest;
+    answer.kind = version ? DistributionAnswerKind::kVersion
+                          : DistributionAnswerKind::kBusy;
+    answer.known_version = version.value_or(0);
+    respond(Encode(answer));
+  });
+}
+
 DistributionAnswer ConfigDistributor::AnswerPull(
     const ConfigDigest& requester_digest) {
   DistributionAnswer answer;
--- a/src/config/config_distributor.h
+++ b/src/config/config_distributor.h
@@ -120,6 +120,13 @@
   using Listener =
       std::function<void(const ClusterConfig& config, ConfigStatus status)>;
   using KnownVersionCallback = std::function<std::uint64_t()>;
+  /// Receives the newest committed version, or nothing if it is not confirmed.
+  using VersionCallback =
+      std::function<void(std::optional<std::uint64_t> version)>;
+  /// Confirms the newest committed version. With `may_forward`, a process that
+  /// is not the leader of the control group asks the leader.
+  using ConfirmVersion =
+      std::function<void(bool may_forward, VersionCallback callback)>;
 
   /// Returns kMalformedRequest if a pointer in `options` is null.
   static Result<std::unique_ptr<ConfigDistributor>> Make(
@@ -145,6 +152,20 @@
   /// peers.
   void SetKnownVersionCallback(KnownVersionCallback callback);
 
+  /// Sets the function with which a control VM confirms the newest committed
+  /// version for peers. Without it, such requests are refused.
+  void SetConfirmVersion(ConfirmVersion confirm_version) {
+    m_confirm_version = std::move(confirm_version);
+  }
+
+  /// Records that the peer `from` has the configuration of `digest`, as gossip
+  /// does. Has no effect on a control VM.
+  void OnDigest(const Address& from, const ConfigDigest& digest) {
+    if (m_options.role != MemberRole::kControl) {
+      RecordSource(from, false, digest);
+    }
+  }
+
   /// Sets the function that is called when a configuration comes into force,
   /// and when its status changes.
   void SetListener(Listener listener) { m_listener = std::move(listener); }
@@ -220,6 +241,8 @@
   // Serving peers.
   void OnRequest(const std::string& bytes,
                  const PeerTransport::Responder& respond);
+  void AnswerConfirmedVersion(bool may_forward,
+                              const PeerTransport::Responder& respond);
   [[nodiscard]] DistributionAnswer AnswerPull(
       const ConfigDigest& requester_digest);
   /// Refills the budget and returns whether it is positive.
@@ -237,6 +260,7 @@
   ConfigStatus m_status = ConfigStatus::kNone;
   ConfigHistory m_history;
   KnownVersionCallback m_known_version_callback;
+  ConfirmVersion m_confirm_version;
   Listener m_listener;
   /// Peers whose last digest had a higher version.
   std::map<Address, Source> m_sources;
--- a/src/config/distribution_message.h
+++ b/src/config/distribution_message.h
@@ -18,6 +18,11 @@
   /// The deltas from `digest` to the configuration of the receiver, or its full
   /// configuration.
   kPull,
+  /// The newest committed version, confirmed by the leader of the control
+  /// group. A control VM that is not the leader asks the leader.
+  kConfirmedVersion,
+  /// The same, of a control VM that has to be the leader.
+  kConfirmedVersionOfLeader,
 };
 
 /// Request on PeerChannel::kConfig.
@@ -33,7 +38,8 @@
   kDeltas,
   kFull,
   kUpToDate,
-  /// The sender has used up its budget for serving; another peer may serve.
+  /// The sender cannot answer now: it has used up its budget for serving, or
+  /// no leader has confirmed the version. Another peer may.
   kBusy,
 };
 
@@ -42,8 +48,8 @@
   DistributionAnswerKind kind = DistributionAnswerKind::kVersion;
   /// Digest of the configuration of the sender.
   ConfigDigest digest;
-  /// For kVersion: the highest version that the sender knows. On a control VM
-  /// it may not be committed yet.
+  /// For kVersion: the version that was asked for. The highest version that a
+  /// control VM knows may not be committed yet.
   std::uint64_t known_version = 0;
   /// For kDeltas: consecutive deltas, the oldest one first.
   std::vector<ConfigDelta> deltas;
--- a/src/ports/control_group.h
+++ b/src/ports/control_group.h
@@ -40,6 +40,7 @@
   using ChangeCallback = std::function<void(Result<ChangeResult>)>;
   using ConfigCallback = std::function<void(Result<ClusterConfig>)>;
   using MemberCallback = std::function<void(Result<std::uint64_t>)>;
+  using VersionCallback = std::function<void(Result<std::uint64_t>)>;
   virtual ~ControlGroup() = default;
 
   /// Proposes `change`. Calls `callback` once: with the result when the change
@@ -54,6 +55,11 @@
     OnReadConfig(std::move(callback));
   }
 
+  /// Like ReadConfig, with the version of the configuration only.
+  void ReadVersion(VersionCallback callback) {
+    OnReadVersion(std::move(callback));
+  }
+
   /// Removes and adds one member of the group; either address may be empty.
   /// Calls `callback` once: with the configuration version in force when the
   /// change is committed, or with kNotLeader, kInvalidChange, kOverloaded,
@@ -75,6 +81,13 @@
  protected:
   virtual void OnPropose(const Change& change, ChangeCallback callback) = 0;
   virtual void OnReadConfig(ConfigCallback callback) = 0;
+  virtual void OnReadVersion(VersionCallback callback) {
+    OnReadConfig(
+        [callback = std::move(callback)](Result<ClusterConfig> config) {
+          if (!config) return callback(tl::unexpected<Error>(config.error()));
+          callback(config->version);
+        });
+  }
   virtual void OnChangeMember(const Address& remove, const Address& add,
                               MemberCallback callback) = 0;
   virtual void OnRefreshNodes(std::function<void()> done) = 0;
--- a/src/replication/replicated_control_group.cc
+++ b/src/replication/replicated_control_group.cc
@@ -70,6 +70,14 @@
       });
 }
 
+void ReplicatedControlGroup::OnReadVersion(VersionCallback callback) {
+  m_node->Read(
+      [this, callback = std::move(callback)](const Result<LogIndex>& read) {
+        if (!read) return callback(tl::unexpected<Error>(read.error()));
+        callback(Config().version);
+      });
+}
+
 std::uint64_t ReplicatedControlGroup::HighestLoggedVersion() const {
   const auto is_change = [](const std::string& bytes) {
     ControlCommand command;
--- a/src/replication/replicated_control_group.h
+++ b/src/replication/replicated_control_group.h
@@ -81,6 +81,7 @@
  protected:
   void OnPropose(const Change& change, ChangeCallback callback) override;
   void OnReadConfig(ConfigCallback callback) override;
+  void OnReadVersion(VersionCallback callback) override;
   void OnChangeMember(const Address& remove, const Address& add,
                       MemberCallback callback) override;
   void OnRefreshNodes(std::function<void()> done) override;
--- a/src/routing/routed_query.h
+++ b/src/routing/routed_query.h
@@ -54,6 +54,9 @@
   kRepeatsOverBudget,
   kRefusedNoConfiguration,
   kRefusedUnknownRoute,
+  /// Requests without a route, while it could not be confirmed that the
+  /// configuration in force is current.
+  kRefusedUnconfirmed,
   kRefusedOverloaded,
   /// Requests that came too late before the end of this process.
   kRefusedStopping,
@@ -69,7 +72,7 @@
 
 template <>
 struct CounterNames<RoutingCounter> {
-  static constexpr std::array<std::string_view, 24> kNames = {
+  static constexpr std::array<std::string_view, 25> kNames = {
       "requests",
       "answered_whole",
       "answered_short",
@@ -86,6 +89,7 @@
       "repeats_over_budget",
       "refused_no_configuration",
       "refused_unknown_route",
+      "refused_unconfirmed",
       "refused_overloaded",
       "refused_stopping",
       "refused_no_replica",
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -11,6 +11,10 @@
 /// the time that it needs to receive the configuration.
 constexpr Duration kRetryAfterStart = milliseconds(500);
 
+/// Time after which callers should retry if it could not be confirmed that the
+/// configuration is current. The entry asks again meanwhile.
+constexpr Duration kRetryAfterUnconfirmed = milliseconds(500);
+
 /// Time after which callers of a quarantined request should retry.
 constexpr Duration kRetryAfterQuarantine = seconds(60);
 
@@ -48,49 +52,96 @@
            kRetryAfterStart, callback);
     return 0;
   }
+  const std::uint64_t number = ++m_last_query_number;
   const Route* route = m_table->Find(request.host, request.path);
-  if (route == nullptr) {
-    Refuse(request, RoutingCounter::kRefusedUnknownRoute,
-           {ErrorKind::kUnknownEndpoint, "no route matches this host and path",
-            Ran::kNo},
-           Duration::zero(), callback);
-    return 0;
+  if (route != nullptr) {
+    Dispatch(number, request, *route, std::move(callback));
+  } else {
+    AwaitFreshness(number, request, std::move(callback));
   }
-  if (!MayEndInTime(*route)) {
-    Refuse(request, RoutingCounter::kRefusedStopping,
-           {ErrorKind::kShuttingDown, "this entry is shutting down", Ran::kNo},
-           Duration::zero(), callback);
-    return 0;
+  return IsOpen(number) ? number : 0;
+}
+
+bool Router::IsOpen(std::uint64_t number) const {
+  return m_queries.contains(number) || m_waiting.contains(number) ||
+         m_without_route.contains(number);
+}
+
+// The route may have been added by a change that has not arrived here. Only if
+// the configuration is current does the lack of a route say that there is none.
+void Router::AwaitFreshness(std::uint64_t number, const RoutedRequest& request,
+                            Callback callback) {
+  m_without_route.emplace(number,
+                          RequestWithoutRoute{request, std::move(callback),
+                                              m_context.scheduler->Now()});
+  if (m_freshness == nullptr) return OnFreshness(number, true);
+  const std::weak_ptr<int> alive = m_alive;
+  m_freshness->Confirm([this, alive, number](bool is_current) {
+    if (!alive.expired()) OnFreshness(number, is_current);
+  });
+}
+
+void Router::OnFreshness(std::uint64_t number, bool is_current) {
+  auto node = m_without_route.extract(number);
+  if (node.empty()) return;
+  RequestWithoutRoute& waited = node.mapped();
+  RoutedRequest& request = waited.request;
+  const Route* route = m_table->Find(request.host, request.path);
+  if (route != nullptr) {
+    if (request.time_left) {
+      *request.time_left -= m_context.scheduler->Now() - waited.received_at;
+    }
+    return Dispatch(number, request, *route, std::move(waited.callback));
+  }
+  if (is_current) {
+    return Refuse(request, RoutingCounter::kRefusedUnknownRoute,
+                  {ErrorKind::kUnknownEndpoint,
+                   "no route matches this host and path", Ran::kNo},
+                  Duration::zero(), waited.callback);
+  }
+  Refuse(request, RoutingCounter::kRefusedUnconfirmed,
+         {ErrorKind::kNoConfiguration,
+          "no route matches, but this entry cannot confirm now that its "
+          "configuration is current",
+          Ran::kNo},
+         SpreadRetryAfter(kRetryAfterUnconfirmed), waited.callback);
+}
+
+void Router::Dispatch(std::uint64_t number, const RoutedRequest& request,
+                      const Route& route, Callback callback) {
+  if (!MayEndInTime(route)) {
+    return Refuse(
+        request, RoutingCounter::kRefusedStopping,
+        {ErrorKind::kShuttingDown, "this entry is shutting down", Ran::kNo},
+        Duration::zero(), callback);
   }
   if (m_context.crash_guard != nullptr &&
       !m_context.crash_guard->MayRun(*request.request)) {
-    Refuse(request, RoutingCounter::kRefusedQuarantined,
-           {ErrorKind::kUpstreamUnavailable,
-            "this request has crashed the replicas that ran it", Ran::kNo},
-           kRetryAfterQuarantine, callback);
-    return 0;
+    return Refuse(
+        request, RoutingCounter::kRefusedQuarantined,
+        {ErrorKind::kUpstreamUnavailable,
+         "this request has crashed the replicas that ran it", Ran::kNo},
+        kRetryAfterQuarantine, callback);
   }
   RoutedQuery::Input input;
   input.request = request.request;
   input.config = m_table->Config();
-  input.route = route;
-  input.services = route->IsScattered()
-                       ? route->scatter.shards
-                       : std::vector<std::string>{m_split_picker.Pick(*route)};
+  input.route = &route;
+  input.services = route.IsScattered()
+                       ? route.scatter.shards
+                       : std::vector<std::string>{m_split_picker.Pick(route)};
   input.time_limit =
-      std::min(route->timeout, request.time_left.value_or(route->timeout));
+      std::min(route.timeout, request.time_left.value_or(route.timeout));
   if (m_end) {
     input.time_limit =
         std::min(input.time_limit, *m_end - m_context.scheduler->Now());
   }
-  const std::uint64_t number = ++m_last_query_number;
-  if (route->IsScattered()) {
+  if (route.IsScattered()) {
     SubmitScattered(number, {request, std::move(input), std::move(callback),
                              m_context.scheduler->Now()});
   } else {
     StartQuery(number, std::move(input), std::move(callback));
   }
-  return m_queries.contains(number) || m_waiting.contains(number) ? number : 0;
 }
 
 void Router::BeginStop(TimePoint end) { m_end = end; }
@@ -102,6 +153,10 @@
 }
 
 void Router::EndAll() {
+  std::vector<std::uint64_t> without_route;
+  std::ranges::transform(m_without_route, std::back_inserter(without_route),
+                         [](const auto& entry) { return entry.first; });
+  for (const std::uint64_t number : without_route) OnFreshness(number, false);
   std::vector<std::uint64_t> waiting;
   std::ranges::transform(m_waiting, std::back_inserter(waiting),
                          [](const auto& entry) { return entry.first; });
@@ -214,7 +269,7 @@
   for (const auto& [shards, admission] : m_admissions) {
     admission->Cancel(query);
   }
-  if (m_waiting.erase(query) != 0) {
+  if (m_waiting.erase(query) + m_without_route.erase(query) != 0) {
     return m_context.counters->Add(RoutingCounter::kCallersGone);
   }
   const auto node = m_queries.extract(query);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/counters.h"
+#include "ports/config_freshness.h"
 #include "routing/request_admission.h"
 #include "routing/route_table.h"
 #include "routing/routed_query.h"
@@ -35,8 +36,15 @@
  public:
   using Callback = std::function<void(RoutedAnswer answer)>;
 
-  Router(const RoutingContext& context, std::uint64_t seed)
-      : m_context(context), m_random(seed), m_split_picker(seed) {}
+  /// `freshness` must outlive the router. It is asked before a request without
+  /// a route is refused as such; without it, the configuration counts as
+  /// current.
+  Router(const RoutingContext& context, std::uint64_t seed,
+         ConfigFreshness* freshness = nullptr)
+      : m_context(context),
+        m_random(seed),
+        m_split_picker(seed),
+        m_freshness(freshness) {}
 
   /// Applies `config` to the requests that follow. Returns false, without
   /// effect, if its version is not higher than the current one.
@@ -63,7 +71,7 @@
 
   /// Returns the number of requests that have not been answered.
   [[nodiscard]] std::size_t InFlight() const {
-    return m_queries.size() + m_waiting.size();
+    return m_queries.size() + m_waiting.size() + m_without_route.size();
   }
 
  private:
@@ -79,6 +87,20 @@
     TimePoint received_at{};
   };
 
+  /// A request without a route that waits until the configuration is confirmed.
+  struct RequestWithoutRoute {
+    RoutedRequest request;
+    Callback callback;
+    TimePoint received_at{};
+  };
+
+  /// Starts request `number`, which `route` matches, or refuses it.
+  void Dispatch(std::uint64_t number, const RoutedRequest& request,
+                const Route& route, Callback callback);
+  void AwaitFreshness(std::uint64_t number, const RoutedRequest& request,
+                      Callback callback);
+  void OnFreshness(std::uint64_t number, bool is_current);
+  [[nodiscard]] bool IsOpen(std::uint64_t number) const;
   [[nodiscard]] bool MayEndInTime(const Route& route) const;
   Duration SpreadRetryAfter(Duration retry_after);
   RequestAdmission& AdmissionOf(const Route& route);
@@ -96,13 +118,17 @@
   RoutingContext m_context;
   std::mt19937_64 m_random;
   SplitPicker m_split_picker;
+  ConfigFreshness* m_freshness;
   std::unique_ptr<RouteTable> m_table;
   std::uint64_t m_last_query_number = 0;
   /// When all requests have to be answered because the process stops.
   std::optional<TimePoint> m_end;
   std::map<ShardSet, std::unique_ptr<RequestAdmission>> m_admissions;
+  std::unordered_map<std::uint64_t, RequestWithoutRoute> m_without_route;
   std::unordered_map<std::uint64_t, WaitingRequest> m_waiting;
   std::unordered_map<std::uint64_t, std::unique_ptr<RoutedQuery>> m_queries;
+  /// Expires with this object, so that later callbacks do nothing.
+  std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
 }  // namespace chicoryvale
