Bound what an announced length may allocate, and who fails at the bound

Cause: Beast's string_body reserves the announced length, and its eager parser loses the error of the body limit if bytes of the body arrive with the head. The call that happened to exceed the sum of all bytes failed, not the one that held most. Requests of callers, pages of the list and libsoup's interim answers had no bound on their sum.

--- a/src/adapters/beast_http_client.cc
+++ b/src/adapters/beast_http_client.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <charconv>
 #include <functional>
 #include <iterator>
@@ -11,6 +10,7 @@
 #include <utility>
 
 #include "adapters/http_message_text.h"
+#include "adapters/received_body.h"
 #include "adapters/stream_socket.h"
 
 namespace chicoryvale {
@@ -120,6 +120,7 @@
   }
 
   [[nodiscard]] bool IsOpen() const { return m_socket != nullptr; }
+  [[nodiscard]] std::size_t BufferedBytes() const { return m_buffered_bytes; }
   [[nodiscard]] const Address& ServerAddress() const {
     return m_server_address;
   }
@@ -133,8 +134,11 @@
     }
     m_buffered_bytes += bytes.size();
     m_client->m_buffered_bytes += bytes.size();
-    if (m_client->m_buffered_bytes > m_client->m_options.max_buffered_bytes) {
-      return Fail("too many bytes of incomplete responses");
+    while (m_client->m_buffered_bytes >
+           m_client->m_options.max_buffered_bytes) {
+      m_client->FailLargestResponse();
+      // The callback of the failed call may have cancelled this one.
+      if (!IsOpen()) return;
     }
     Parse(bytes);
   }
@@ -153,6 +157,18 @@
                                      : "connection reset");
   }
 
+  /// Ends the call of this connection, whose response cannot be used.
+  void Fail(const std::string& detail) {
+    const HttpCallId id = std::exchange(m_call_id, 0);
+    const bool sent = m_socket->HasSent();
+    HttpClientAnswer head = HeadOfIncompleteResponse();
+    auto call = m_client->m_calls.find(id);
+    m_client->DestroyLater(std::move(call->second->connection));
+    m_client->m_counters.Add(BeastHttpClientCounter::kBroken);
+    m_client->Finish(id, {sent ? HttpCallEnd::kBroken : HttpCallEnd::kNotSent,
+                          std::move(head), detail});
+  }
+
  private:
   void ResetParser() {
     m_parser.emplace();
@@ -173,6 +189,11 @@
         return Fail("malformed response: a line is too long");
       }
       if (code) return Fail("malformed response: " + code.message());
+      if (!m_is_head &&
+          AnnouncesMoreThan(*m_parser,
+                            m_client->m_options.max_response_bytes)) {
+        return Fail("the response is larger than the limit");
+      }
       if (!m_parser->is_done()) {
         if (parsed_bytes == 0) return;
         continue;
@@ -264,17 +285,6 @@
     return false;
   }
 
-  void Fail(const std::string& detail) {
-    const HttpCallId id = std::exchange(m_call_id, 0);
-    const bool sent = m_socket->HasSent();
-    HttpClientAnswer head = HeadOfIncompleteResponse();
-    auto call = m_client->m_calls.find(id);
-    m_client->DestroyLater(std::move(call->second->connection));
-    m_client->m_counters.Add(BeastHttpClientCounter::kBroken);
-    m_client->Finish(id, {sent ? HttpCallEnd::kBroken : HttpCallEnd::kNotSent,
-                          std::move(head), detail});
-  }
-
   BeastHttpClient* m_client;
   Address m_server_address;
   std::unique_ptr<StreamSocket> m_socket;
@@ -289,7 +299,7 @@
   std::size_t m_buffered_bytes = 0;
   std::uint32_t m_skipped_responses = 0;
   std::function<bool(const HttpClientAnswer&)> m_is_own_response;
-  std::optional<http::response_parser<http::string_body>> m_parser;
+  std::optional<http::response_parser<ReceivedBody>> m_parser;
   std::string m_unparsed;
   TimerId m_idle_timer = 0;
 };
@@ -373,6 +383,17 @@
   return taken;
 }
 
+void BeastHttpClient::FailLargestResponse() {
+  const auto largest = std::ranges::max_element(
+      m_calls, {}, [](const auto& entry) -> std::size_t {
+        const auto& connection = entry.second->connection;
+        return connection ? connection->BufferedBytes() : 0;
+      });
+  Connection* connection = largest->second->connection.get();
+  m_counters.Add(BeastHttpClientCounter::kResponsesOverTotal);
+  connection->Fail("too many bytes of incomplete responses");
+}
+
 void BeastHttpClient::Finish(HttpCallId id, HttpCallResult result) {
   auto node = m_calls.extract(id);
   OpenCall& open_call = *node.mapped();
--- a/src/adapters/beast_http_client.h
+++ b/src/adapters/beast_http_client.h
@@ -32,6 +32,9 @@
   /// Calls whose connection failed or whose response was invalid, including
   /// calls of which no byte was sent.
   kBroken,
+  /// Calls that failed because all incomplete responses together were too
+  /// large.
+  kResponsesOverTotal,
   kTimedOut,
   kBytesSent,
   kBytesReceived,
@@ -39,7 +42,7 @@
 
 template <>
 struct CounterNames<BeastHttpClientCounter> {
-  static constexpr std::array<std::string_view, 11> kNames = {
+  static constexpr std::array<std::string_view, 12> kNames = {
       "calls",
       "connections_opened",
       "connections_reused",
@@ -48,6 +51,7 @@
       "foreign_answers_dropped",
       "unasked_bytes",
       "broken",
+      "responses_over_total",
       "timed_out",
       "bytes_sent",
       "bytes_received"};
@@ -59,8 +63,8 @@
   Scheduler* scheduler = nullptr;
   /// Limit on the body of a response.
   std::size_t max_response_bytes = std::size_t{4} << 20;
-  /// Limit on the received bytes of all responses that are not complete. The
-  /// call that exceeds it fails.
+  /// Limit on the received bytes of all responses that are not complete. Beyond
+  /// it, the call whose response holds most of them fails.
   std::size_t max_buffered_bytes = std::size_t{32} << 20;
   /// Idle connections are closed after this time, or earlier if the server's
   /// Keep-Alive header states a shorter one.
@@ -96,6 +100,9 @@
   void StartCall(HttpCallId id);
   std::unique_ptr<Connection> TakeIdle(const HttpCall& call);
   void Finish(HttpCallId id, HttpCallResult result);
+  /// Fails the call whose incomplete response is the largest, and closes its
+  /// connection.
+  void FailLargestResponse();
   void AddIdle(std::unique_ptr<Connection> connection, Duration idle_timeout);
   void RemoveIdle(Connection* connection);
   /// Closes `connection` now and destroys it in a later loop iteration.
--- a/src/adapters/beast_http_server.cc
+++ b/src/adapters/beast_http_server.cc
@@ -8,12 +8,12 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cerrno>
 #include <optional>
 #include <utility>
 
 #include "adapters/http_message_text.h"
+#include "adapters/received_body.h"
 #include "adapters/socket_address.h"
 #include "adapters/stream_socket.h"
 
@@ -32,9 +32,17 @@
 /// the caller can read the last response. The close may reset the connection.
 constexpr Duration kLingerTimeout = seconds(2);
 
+/// Limit on the bytes that are discarded meanwhile.
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{4} << 20;
+
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusTooLarge = 413;
 constexpr int kStatusHeadersTooLarge = 431;
+constexpr int kStatusUnavailable = 503;
+
+/// Time after which a caller should send a request again that was refused
+/// because the requests of all callers together were too large.
+constexpr char kRetryAfterOverloadS[] = "1";
 
 int StatusForParseError(const boost::system::error_code& code) {
   if (code == http::error::header_limit) return kStatusHeadersTooLarge;
@@ -74,7 +82,24 @@
 
   void CloseNow() { m_server->DestroyLater(m_number); }
 
+  /// Returns the bytes received of the request that is being read.
+  [[nodiscard]] std::size_t UnreadBytes() const {
+    return m_awaiting_response ? 0 : m_held_bytes;
+  }
+
+  /// Refuses the request that is being read and ends the connection.
+  void RefuseOverloaded() {
+    m_server->m_counters.Add(BeastHttpServerCounter::kOverTotal);
+    HttpResponse response;
+    response.status = kStatusUnavailable;
+    response.headers = {{"Retry-After", kRetryAfterOverloadS}};
+    response.body = R"({"kind":"overloaded","ran":"no"})";
+    m_socket->Write(FormatResponse(response, true));
+    FinishAndLinger();
+  }
+
   void Close() {
+    ReleaseHeldBytes(0);
     CancelTimer();
     if (m_awaiting_response) {
       m_awaiting_response = false;
@@ -84,8 +109,13 @@
   }
 
   void OnBytes(std::string_view bytes) override {
-    if (m_lingering) return;
+    if (m_lingering) return Discard(bytes.size());
+    AddHeldBytes(bytes.size());
     m_unparsed.append(bytes);
+    if (m_server->m_held_bytes > m_server->m_options.max_held_bytes) {
+      m_server->RefuseLargestRequest();
+      if (m_lingering) return;
+    }
     if (!m_awaiting_response) return Parse();
     if (m_unparsed.size() > kMaxPipelinedBytes) m_socket->SetReading(false);
   }
@@ -105,6 +135,7 @@
     if (!m_awaiting_response || request_serial != m_request_serial) return;
     m_awaiting_response = false;
     --m_server->m_in_flight;
+    ReleaseHeldBytes(m_unparsed.size());
     if (response.abort_connection) return CloseNow();
     const bool close =
         m_close_after_response || m_server->m_closing_connections;
@@ -126,6 +157,11 @@
   }
 
  private:
+  void Discard(std::size_t bytes) {
+    m_discarded_bytes += bytes;
+    if (m_discarded_bytes > kMaxDiscardedBytes) CloseNow();
+  }
+
   // Makes a parser with the current limits, which may have changed since the
   // last request of the connection.
   void BeginRequest() {
@@ -138,6 +174,17 @@
     ArmHeaderTimer();
   }
 
+  void AddHeldBytes(std::size_t bytes) {
+    m_held_bytes += bytes;
+    m_server->m_held_bytes += bytes;
+  }
+
+  // Releases all held bytes but `rest`.
+  void ReleaseHeldBytes(std::size_t rest) {
+    m_server->m_held_bytes -= m_held_bytes - rest;
+    m_held_bytes = rest;
+  }
+
   void CancelTimer() {
     m_server->m_options.scheduler->Cancel(std::exchange(m_timer, 0));
   }
@@ -175,6 +222,10 @@
         return Reject(kStatusBadRequest);
       }
       if (code) return Reject(StatusForParseError(code));
+      if (AnnouncesMoreThan(*m_parser,
+                            m_server->m_options.limits.max_body_bytes)) {
+        return Reject(kStatusTooLarge);
+      }
       if (m_parser->is_header_done()) CancelTimer();
       if (m_parser->is_done()) return HandleRequest();
       SendContinueIfExpected();
@@ -249,6 +300,8 @@
   void FinishAndLinger() {
     m_lingering = true;
     m_unparsed.clear();
+    m_parser.reset();
+    ReleaseHeldBytes(0);
     m_socket->SetReading(true);
     m_socket->FinishSending();
     CancelTimer();
@@ -262,8 +315,12 @@
   /// Number of this connection within the server.
   std::uint64_t m_number;
   std::unique_ptr<StreamSocket> m_socket;
-  std::optional<http::request_parser<http::string_body>> m_parser;
+  std::optional<http::request_parser<ReceivedBody>> m_parser;
   std::string m_unparsed;
+  /// Received bytes of the requests that have no response yet.
+  std::size_t m_held_bytes = 0;
+  /// Bytes received after the last response.
+  std::size_t m_discarded_bytes = 0;
   std::uint64_t m_request_serial = 0;
   bool m_reading_request = false;
   bool m_continue_sent = false;
@@ -337,6 +394,13 @@
   }
 }
 
+void BeastHttpServer::RefuseLargestRequest() {
+  const auto largest = std::ranges::max_element(
+      m_connections, {},
+      [](const auto& entry) { return entry.second->UnreadBytes(); });
+  if (largest->second->UnreadBytes() > 0) largest->second->RefuseOverloaded();
+}
+
 void BeastHttpServer::CloseConnectionsWhenIdle() {
   m_closing_connections = true;
   std::vector<std::uint64_t> idle;
--- a/src/adapters/beast_http_server.h
+++ b/src/adapters/beast_http_server.h
@@ -25,6 +25,9 @@
   kMalformed,
   kTooLarge,
   kHeaderTimeouts,
+  /// Requests that were refused because those of all callers together were too
+  /// large.
+  kOverTotal,
   /// Connections that the caller closed before the response to its request.
   kCallersGone,
   /// Responses whose connection had already ended.
@@ -33,11 +36,10 @@
 
 template <>
 struct CounterNames<BeastHttpServerCounter> {
-  static constexpr std::array<std::string_view, 8> kNames = {
-      "connections",  "connections_refused",
-      "requests",     "malformed",
-      "too_large",    "header_timeouts",
-      "callers_gone", "answers_undeliverable"};
+  static constexpr std::array<std::string_view, 9> kNames = {
+      "connections", "connections_refused", "requests",
+      "malformed",   "too_large",           "header_timeouts",
+      "over_total",  "callers_gone",        "answers_undeliverable"};
 };
 
 /// Limits on the size and duration of requests.
@@ -58,6 +60,9 @@
   Address bind;
   std::size_t max_connections = 10'000;
   HttpServerLimits limits;
+  /// Limit on the received bytes of all requests that have no response yet.
+  /// Beyond it, the largest of those that are being read is refused.
+  std::size_t max_held_bytes = std::size_t{32} << 20;
 };
 
 /// HttpServer on non-blocking sockets, with Boost.Beast's parser. It passes the
@@ -114,6 +119,7 @@
   explicit BeastHttpServer(const BeastHttpServerOptions& options);
   Result<void> Listen();
   void Accept();
+  void RefuseLargestRequest();
   /// Closes the connection now and destroys it in a later loop iteration.
   void DestroyLater(std::uint64_t number);
 
@@ -125,6 +131,8 @@
   bool m_closing_connections = false;
   std::uint32_t m_in_flight = 0;
   std::uint64_t m_last_number = 0;
+  /// Received bytes of all requests that have no response yet.
+  std::size_t m_held_bytes = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> m_connections;
   /// Closed connections; a timer destroys them, because a connection must not
   /// be destroyed within its own callback.
--- a/src/adapters/soup_upstream_transport.cc
+++ b/src/adapters/soup_upstream_transport.cc
@@ -8,6 +8,13 @@
 namespace chicoryvale {
 
 /// One attempt, until libsoup has completed it.
+namespace {
+
+/// Limit on the interim (1xx) responses to one request.
+constexpr std::uint32_t kMaxInterimResponses = 16;
+
+}  // namespace
+
 struct SoupUpstreamTransport::Exchange {
   /// Null once the attempt has ended for its caller.
   SoupUpstreamTransport* transport = nullptr;
@@ -19,6 +26,7 @@
   TimePoint sent_at{};
   /// Time from sending to the response headers; zero before they arrive.
   Duration first_byte{};
+  std::uint32_t interim_responses = 0;
   /// Bytes of the request may have been sent.
   bool may_have_sent = false;
 
@@ -88,6 +96,8 @@
   SoupMessage* message = exchange->message;
   g_signal_connect(message, "starting", G_CALLBACK(&OnStarting), exchange);
   g_signal_connect(message, "restarted", G_CALLBACK(&OnRestarted), exchange);
+  g_signal_connect(message, "got-informational", G_CALLBACK(&OnInterimResponse),
+                   exchange);
   g_signal_connect(message, "got-headers", G_CALLBACK(&OnResponseHeaders),
                    exchange);
   g_signal_connect(message, "network-event", G_CALLBACK(&OnNetworkEvent),
@@ -110,6 +120,15 @@
   transport->Fail(exchange, SubOutcomeKind::kConnectionLost);
 }
 
+void SoupUpstreamTransport::OnInterimResponse(SoupMessage* /*message*/,
+                                              gpointer data) {
+  auto* exchange = static_cast<Exchange*>(data);
+  SoupUpstreamTransport* transport = exchange->transport;
+  if (transport == nullptr) return;
+  if (++exchange->interim_responses <= kMaxInterimResponses) return;
+  transport->Fail(exchange, SubOutcomeKind::kMalformed);
+}
+
 void SoupUpstreamTransport::OnResponseHeaders(SoupMessage* message,
                                               gpointer data) {
   auto* exchange = static_cast<Exchange*>(data);
--- a/src/adapters/soup_upstream_transport.h
+++ b/src/adapters/soup_upstream_transport.h
@@ -83,6 +83,7 @@
   void ConnectSignals(Exchange* exchange);
   static void OnStarting(SoupMessage* message, gpointer exchange);
   static void OnRestarted(SoupMessage* message, gpointer exchange);
+  static void OnInterimResponse(SoupMessage* message, gpointer exchange);
   static void OnResponseHeaders(SoupMessage* message, gpointer exchange);
   static void OnNetworkEvent(SoupMessage* message, GSocketClientEvent event,
                              GIOStream* connection, gpointer exchange);
--- a/tests/adapters/beast_http_client_test.cc
+++ b/tests/adapters/beast_http_client_test.cc
@@ -1,9 +1,13 @@
 #include "adapters/beast_http_client.h"
 
 #include <gtest/gtest.h>
+#include <malloc.h>
 
+#include <algorithm>
+#include <atomic>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "adapters/glib_scheduler.h"
@@ -160,6 +164,118 @@
   }
 }
 
+/// Returns the bytes that the process has allocated; 0 with a sanitizer.
+std::size_t AllocatedBytes() {
+  const auto info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+// The length that one answer announced ended the process with std::bad_alloc.
+TEST_F(BeastHttpClientTest, AllocatesWhatIsReceivedAndNotWhatIsAnnounced) {
+  constexpr std::size_t kMaxAllocatedBytes = std::size_t{1} << 20;
+  for (const char* length :
+       {"4000000", "4194304", "4194305", "5000000", "4000000000", "20000000000",
+        "9000000000000", "9223372036854775807", "18446744073709551615"}) {
+    SCOPED_TRACE(length);
+    std::atomic<bool> head_sent = false;
+    RawUpstream upstream([&](RawSocket& connection, int) {
+      connection.ReceiveUntil("\r\n\r\n");
+      connection.Send("HTTP/1.1 200 OK\r\nContent-Length: " +
+                      std::string(length) + "\r\n\r\nab");
+      head_sent = true;
+      connection.ReceiveAll();
+    });
+    const std::size_t allocated_before = AllocatedBytes();
+    HttpCall call = MakeCall(upstream.LocalAddress());
+    call.timeout = milliseconds(300);
+    std::optional<HttpCallResult> result;
+    std::size_t most_allocated = allocated_before;
+    m_client.Send(std::move(call),
+                  [&](HttpCallResult got) { result = std::move(got); });
+    IterateUntil([&] {
+      most_allocated = std::max(most_allocated, AllocatedBytes());
+      return result.has_value();
+    });
+    EXPECT_TRUE(head_sent);
+    EXPECT_NE(result->end, HttpCallEnd::kAnswered);
+    EXPECT_LT(most_allocated, allocated_before + kMaxAllocatedBytes);
+  }
+}
+
+// The limit did not hold if the body began in the same segment as the head.
+TEST_F(BeastHttpClientTest, RefusesABodyBeyondTheLimitHoweverItArrives) {
+  constexpr std::size_t kMaxResponseBytes = 1000;
+  BeastHttpClient client({.poller = &m_poller,
+                          .scheduler = &m_scheduler,
+                          .max_response_bytes = kMaxResponseBytes});
+  for (const std::size_t bytes : {kMaxResponseBytes, kMaxResponseBytes + 1}) {
+    for (const bool sends_head_alone : {false, true}) {
+      RawUpstream upstream([&](RawSocket& connection, int) {
+        connection.ReceiveUntil("\r\n\r\n");
+        const std::string head =
+            "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bytes) +
+            "\r\n\r\n";
+        const std::string body(bytes, 'x');
+        if (sends_head_alone) {
+          connection.Send(head);
+          connection.Send(body);
+        } else {
+          connection.Send(head + body);
+        }
+        connection.ReceiveAll();
+      });
+      std::optional<HttpCallResult> result;
+      client.Send(MakeCall(upstream.LocalAddress()),
+                  [&](HttpCallResult got) { result = std::move(got); });
+      IterateUntil([&] { return result.has_value(); });
+      EXPECT_EQ(result->end, bytes == kMaxResponseBytes ? HttpCallEnd::kAnswered
+                                                        : HttpCallEnd::kBroken);
+    }
+  }
+}
+
+// One server sends much and the others little. Whose call reached the limit on
+// all bytes was chance.
+TEST_F(BeastHttpClientTest, TheCallThatHoldsMostFailsAtTheLimitOnAllBytes) {
+  constexpr std::size_t kMaxBufferedBytes = std::size_t{64} << 10;
+  const std::string small_body(kMaxBufferedBytes / 4, 'x');
+  BeastHttpClient client({.poller = &m_poller,
+                          .scheduler = &m_scheduler,
+                          .max_buffered_bytes = kMaxBufferedBytes});
+  std::atomic<bool> greedy_ended = false;
+  RawUpstream innocent([&](RawSocket& connection, int) {
+    connection.ReceiveUntil("\r\n\r\n");
+    connection.Send("HTTP/1.1 200 OK\r\nContent-Length: " +
+                    std::to_string(small_body.size() + 1) + "\r\n\r\n");
+    // Small pieces, so that this call is likely to reach the limit.
+    for (const char letter : small_body) connection.Send({&letter, 1});
+    while (!greedy_ended) std::this_thread::yield();
+    connection.Send("y");
+    connection.ReceiveAll();
+  });
+  RawUpstream greedy([&](RawSocket& connection, int) {
+    connection.ReceiveUntil("\r\n\r\n");
+    connection.Send("HTTP/1.1 200 OK\r\n\r\n" +
+                    std::string(kMaxBufferedBytes * 7 / 8, 'x'));
+    connection.ReceiveAll();
+    greedy_ended = true;
+  });
+  std::optional<HttpCallResult> greedy_result;
+  client.Send(MakeCall(greedy.LocalAddress()),
+              [&](HttpCallResult got) { greedy_result = std::move(got); });
+  const HttpCallResult innocent_result = [&] {
+    std::optional<HttpCallResult> result;
+    client.Send(MakeCall(innocent.LocalAddress()),
+                [&](HttpCallResult got) { result = std::move(got); });
+    IterateUntil([&] { return result && greedy_result; });
+    return *result;
+  }();
+  EXPECT_EQ(greedy_result->end, HttpCallEnd::kBroken);
+  EXPECT_EQ(innocent_result.end, HttpCallEnd::kAnswered);
+  EXPECT_EQ(client.Counters().Get(BeastHttpClientCounter::kResponsesOverTotal),
+            1U);
+}
+
 // Many servers that do so at once do not exhaust the memory.
 TEST_F(BeastHttpClientTest, BoundsTheBytesOfAllIncompleteResponses) {
   constexpr int kCalls = 4;
--- a/tests/adapters/beast_http_server_test.cc
+++ b/tests/adapters/beast_http_server_test.cc
@@ -126,6 +126,9 @@
        "400"},
       {head + "Content-Length: -5\r\n\r\n", "400"},
       {head + "Content-Length: 1001\r\n\r\n", "413"},
+      {head + "Content-Length: 1001\r\n\r\nab", "413"},
+      {head + "Content-Length: 1001\r\n\r\n" + std::string(1001, 'b'), "413"},
+      {head + "Content-Length: 9000000000000\r\n\r\nab", "413"},
       {head + "X: " + std::string(8192, 'h') + "\r\n\r\n", "431"},
       {std::string("\x16\x03\x01\0\x05\r\n\r\n", 9), "400"},
   };
@@ -136,6 +139,83 @@
   EXPECT_TRUE(m_requests.empty());
 }
 
+// A caller that sends without end is cut off at a bounded number of bytes, and
+// others are served meanwhile.
+TEST_F(BeastHttpServerTest, EndsAConnectionWhoseCallerSendsWithoutEnd) {
+  /// Bytes that may be in flight when the server closes the connection.
+  constexpr std::size_t kMaxSentBytes = std::size_t{16} << 20;
+  const std::string head = "POST /p HTTP/1.1\r\nHost: h\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string text(1000, 'x');
+  struct Case {
+    const char* name;
+    std::string first;
+    std::string repeated;
+  };
+  const std::vector<Case> cases = {
+      {"no HTTP", "", text},
+      {"method", "P", "P"},
+      {"target", "GET /", text},
+      {"header", "GET / HTTP/1.1\r\nName: ", text},
+      {"headers", "GET / HTTP/1.1\r\n", "Name: " + text + "\r\n"},
+      {"body", head + "Content-Length: 9000000000000\r\n\r\n", text},
+      {"chunks", chunked, "4\r\nabcd\r\n"},
+      {"chunk size", chunked, "0"},
+      {"chunk extension", chunked + "4;", text},
+      {"trailer", chunked + "0\r\nName: ", text},
+      {"trailers", chunked + "0\r\n", "Name: " + text + "\r\n"}};
+  for (const Case& c : cases) {
+    SCOPED_TRACE(c.name);
+    std::size_t sent = 0;
+    RunBeside([&] {
+      RawSocket caller(m_server->LocalAddress());
+      caller.Send(c.first);
+      while (sent < kMaxSentBytes && caller.Send(c.repeated)) {
+        sent += c.repeated.size();
+      }
+      RawSocket other(m_server->LocalAddress());
+      other.Send(kGetAndClose);
+      EXPECT_TRUE(other.ReceiveAll().starts_with("HTTP/1.1 200"));
+    });
+    EXPECT_LT(sent, kMaxSentBytes);
+  }
+}
+
+// Requests that are within their limits could together exceed the memory.
+TEST_F(BeastHttpServerTest, TheLargestRequestIsRefusedAtTheLimitOnAllBytes) {
+  constexpr std::size_t kMaxHeldBytes = std::size_t{64} << 10;
+  BeastHttpServerOptions options;
+  options.poller = &m_poller;
+  options.scheduler = &m_scheduler;
+  options.bind = {"127.0.0.1:0"};
+  options.max_held_bytes = kMaxHeldBytes;
+  const auto server = std::move(*BeastHttpServer::Make(options));
+  std::size_t handled_bytes = 0;
+  server->SetHandler(
+      [&](const HttpRequest& request, const HttpResponder& respond) {
+        handled_bytes += request.body.size();
+        respond({});
+      });
+  const std::string head = "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: ";
+  const std::string small_body(kMaxHeldBytes / 8, 'x');
+  RunBeside([&] {
+    RawSocket greedy(server->LocalAddress());
+    greedy.Send(head + std::to_string(kMaxHeldBytes) + "\r\n\r\n" +
+                std::string(kMaxHeldBytes * 7 / 8, 'x'));
+    for (int i = 0; i < 20; ++i) {
+      RawSocket other(server->LocalAddress());
+      other.Send(head + std::to_string(small_body.size()) +
+                 "\r\nConnection: close\r\n\r\n" + small_body);
+      EXPECT_TRUE(other.ReceiveAll().starts_with("HTTP/1.1 200")) << i;
+    }
+    const std::string refusal = greedy.ReceiveAll();
+    EXPECT_TRUE(refusal.starts_with("HTTP/1.1 503")) << refusal;
+    EXPECT_NE(refusal.find("Retry-After"), std::string::npos) << refusal;
+  });
+  EXPECT_EQ(handled_bytes, 20 * small_body.size());
+  EXPECT_EQ(server->Counters().Get(BeastHttpServerCounter::kOverTotal), 1U);
+}
+
 TEST_F(BeastHttpServerTest, ReportsACallerThatDisconnectsBeforeItsResponse) {
   m_defer_responses = true;
   std::vector<std::uint64_t> disconnected;
--- a/tests/adapters/soup_http_server_test.cc
+++ b/tests/adapters/soup_http_server_test.cc
@@ -68,6 +68,41 @@
             kConnections);
 }
 
+// A caller that sends without end is cut off at a bounded number of bytes.
+TEST(SoupHttpServerTest, EndsAConnectionWhoseCallerSendsWithoutEnd) {
+  constexpr std::size_t kMaxSentBytes = std::size_t{32} << 20;
+  const std::string head = "POST /p HTTP/1.1\r\nHost: h\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string text(1000, 'x');
+  struct Case {
+    const char* name;
+    std::string first;
+    std::string repeated;
+  };
+  const std::vector<Case> cases = {
+      {"no HTTP", "", text},
+      {"target", "GET /", text},
+      {"header", "GET / HTTP/1.1\r\nName: ", text},
+      {"headers", "GET / HTTP/1.1\r\n", "Name: " + text + "\r\n"},
+      {"body", head + "Content-Length: 9000000000000\r\n\r\n", text},
+      {"chunks", chunked, "4\r\nabcd\r\n"},
+      {"chunk size", chunked, "0"},
+      {"chunk extension", chunked + "4;", text}};
+  const auto server = MakeServer();
+  for (const Case& c : cases) {
+    SCOPED_TRACE(c.name);
+    std::size_t sent = 0;
+    RunBeside([&] {
+      RawSocket caller(server->LocalAddress());
+      caller.Send(c.first);
+      while (sent < kMaxSentBytes && caller.Send(c.repeated)) {
+        sent += c.repeated.size();
+      }
+    });
+    EXPECT_LT(sent, kMaxSentBytes);
+  }
+}
+
 // A caller that ends in the middle of the head of its request, or before the
 // whole body, has sent no request: its last headers are missing, and an empty
 // body would be another request.
--- a/tests/adapters/soup_upstream_transport_test.cc
+++ b/tests/adapters/soup_upstream_transport_test.cc
@@ -273,6 +273,48 @@
   EXPECT_EQ(Send(request).kind, SubOutcomeKind::kNotConnected);
 }
 
+// An upstream in trouble sends bytes that are no response until it is cut off.
+TEST_F(SoupUpstreamTransportTest, EndsACallWhoseUpstreamSendsBytesWithoutEnd) {
+  /// Bytes that may be in flight when the connection is closed.
+  constexpr std::size_t kMaxSentBytes = std::size_t{32} << 20;
+  const std::string text(1000, 'x');
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  struct Case {
+    const char* name;
+    std::string first;
+    std::string repeated;
+  };
+  const std::vector<Case> cases = {
+      {"no HTTP", "", text},
+      {"status line", "HTTP/1.1 200 ", text},
+      {"header", head + "Name: ", text},
+      {"headers", head, "Name: " + text + "\r\n"},
+      {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"body until close", head + "\r\n", text},
+      {"body of a great length", head + "Content-Length: 9000000000000\r\n\r\n",
+       text},
+      {"body beyond the limit", head + "Content-Length: 1001\r\n\r\n", text},
+      {"chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+      {"chunk size", head + "Transfer-Encoding: chunked\r\n\r\n", "0"}};
+  for (const Case& c : cases) {
+    SCOPED_TRACE(c.name);
+    std::atomic<std::size_t> sent = 0;
+    std::atomic<bool> closed = false;
+    RawUpstream upstream([&](RawSocket& connection, int) {
+      if (connection.ReceiveUntil(kEndOfRequest).empty()) return;
+      connection.Send(c.first);
+      while (sent < kMaxSentBytes && connection.Send(c.repeated)) {
+        sent += c.repeated.size();
+      }
+      closed = true;
+      g_main_context_wakeup(nullptr);
+    });
+    EXPECT_NE(Send(Request(upstream)).kind, SubOutcomeKind::kAnswered);
+    IterateUntil([&] { return closed.load(); });
+    EXPECT_LT(sent, kMaxSentBytes);
+  }
+}
+
 // An upstream that stops in the middle of the head of its response and closes
 // the connection has not answered, wherever the head is cut.
 TEST_F(SoupUpstreamTransportTest, ResponseCutWithinItsHeadIsNoAnswer) {
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -4,9 +4,12 @@
 #include <chrono>
 #include <cstddef>
 #include <iterator>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "fakes/recording_log.h"
 #include "fakes/routing_text.h"
 #include "platform/caller_codec.h"
 #include "platform/http_replica_directory.h"
@@ -233,6 +236,48 @@
   }
 }
 
+/// HttpClient that answers each call with the same page.
+class RepeatingHttpClient : public HttpClient {
+ public:
+  explicit RepeatingHttpClient(std::string page) : m_page(std::move(page)) {}
+
+  std::size_t calls = 0;
+
+ protected:
+  HttpCallId OnSend(HttpCall /*call*/, Callback callback) override {
+    ++calls;
+    HttpCallResult result;
+    result.end = HttpCallEnd::kAnswered;
+    result.answer.status = 200;
+    result.answer.body = m_page;
+    callback(std::move(result));
+    return calls;
+  }
+  void OnCancel(HttpCallId /*id*/) override {}
+
+ private:
+  std::string m_page;
+};
+
+// Each page is within the limit, but there is always a next one.
+TEST(HttpReplicaDirectoryTest, EndsAReadOfPagesWithoutEnd) {
+  constexpr std::size_t kMaxReadBytes = std::size_t{20} << 20;
+  RecordingLog log;
+  for (const std::size_t padding : {std::size_t{1}, std::size_t{3} << 20}) {
+    const std::string page = "{\"instances\":[" + EntryText("i-1") +
+                             "],\"padding\":\"" + std::string(padding, 'x') +
+                             "\",\"nextPageToken\":\"p\"}";
+    RepeatingHttpClient client(page);
+    HttpReplicaDirectory directory(&client, &log, {"127.0.0.1:1"});
+    std::optional<bool> succeeded;
+    directory.Read(
+        [&](const auto& replicas) { succeeded = replicas.has_value(); });
+    EXPECT_EQ(succeeded, false);
+    EXPECT_LE(client.calls, 1000U);
+    EXPECT_LT(client.calls * page.size(), kMaxReadBytes);
+  }
+}
+
 // Pages without end or sense take a bounded time.
 TEST(ReplicaPageTest, HostilePagesAreReadInBoundedTime) {
   constexpr std::size_t kRepeats = 300'000;
--- a/tests/process/confirmed_route_test.cc
+++ b/tests/process/confirmed_route_test.cc
@@ -35,15 +35,15 @@
  protected:
   static void Answer(const HttpRequest& request, const HttpResponder& respond) {
     HttpResponse response;
-    response.headers = {
-        {"Chicoryvale-Request-Id",
-         FindHeader(request.headers, "Chicoryvale-Request-Id")},
-        {"Chicoryvale-Server-Stamp", "mac"}};
+    response.headers = {{"Chicoryvale-Request-Id",
+                         FindHeader(request.headers, "Chicoryvale-Request-Id")},
+                        {"Chicoryvale-Server-Stamp", "mac"}};
     respond(response);
   }
 
   std::string CallAddedRoute(int gateway) {
-    return m_deployment.Call(gateway, "added", "id-" + std::to_string(++m_sent));
+    return m_deployment.Call(gateway, "added",
+                             "id-" + std::to_string(++m_sent));
   }
 
   int m_sent = 0;
--- a/tests/process/gateway_deployment.h
+++ b/tests/process/gateway_deployment.h
@@ -35,6 +35,11 @@
   GatewayDeployment(const std::vector<std::string>& replica_ids,
                     const ReplicaHandler& handler, ShutdownTimes times);
 
+  /// Lists a further replica, which the test itself serves at `address`.
+  void ListReplica(const std::string& replica_id, const Address& address) {
+    m_replicas[replica_id].address = address;
+  }
+
   /// Starts the control process and `gateways` gateways, deploys the routes,
   /// and waits until each gateway is ready.
   void Start(int gateways);
@@ -43,8 +48,8 @@
   /// ready.
   void StartGateway(int index);
 
-  /// Replaces the routes by the configuration `text` and waits until the control
-  /// process has accepted it.
+  /// Replaces the routes by the configuration `text` and waits until the
+  /// control process has accepted it.
   void Deploy(const std::string& text) const;
 
   Process& Control() { return *m_control; }
--- a/tests/process/process.cc
+++ b/tests/process/process.cc
@@ -114,6 +114,18 @@
 
 void Process::Signal(int signal) const { kill(m_pid, signal); }
 
+std::size_t Process::PeakMemoryBytes() const {
+  constexpr std::size_t kBytesPerKb = 1024;
+  std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+  const std::string name = "VmHWM:";
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(name)) {
+      return std::stoul(line.substr(name.size())) * kBytesPerKb;
+    }
+  }
+  return 0;
+}
+
 int Process::Wait() {
   int status = 0;
   waitpid(m_pid, &status, 0);
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
@@ -27,6 +28,10 @@
 
   void Signal(int signal) const;
 
+  /// Returns the most memory that the running process has had in use, in
+  /// bytes; 0 if it does not run.
+  [[nodiscard]] std::size_t PeakMemoryBytes() const;
+
   /// Waits until the process ends. Returns its exit code, or the negated number
   /// of the signal that ended it.
   int Wait();
