Answer a caller that half-closes as its request is read

Cause: the end of the head was looked for when the request began and when the hang-up was seen; if the end of the stream came between the poll and libsoup's read, nobody had looked, and the request was taken for one that is cut off.

Change: a source of higher priority looks at the first bytes before libsoup.

--- a/src/adapters/soup_http_server.cc
+++ b/src/adapters/soup_http_server.cc
@@ -119,6 +119,8 @@
   GObjectPtr<GSocket> socket;
   /// Fires when the caller closes its sending side; null if not watched.
   GSource* hang_up_source = nullptr;
+  /// Fires when the first bytes of a head arrive; null if not watched.
+  GSource* head_source = nullptr;
   /// The exchange in progress; null between requests.
   Exchange* current = nullptr;
   /// Start of the current wait for a request, its headers or its body.
@@ -131,13 +133,18 @@
   /// EndIdleConnection was called.
   bool end_requested = false;
 
-  ~Connection() { StopWatching(); }
+  ~Connection() {
+    StopWatching();
+    DestroySource(&head_source);
+  }
+
+  void StopWatching() { DestroySource(&hang_up_source); }
 
-  void StopWatching() {
-    if (hang_up_source == nullptr) return;
-    g_source_destroy(hang_up_source);
-    g_source_unref(hang_up_source);
-    hang_up_source = nullptr;
+  static void DestroySource(GSource** source) {
+    if (*source == nullptr) return;
+    g_source_destroy(*source);
+    g_source_unref(*source);
+    *source = nullptr;
   }
 };
 
@@ -236,6 +243,7 @@
   for (const auto& [socket, connection] : m_connections) {
     if (connection->current != nullptr) connection->current->server = nullptr;
     connection->StopWatching();
+    Connection::DestroySource(&connection->head_source);
     ShutDownSocket(socket);
   }
   g_object_unref(m_server);
@@ -265,6 +273,7 @@
   auto* exchange = new Exchange{server, connection};
   exchange->head_arrived = HasEndOfHead(socket);
   connection->current = exchange;
+  if (!exchange->head_arrived) WatchForHead(connection);
   g_object_set_data(G_OBJECT(message), kExchangeKey, exchange);
   g_object_weak_ref(G_OBJECT(message), &OnMessageFinalized, exchange);
   g_signal_connect(message, "wrote-headers", G_CALLBACK(&OnHeadersWritten),
@@ -495,6 +504,29 @@
   return G_SOURCE_REMOVE;
 }
 
+// Has a higher priority than libsoup's source, so it sees the bytes first. It
+// fires once, because libsoup's source is not dispatched beside it.
+void SoupHttpServer::WatchForHead(Connection* connection) {
+  Connection::DestroySource(&connection->head_source);
+  connection->head_source =
+      g_socket_create_source(connection->socket.get(), G_IO_IN, nullptr);
+  g_source_set_priority(connection->head_source, G_PRIORITY_HIGH);
+  g_source_set_callback(connection->head_source, G_SOURCE_FUNC(&OnHeadBytes),
+                        connection, nullptr);
+  g_source_attach(connection->head_source, g_main_context_get_thread_default());
+}
+
+gboolean SoupHttpServer::OnHeadBytes(GSocket* socket,
+                                     GIOCondition /*condition*/,
+                                     gpointer data) {
+  auto* connection = static_cast<Connection*>(data);
+  Connection::DestroySource(&connection->head_source);
+  Exchange* current = connection->current;
+  if (current == nullptr || current->headers_read) return G_SOURCE_REMOVE;
+  current->head_arrived = HasEndOfHead(socket);
+  return G_SOURCE_REMOVE;
+}
+
 // libsoup takes the end of the stream for the end of a head, so that a request
 // would be handled without the headers that are missing, and with an empty
 // body. If the end of the stream was read before OnHangUp saw it, nothing tells
--- a/src/adapters/soup_http_server.h
+++ b/src/adapters/soup_http_server.h
@@ -123,10 +123,14 @@
   static void OnHeadersWritten(SoupServerMessage* message, gpointer exchange);
   static void OnMessageFinalized(gpointer exchange, GObject* message);
   static gboolean OnHangUp(GSocket* socket, GIOCondition, gpointer connection);
+  static gboolean OnHeadBytes(GSocket* socket, GIOCondition,
+                              gpointer connection);
 
   Connection* AddConnection(GSocket* socket);
   static bool IsHeadCutOff(const Exchange& exchange);
   void WatchForHangUp(Connection* connection);
+  /// Looks at the first bytes of a request before libsoup reads them.
+  static void WatchForHead(Connection* connection);
   void EndIdleConnection(Connection* connection);
   void ScheduleSweep();
   void SweepIdleConnections();
--- a/src/replication/replica_node_log.cc
+++ b/src/replication/replica_node_log.cc
@@ -146,8 +146,9 @@
 void ReplicaNode::Flush() {
   const bool starts_round =
       m_reads.HasUnassignedReads() && HasCommittedInCurrentTerm();
-  if (starts_round)
+  if (starts_round) {
     m_reads.AssignRound(m_replicator->StartRound(m_commit_index));
+  }
   for (const GroupMember& member : m_log->Membership().members) {
     ReplicateTo(member, starts_round);
   }
--- a/tests/adapters/soup_http_server_test.cc
+++ b/tests/adapters/soup_http_server_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <cerrno>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -71,6 +73,7 @@
 // A caller that sends without end is cut off at a bounded number of bytes.
 TEST(SoupHttpServerTest, EndsAConnectionWhoseCallerSendsWithoutEnd) {
   constexpr std::size_t kMaxSentBytes = std::size_t{32} << 20;
+  constexpr int kSendTimeoutS = 10;
   const std::string head = "POST /p HTTP/1.1\r\nHost: h\r\n";
   const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
   const std::string text(1000, 'x');
@@ -88,21 +91,76 @@
       {"chunks", chunked, "4\r\nabcd\r\n"},
       {"chunk size", chunked, "0"},
       {"chunk extension", chunked + "4;", text}};
-  const auto server = MakeServer();
+  // libsoup may stop reading; then the connection ends at the idle limit.
+  SoupHttpServerOptions options;
+  options.idle_timeout = seconds(1);
+  const auto server = MakeServer(options);
   for (const Case& c : cases) {
     SCOPED_TRACE(c.name);
     std::size_t sent = 0;
     RunBeside([&] {
       RawSocket caller(server->LocalAddress());
+      caller.SetSendTimeout(kSendTimeoutS);
       caller.Send(c.first);
       while (sent < kMaxSentBytes && caller.Send(c.repeated)) {
         sent += c.repeated.size();
       }
+      EXPECT_NE(errno, EAGAIN) << "the connection is neither read nor closed";
     });
     EXPECT_LT(sent, kMaxSentBytes);
   }
 }
 
+/// Dispatched by GLib in the same iteration as libsoup's source of a connection
+/// that is accepted later, and before it.
+class EarlySource {
+ public:
+  explicit EarlySource(std::function<void()> action)
+      : m_action(std::move(action)), m_source(g_timeout_source_new(G_MAXUINT)) {
+    g_source_set_callback(m_source, &Run, this, nullptr);
+    g_source_set_priority(m_source, G_PRIORITY_DEFAULT);
+    g_source_attach(m_source, nullptr);
+  }
+  ~EarlySource() {
+    g_source_destroy(m_source);
+    g_source_unref(m_source);
+  }
+  EarlySource(const EarlySource&) = delete;
+  EarlySource& operator=(const EarlySource&) = delete;
+
+  void RunInNextIteration() { g_source_set_ready_time(m_source, 0); }
+  [[nodiscard]] bool HasRun() const { return m_has_run; }
+
+ private:
+  static gboolean Run(gpointer data) {
+    auto* self = static_cast<EarlySource*>(data);
+    self->m_has_run = true;
+    self->m_action();
+    return G_SOURCE_REMOVE;
+  }
+
+  std::function<void()> m_action;
+  GSource* m_source;
+  bool m_has_run = false;
+};
+
+// A caller closed its sending side between the poll that saw its request and
+// the read of it, and got no answer.
+TEST(SoupHttpServerTest, ACallerThatHalfClosesAsItsRequestIsReadIsAnswered) {
+  const auto server = MakeServer();
+  std::optional<RawSocket> caller;
+  EarlySource half_close([&] { caller->EndSending(); });
+  caller.emplace(server->LocalAddress());
+  IterateUntil([&] { return server->ConnectionCount() == 1; });
+  ASSERT_TRUE(caller->Send(kGet));
+  half_close.RunInNextIteration();
+  IterateUntil([&] { return half_close.HasRun(); });
+  std::string answer;
+  RunBeside([&] { answer = caller->ReceiveAll(); });
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+  EXPECT_EQ(server->Counters().Get(SoupHttpServerCounter::kHeadsCutOff), 0U);
+}
+
 // A caller that ends in the middle of the head of its request, or before the
 // whole body, has sent no request: its last headers are missing, and an empty
 // body would be another request.
--- a/tests/fakes/raw_socket.h
+++ b/tests/fakes/raw_socket.h
@@ -64,6 +64,12 @@
     return true;
   }
 
+  /// Makes Send fail if the peer does not read for `timeout_s`.
+  void SetSendTimeout(int timeout_s) const {
+    const timeval timeout{timeout_s, 0};
+    setsockopt(m_fd, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof timeout);
+  }
+
   /// Shuts down the sending direction, so that the peer reads the end of the
   /// stream.
   void EndSending() { shutdown(m_fd, SHUT_WR); }
--- a/tests/process/endless_answer_test.cc
+++ b/tests/process/endless_answer_test.cc
@@ -80,6 +80,7 @@
   RunBeside([&] {
     m_deployment.Start(1);
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int caller = 0; caller < kCallers; ++caller) {
       callers.emplace_back([&, caller] {
         for (int i = 0; i < kRequestsPerCaller; ++i) {
