--- a/tests/adapters/soup_http_server_test.cc
+++ b/tests/adapters/soup_http_server_test.cc
@@ -105,7 +105,8 @@
       while (sent < kMaxSentBytes && caller.Send(c.repeated)) {
         sent += c.repeated.size();
       }
-      EXPECT_NE(errno, EAGAIN) << "the connection is neither read nor closed";
+      EXPECT_NE(errno, EAGAIN)
+          << c.name << ": the connection is neither read nor closed";
     });
     EXPECT_LT(sent, kMaxSentBytes);
   }
