--- a/tests/adapters/beast_http_client_test.cc
+++ b/tests/adapters/beast_http_client_test.cc
@@ -178,15 +178,16 @@
         "9000000000000", "9223372036854775807", "18446744073709551615"}) {
     SCOPED_TRACE(length);
     std::atomic<bool> head_sent = false;
-    RawUpstream upstream([&](RawSocket& connection, int) {
-      connection.ReceiveUntil("\r\n\r\n");
-      connection.Send("HTTP/1.1 200 OK\r\nContent-Length: " +
-                      std::string(length) + "\r\n\r\nab");
-      head_sent = true;
-      connection.ReceiveAll();
-    });
+    std::optional<RawUpstream> upstream(
+        std::in_place, [&](RawSocket& connection, int) {
+          connection.ReceiveUntil("\r\n\r\n");
+          connection.Send("HTTP/1.1 200 OK\r\nContent-Length: " +
+                          std::string(length) + "\r\n\r\nab");
+          head_sent = true;
+          connection.ReceiveAll();
+        });
     const std::size_t allocated_before = AllocatedBytes();
-    HttpCall call = MakeCall(upstream.LocalAddress());
+    HttpCall call = MakeCall(upstream->LocalAddress());
     call.timeout = milliseconds(300);
     std::optional<HttpCallResult> result;
     std::size_t most_allocated = allocated_before;
@@ -196,6 +197,7 @@
       most_allocated = std::max(most_allocated, AllocatedBytes());
       return result.has_value();
     });
+    upstream.reset();  // Waits until its thread has ended.
     EXPECT_TRUE(head_sent);
     EXPECT_NE(result->end, HttpCallEnd::kAnswered);
     EXPECT_LT(most_allocated, allocated_before + kMaxAllocatedBytes);
