Recovery: the voters tell who the voters are

Cause: the control VMs of the settings counted as the whole group. The settings name three, the group has up to seven voters, so two answers passed for a quorum although a commit needs four; a VM that had lost its disk, and knew nothing, counted like the others.

Change: the answer of a control VM carries the membership in its log, its index, and whether the VM is one of the voters. The newest membership decides, its voters are asked in the same round, and only their answers count. Members change one at a time, so a quorum of an older membership knows the next one.

--- a/programs/chicory-controld/control_daemon.cc
+++ b/programs/chicory-controld/control_daemon.cc
@@ -134,6 +134,8 @@
   m_peers->Distributor()->Offer(m_group->Config());
   m_peers->Distributor()->SetKnownVersionCallback(
       [this] { return m_group->HighestLoggedVersion(); });
+  m_peers->Distributor()->SetGroupViewCallback(
+      [this] { return m_group->GroupView(); });
   m_version_service = std::make_unique<VersionService>(
       m_group.get(), m_peers->TcpTransport(), m_peers->LocalAddress());
   m_peers->Distributor()->SetConfirmVersion(
--- a/src/config/cluster_config_codec.h
+++ b/src/config/cluster_config_codec.h
@@ -4,16 +4,11 @@
 // Serialization of the configuration types, for messages that contain them.
 
 #include "base/codec.h"
+#include "base/ids_codec.h"
 #include "config/cluster_config.h"
 
 namespace chicoryvale {
 
-template <class Archive>
-void serialize(Archive& archive,
-               Address& value) {  // NOLINT(readability-identifier-naming)
-  archive(value.host_port);
-}
-
 template <class Archive>
 void serialize(Archive& archive,
                ReplicaConfig& value) {  // NOLINT(readability-identifier-naming)
--- a/src/config/config_distributor.cc
+++ b/src/config/config_distributor.cc
@@ -387,6 +387,7 @@
     answer.known_version =
         std::max(answer.known_version, m_known_version_callback());
   }
+  if (m_group_view_callback) answer.group = m_group_view_callback();
   respond(Encode(answer));
 }
 
--- a/src/config/config_distributor.h
+++ b/src/config/config_distributor.h
@@ -120,6 +120,7 @@
   using Listener =
       std::function<void(const ClusterConfig& config, ConfigStatus status)>;
   using KnownVersionCallback = std::function<std::uint64_t()>;
+  using GroupViewCallback = std::function<ControlGroupView()>;
   /// Receives the newest committed version, or nothing if it is not confirmed.
   using VersionCallback =
       std::function<void(std::optional<std::uint64_t> version)>;
@@ -152,6 +153,12 @@
   /// peers.
   void SetKnownVersionCallback(KnownVersionCallback callback);
 
+  /// Sets the function that returns the control group as this control VM knows
+  /// it. Without it, the VM counts in no quorum of a recovering entry.
+  void SetGroupViewCallback(GroupViewCallback callback) {
+    m_group_view_callback = std::move(callback);
+  }
+
   /// Sets the function with which a control VM confirms the newest committed
   /// version for peers. Without it, such requests are refused.
   void SetConfirmVersion(ConfirmVersion confirm_version) {
@@ -260,6 +267,7 @@
   ConfigStatus m_status = ConfigStatus::kNone;
   ConfigHistory m_history;
   KnownVersionCallback m_known_version_callback;
+  GroupViewCallback m_group_view_callback;
   ConfirmVersion m_confirm_version;
   Listener m_listener;
   /// Peers whose last digest had a higher version.
--- a/src/config/config_recovery.cc
+++ b/src/config/config_recovery.cc
@@ -1,6 +1,7 @@
 #include "config/config_recovery.h"
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -17,16 +18,21 @@
 }  // namespace
 
 struct ConfigRecovery::Round {
-  /// Control VMs that got a request.
-  std::size_t control_count = 0;
+  std::set<Address> asked;
   std::size_t in_flight = 0;
   std::size_t answer_count = 0;
-  std::size_t control_answer_count = 0;
+  /// The newest membership of the control group among the answers.
+  ControlGroupView group;
+  std::set<Address> answered_voters;
   std::uint64_t highest_known_version = 0;
   std::uint64_t highest_adopted_version = 0;
 
   [[nodiscard]] bool HasQuorum() const {
-    return 2 * control_answer_count > control_count;
+    const auto answered =
+        std::ranges::count_if(group.voters, [this](const Address& voter) {
+          return answered_voters.contains(voter);
+        });
+    return 2 * static_cast<std::size_t>(answered) > group.voters.size();
   }
 };
 
@@ -51,24 +57,19 @@
 void ConfigRecovery::BeginRound() {
   m_timer = 0;
   ++m_round_count;
-  auto round = std::make_shared<Round>();
-  std::vector<Address> peers;
+  const auto round = std::make_shared<Round>();
+  for (const Address& to : m_options.control_addresses) Query(to, round);
   for (const MemberInfo& peer :
        m_options.gossip->RandomPeers(m_options.peers_per_round)) {
-    if (std::ranges::find(m_options.control_addresses, peer.address) ==
-        m_options.control_addresses.end()) {
-      peers.push_back(peer.address);
-    }
+    Query(peer.address, round);
   }
-  round->control_count = m_options.control_addresses.size();
-  round->in_flight = round->control_count + peers.size();
-  for (const Address& to : m_options.control_addresses) Query(to, true, round);
-  for (const Address& peer : peers) Query(peer, false, round);
   if (round->in_flight == 0) FinishRound(*round);
 }
 
-void ConfigRecovery::Query(const Address& to, bool is_control,
+void ConfigRecovery::Query(const Address& to,
                            const std::shared_ptr<Round>& round) {
+  if (!round->asked.insert(to).second) return;
+  ++round->in_flight;
   const DistributionRequest request;
   const std::weak_ptr<int> alive = m_alive;
   const Duration timeout =
@@ -76,15 +77,15 @@
               m_round_count - 1);
   m_options.transport->Call(
       to, PeerChannel::kConfig, Encode(request), timeout,
-      [this, alive, to, is_control, round](const Result<std::string>& answer) {
+      [this, alive, to, round](const Result<std::string>& answer) {
         if (alive.expired()) return;
-        if (answer) OnAnswer(to, is_control, *answer, round.get());
+        if (answer) OnAnswer(to, *answer, round);
         if (--round->in_flight == 0) FinishRound(*round);
       });
 }
 
-void ConfigRecovery::OnAnswer(const Address& from, bool is_control,
-                              const std::string& bytes, Round* round) {
+void ConfigRecovery::OnAnswer(const Address& from, const std::string& bytes,
+                              const std::shared_ptr<Round>& round) {
   DistributionAnswer answer;
   if (!Decode(bytes, &answer) ||
       answer.kind != DistributionAnswerKind::kVersion) {
@@ -94,13 +95,18 @@
   ++round->answer_count;
   round->highest_adopted_version =
       std::max(round->highest_adopted_version, answer.digest.version);
-  if (is_control) {
-    ++round->control_answer_count;
+  if (!answer.group.voter.host_port.empty()) {
+    round->answered_voters.insert(answer.group.voter);
     round->highest_known_version =
         std::max(round->highest_known_version, answer.known_version);
   }
+  if (answer.group.index > round->group.index) {
+    round->group = std::move(answer.group);
+  }
   m_on_source(from, answer.digest);
   if (round->HasQuorum() && !had_quorum) ReportRound(*round);
+  if (!m_running) return;
+  for (const Address& voter : round->group.voters) Query(voter, round);
 }
 
 void ConfigRecovery::FinishRound(const Round& round) {
@@ -114,7 +120,7 @@
 void ConfigRecovery::ReportRound(const Round& round) {
   if (!m_running) return;
   const bool has_quorum = round.HasQuorum();
-  // Without a quorum, a version that a control VM has only in its log may never
+  // Without a quorum, a version that a voter has only in its log may never
   // be committed.
   const std::uint64_t min_version =
       has_quorum
--- a/src/config/config_recovery.h
+++ b/src/config/config_recovery.h
@@ -19,14 +19,14 @@
 
 /// Dependencies and settings of a ConfigRecovery. The pointees outlive it.
 struct RecoveryOptions {
-  /// Addresses of all voters of the control group, as listed in the settings.
+  /// Addresses of control VMs, as listed in the settings. The other voters of
+  /// the group are learned from their answers.
   std::vector<Address> control_addresses;
   Scheduler* scheduler = nullptr;
   PeerTransport* transport = nullptr;
   PeerGossip* gossip = nullptr;
   /// Maximum number of random members that are drawn in a round to get a
-  /// request. Control VMs among them are skipped, because each control VM gets
-  /// a request anyway. In a larger group, asking more is not needed: the
+  /// request. In a larger group, asking more is not needed: the
   /// configuration spreads among the members, so those asked already have it.
   std::size_t peers_per_round = 64;
   /// Timeout of a request in the first round. Like the pause, it doubles with
@@ -41,20 +41,23 @@
 
 /// The result of one round of version requests.
 struct RecoveryRound {
-  /// Whether more than half of the control VMs answered.
+  /// Whether more than half of the voters of the control group answered.
   bool has_quorum = false;
   /// Number of members and control VMs that answered.
   std::size_t answer_count = 0;
   /// The minimum version to reach. With a quorum it is at least the highest
-  /// version that any control VM in the quorum knows. Without one it is the
+  /// version that any voter in the quorum knows. Without one it is the
   /// highest version that any peer has.
   std::uint64_t min_version = 0;
 };
 
 /// Determines the version that a newly started process must have before it may
-/// serve. A version is accepted only after a quorum has synced it, so every
-/// quorum contains a control VM that knows it. Not thread safe: used only on
-/// the event loop.
+/// serve. A version is accepted only after a quorum of the voters has synced
+/// it, so every quorum contains a voter that knows it. The voters themselves
+/// tell who the voters are: the newest membership among the answers counts, and
+/// a VM without it, for example one that has lost its disk, counts in no
+/// quorum. Members change one at a time, so a quorum of an older membership has
+/// a VM that knows the next one. Not thread safe: used only on the event loop.
 class ConfigRecovery {
  public:
   using RoundCallback = std::function<void(const RecoveryRound& round)>;
@@ -84,11 +87,10 @@
   struct Round;
 
   void BeginRound();
-  /// Requests the versions that `to` has and knows.
-  void Query(const Address& to, bool is_control,
-             const std::shared_ptr<Round>& round);
-  void OnAnswer(const Address& from, bool is_control, const std::string& bytes,
-                Round* round);
+  /// Requests the versions that `to` has and knows, once in a round.
+  void Query(const Address& to, const std::shared_ptr<Round>& round);
+  void OnAnswer(const Address& from, const std::string& bytes,
+                const std::shared_ptr<Round>& round);
   void FinishRound(const Round& round);
   void ReportRound(const Round& round);
 
--- a/src/config/distribution_message.h
+++ b/src/config/distribution_message.h
@@ -6,6 +6,8 @@
 #include <vector>
 
 #include "base/codec.h"
+#include "base/ids.h"
+#include "base/ids_codec.h"
 #include "config/config_delta.h"
 #include "ports/peer_gossip.h"
 
@@ -43,6 +45,16 @@
   kBusy,
 };
 
+/// The control group as one control VM knows it.
+struct ControlGroupView {
+  /// Index of the log entry that set the voters, which is the version of the
+  /// group; 0 if the VM is in no group.
+  std::uint64_t index = 0;
+  std::vector<Address> voters;
+  /// Address of the sender if it is one of the voters; otherwise empty.
+  Address voter;
+};
+
 /// Answer on PeerChannel::kConfig.
 struct DistributionAnswer {
   DistributionAnswerKind kind = DistributionAnswerKind::kVersion;
@@ -55,6 +67,8 @@
   std::vector<ConfigDelta> deltas;
   /// For kFull: the bytes of EncodeConfig.
   std::string full_config;
+  /// For the answer of a control VM to kKnownVersion.
+  ControlGroupView group;
 };
 
 // NOLINTBEGIN(readability-identifier-naming): cereal requires the name.
@@ -69,6 +83,11 @@
           value.header.to_hash, value.bytes);
 }
 
+template <class Archive>
+void serialize(Archive& archive, ControlGroupView& value) {
+  archive(value.index, value.voters, value.voter);
+}
+
 template <class Archive>
 void serialize(Archive& archive, DistributionRequest& value) {
   archive(value.kind, value.digest);
@@ -77,7 +96,7 @@
 template <class Archive>
 void serialize(Archive& archive, DistributionAnswer& value) {
   archive(value.kind, value.digest, value.known_version, value.deltas,
-          value.full_config);
+          value.full_config, value.group);
 }
 // NOLINTEND(readability-identifier-naming)
 
--- a/src/replication/replicated_control_group.cc
+++ b/src/replication/replicated_control_group.cc
@@ -87,6 +87,18 @@
   return Config().version + m_node->CountUnapplied(is_change);
 }
 
+ControlGroupView ReplicatedControlGroup::GroupView() const {
+  const ReplicaStatus status = m_node->Status();
+  ControlGroupView view;
+  view.index = status.membership_index;
+  for (const GroupMember& member : status.membership.members) {
+    if (!member.voter) continue;
+    view.voters.push_back(member.address);
+    if (member.node_id == status.identity.node_id) view.voter = member.address;
+  }
+  return view;
+}
+
 void ReplicatedControlGroup::OnChangeMember(const Address& remove,
                                             const Address& add,
                                             MemberCallback callback) {
--- a/src/replication/replicated_control_group.h
+++ b/src/replication/replicated_control_group.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "claims/claim_command.h"
+#include "config/distribution_message.h"
 #include "ports/control_group.h"
 #include "ports/peer_transport.h"
 #include "ports/scheduler.h"
@@ -48,6 +49,9 @@
   /// quorum.
   [[nodiscard]] std::uint64_t HighestLoggedVersion() const;
 
+  /// Returns the newest membership in the log of this VM, committed or not.
+  [[nodiscard]] ControlGroupView GroupView() const;
+
   /// Proposes `command`, in which the caller has set the time from the wall
   /// clock. Calls `callback` once, as ReplicaNode::Propose does.
   void Claim(const ClaimCommand& command, ClaimCallback callback);
--- a/tests/config/config_distributor_test.cc
+++ b/tests/config/config_distributor_test.cc
@@ -276,14 +276,15 @@
   wrong_base.header.from_version = 9;
   const auto delta_answer = [](const ConfigDelta& delta) {
     return Encode(DistributionAnswer{
-        DistributionAnswerKind::kDeltas, {2, 77}, 2, {delta}, ""});
+        DistributionAnswerKind::kDeltas, {2, 77}, 2, {delta}, "", {}});
   };
   const auto full_answer = [](const ClusterConfig& config, std::uint64_t hash) {
     return Encode(DistributionAnswer{DistributionAnswerKind::kFull,
                                      {config.version, hash},
                                      2,
                                      {},
-                                     EncodeConfig(config)});
+                                     EncodeConfig(config),
+                                     {}});
   };
   ClusterConfig older = m_cluster.newest();
   older.version = 0;
@@ -307,7 +308,7 @@
        DistributionCounter::kRefusedOlder},
       {"busy",
        Encode(DistributionAnswer{
-           DistributionAnswerKind::kBusy, {2, 77}, 2, {}, ""}),
+           DistributionAnswerKind::kBusy, {2, 77}, 2, {}, "", {}}),
        DistributionCounter::kPullsBusy},
   };
   for (const Case& test : cases) {
--- a/tests/fakes/fake_cluster.h
+++ b/tests/fakes/fake_cluster.h
@@ -100,7 +100,13 @@
     options.recovery.gossip = node.membership.get();
     options.random_seed = m_seed * 7919 + i;
     options.log = &log;
+    ControlGroupView control_group{1, options.recovery.control_addresses, {}};
     m_distributors[i] = std::move(*ConfigDistributor::Make(options));
+    if (i < kControlCount) {
+      control_group.voter = node.info.address;
+      m_distributors[i]->SetGroupViewCallback(
+          [control_group] { return control_group; });
+    }
     m_distributors[i]->SetListener(
         [this, i](const ClusterConfig& config, ConfigStatus) {
           if (observer) observer(i, config.version);
