Control: a VM outside the group knows the leader

The eighth VM, or one that was replaced while it was silent, gets no heartbeat and so knew no leader.

A replica that has had no contact with a leader for long now takes it from there. A voter that has just lost its leader does not: the others may still name the lost one.

--- a/src/replication/replica_node.cc
+++ b/src/replication/replica_node.cc
@@ -135,7 +135,8 @@
   }
   status.identity = m_log->Identity();
   status.term = CurrentTerm();
-  status.leader = m_leader_address;
+  status.leader =
+      m_leader_address.host_port.empty() ? LeaderByHello() : m_leader_address;
   status.commit_index = m_commit_index;
   status.applied_index = m_applied_index;
   status.last_index = m_log->LastIndex();
--- a/src/replication/replica_node.h
+++ b/src/replication/replica_node.h
@@ -185,6 +185,11 @@
   [[nodiscard]] std::set<Address> HelloAddresses() const;
   void SendHello(const Address& to);
   [[nodiscard]] bool IsOtherGroup(GroupId group_id) const;
+  void RememberLeader(const Envelope& envelope, const HelloReply& reply);
+  /// Returns the leader that the members name to a replica that has had no
+  /// contact with a leader for long, because it is not in the group; empty if
+  /// there is none.
+  [[nodiscard]] Address LeaderByHello() const;
   void OnMemberHelloReply(const Envelope& envelope);
   void FormGroup(const GroupMembership& membership);
   void ReplaceMemberIdentity(const Address& address, NodeId node_id);
@@ -221,6 +226,9 @@
   SnapshotReceiver m_snapshot_receiver;
   GroupFormation m_formation;
   std::optional<PendingMemberChange> m_pending_change;
+  /// Leader in the last HelloReply that names one, and when it arrived.
+  Address m_leader_by_hello;
+  TimePoint m_leader_by_hello_at{};
   /// Nonce of the last HelloRequest to each address, until its reply arrives.
   std::map<std::string, std::uint64_t> m_hello_nonces;
 
--- a/src/replication/replica_node_membership.cc
+++ b/src/replication/replica_node_membership.cc
@@ -7,6 +7,15 @@
 #include "replication/replica_node.h"
 
 namespace chicoryvale {
+namespace {
+
+/// Number of election timeouts without contact after which a replica may take
+/// itself to be outside the group.
+constexpr int kElectionsBeforeOutside = 2;
+/// Number of Hello intervals for which the leader in a reply counts.
+constexpr int kHellosPerLeaderHint = 3;
+
+}  // namespace
 
 // A replica without recent contact with a leader sends its identity to the
 // other replicas, because it may have lost its disk, or a change that was never
@@ -78,6 +87,7 @@
   const auto nonce = m_hello_nonces.find(envelope.from_address.host_port);
   if (nonce == m_hello_nonces.end() || nonce->second != reply.nonce) return;
   m_hello_nonces.erase(nonce);
+  RememberLeader(envelope, reply);
   if (IsInGroup()) {
     OnMemberHelloReply(envelope);
     return;
@@ -90,6 +100,29 @@
   if (leader_is_elsewhere) SendHello(reply.leader);
 }
 
+void ReplicaNode::RememberLeader(const Envelope& envelope,
+                                 const HelloReply& reply) {
+  const bool is_from_member =
+      envelope.group_id != 0 &&
+      (!IsInGroup() || !IsOtherGroup(envelope.group_id));
+  if (!is_from_member || reply.leader.host_port.empty()) return;
+  m_leader_by_hello = reply.leader;
+  m_leader_by_hello_at = m_dependencies.scheduler->Now();
+}
+
+// A voter that has lost its leader a moment ago gets no answer here: the other
+// voters may still name the leader that was lost, and a new one makes contact.
+Address ReplicaNode::LeaderByHello() const {
+  const TimePoint now = m_dependencies.scheduler->Now();
+  const bool may_be_voter =
+      m_last_leader_contact &&
+      now - *m_last_leader_contact <
+          kElectionsBeforeOutside * m_options.max_election_timeout;
+  const bool is_recent = now - m_leader_by_hello_at <=
+                         kHellosPerLeaderHint * m_options.hello_interval;
+  return may_be_voter || !is_recent ? Address{} : m_leader_by_hello;
+}
+
 bool ReplicaNode::IsOtherGroup(GroupId group_id) const {
   return group_id != 0 && group_id != m_log->Identity().group_id;
 }
--- a/tests/replication/replica_fault_test.cc
+++ b/tests/replication/replica_fault_test.cc
@@ -410,5 +410,55 @@
   }
 }
 
+/// Time after which a VM outside the group knows a leader that the others know.
+constexpr Duration kLeaderKnownTarget = seconds(2);
+
+// A control VM beyond the maximum number of voters refused all requests of
+// operators and entries, because it knew no leader.
+TEST(ReplicaFaultTest, AVmOutsideTheGroupKnowsTheLeader) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    Fixture f(3, 1, seed);
+    const auto knows_leader = [&f] {
+      const auto leader = f.group.Leader();
+      return leader &&
+             f.Node(3).Status().leader == f.group.vms[*leader]->address;
+    };
+    ASSERT_TRUE(f.group.AwaitLeader());
+    EXPECT_TRUE(f.group.RunUntil(knows_leader, kLeaderKnownTarget));
+    f.group.Crash(*f.group.Leader());
+    ASSERT_TRUE(f.group.AwaitLeader());
+    EXPECT_TRUE(f.group.RunUntil(knows_leader, kLeaderKnownTarget));
+  }
+}
+
+// A control VM that was replaced while it was silent refused all requests once
+// it was back, because it knew no leader.
+TEST(ReplicaFaultTest, ARemovedVmKnowsTheLeader) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    Fixture f(3, 1, seed);
+    const std::size_t removed = f.Follower();
+    f.group.Isolate(removed);
+    GroupMemberChange change;
+    change.add = f.group.vms[3]->address;
+    change.remove = f.group.vms[removed]->address;
+    std::optional<Result<void>> reply;
+    f.Node(*f.group.AwaitLeader())
+        .ChangeMembers(change,
+                       [&](Result<void> done) { reply = std::move(done); });
+    ASSERT_TRUE(f.group.RunUntil([&] { return reply.has_value(); }));
+    f.group.scheduler.RunFor(seconds(10));
+    f.group.network.HealAll();
+    const auto knows_leader = [&] {
+      const auto leader = f.group.Leader();
+      return leader &&
+             f.Node(removed).Status().leader == f.group.vms[*leader]->address;
+    };
+    EXPECT_TRUE(f.group.RunUntil(knows_leader, kLeaderKnownTarget))
+        << f.group.Describe();
+  }
+}
+
 }  // namespace
 }  // namespace chicoryvale
