--- a/programs/chicory-entryd/entry_daemon.cc
+++ b/programs/chicory-entryd/entry_daemon.cc
@@ -96,6 +96,7 @@
   m_admission = std::make_unique<AdmissionRunner>(&m_scheduler,
                                                   m_at_most_once_runner.get());
   m_caller_endpoint = std::make_unique<CallerEndpoint>(m_admission.get());
+  m_caller_endpoint->SetFreshness(m_peers->Freshness(), &m_scheduler);
 }
 
 Result<void> EntryDaemon::StartPlatformPoller() {
@@ -166,6 +167,7 @@
   m_admission->SetSchema(*m_caller_endpoint->CurrentSchema());
   m_gate->ApplyConfig(config);
   m_engine->SetConfig(config);
+  m_peers->Freshness()->OnApplied(config.version);
   m_config_version = config.version;
   m_ready = true;
   Log(LogLevel::kInfo, "configuration_in_force",
--- a/src/endpoint/caller_endpoint.cc
+++ b/src/endpoint/caller_endpoint.cc
@@ -42,6 +42,12 @@
          std::to_string(snapshot.index_version);
 }
 
+/// Returns whether another schema may allow a request that was refused with
+/// `kind`.
+bool DependsOnSchema(ErrorKind kind) {
+  return kind != ErrorKind::kWrongMethod && kind != ErrorKind::kRequestTooLarge;
+}
+
 }  // namespace
 
 Result<void> CallerEndpoint::SetConfig(const ClusterConfig& config,
@@ -72,7 +78,44 @@
                      respond);
   }
   const auto parsed = ParseCallerRequest(request, *m_schema);
-  if (!parsed) return SendError(parsed.error(), respond);
+  if (parsed) return RunQuery(m_schema, *parsed, std::move(respond));
+  if (m_freshness == nullptr || !DependsOnSchema(parsed.error().kind)) {
+    return SendError(parsed.error(), respond);
+  }
+  AwaitFreshness(request, std::move(respond));
+}
+
+// The method, the field or the workspace may have been added by a change that
+// has not arrived here.
+void CallerEndpoint::AwaitFreshness(const HttpRequest& request,
+                                    HttpResponder respond) {
+  const std::weak_ptr<int> alive = m_alive;
+  m_freshness->Confirm([this, alive, request, received_at = m_scheduler->Now(),
+                        respond = std::move(respond)](bool is_current) {
+    if (!alive.expired()) {
+      OnFreshness(is_current, request, received_at, respond);
+    }
+  });
+}
+
+void CallerEndpoint::OnFreshness(bool is_current, const HttpRequest& request,
+                                 TimePoint received_at, HttpResponder respond) {
+  auto parsed = ParseCallerRequest(request, *m_schema);
+  if (!parsed && is_current) return SendError(parsed.error(), respond);
+  if (!parsed) {
+    return SendError({ErrorKind::kNoConfiguration,
+                      "this VM cannot confirm now that its schema, which "
+                      "refuses the request, is current",
+                      Ran::kNo},
+                     respond);
+  }
+  parsed->spec.timeout -= m_scheduler->Now() - received_at;
+  if (parsed->spec.timeout <= Duration::zero()) {
+    return SendError(
+        {ErrorKind::kDeadlineExceeded,
+         "the deadline passed while the schema was updated", Ran::kNo},
+        respond);
+  }
   RunQuery(m_schema, *parsed, std::move(respond));
 }
 
--- a/src/endpoint/caller_endpoint.h
+++ b/src/endpoint/caller_endpoint.h
@@ -8,7 +8,9 @@
 #include "config/cluster_config.h"
 #include "endpoint/caller_request.h"
 #include "endpoint/error_counters.h"
+#include "ports/config_freshness.h"
 #include "ports/http.h"
+#include "ports/scheduler.h"
 #include "query/query_runner.h"
 #include "schema/schema.h"
 
@@ -42,6 +44,15 @@
   /// `runner` must outlive the endpoint.
   explicit CallerEndpoint(QueryRunner* runner) : m_runner(runner) {}
 
+  /// Sets what tells whether the configuration is current. A request that the
+  /// schema refuses then waits until that is confirmed, and is refused with
+  /// kNoConfiguration if it cannot be. Without it, the schema in force decides.
+  /// Both must outlive the endpoint.
+  void SetFreshness(ConfigFreshness* freshness, const Scheduler* scheduler) {
+    m_freshness = freshness;
+    m_scheduler = scheduler;
+  }
+
   /// Applies a configuration. Requests in flight keep the schema that they
   /// started with. If the schema cannot be parsed, returns the error and keeps
   /// the previous schema in force.
@@ -65,6 +76,11 @@
   [[nodiscard]] std::uint64_t AnswerCount() const { return m_answer_count; }
 
  private:
+  /// Answers `request` once it is known whether the schema that refuses it is
+  /// current.
+  void AwaitFreshness(const HttpRequest& request, HttpResponder respond);
+  void OnFreshness(bool is_current, const HttpRequest& request,
+                   TimePoint received_at, HttpResponder respond);
   void SendError(const Error& error, const HttpResponder& respond,
                  const std::vector<ShardCoverage>* coverage = nullptr);
   void RunQuery(const std::shared_ptr<const Schema>& schema,
@@ -73,6 +89,8 @@
                             BodyCodec codec, const QueryAnswer& answer) const;
 
   QueryRunner* m_runner;
+  ConfigFreshness* m_freshness = nullptr;
+  const Scheduler* m_scheduler = nullptr;
   std::shared_ptr<const Schema> m_schema;
   std::uint64_t m_schema_hash = 0;
   std::uint64_t m_config_version = 0;
@@ -81,6 +99,8 @@
   CounterSet<ErrorKind> m_errors;
   std::uint64_t m_request_count = 0;
   std::uint64_t m_answer_count = 0;
+  /// Expires with this object, so that later callbacks do nothing.
+  std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
 }  // namespace chicoryvale
--- a/tests/endpoint/caller_endpoint_test.cc
+++ b/tests/endpoint/caller_endpoint_test.cc
@@ -6,10 +6,12 @@
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "fakes/fake_scheduler.h"
 #include "ports/upstream_protocol.h"
 
 namespace chicoryvale {
@@ -233,5 +235,99 @@
   EXPECT_EQ(FindHeader(response.headers, kHeaderConfigVersion), "4");
 }
 
+/// Leaves each question open until the test answers it.
+class OpenFreshness : public ConfigFreshness {
+ public:
+  std::vector<Callback> m_pending;
+
+ protected:
+  void OnConfirm(Callback callback) override {
+    m_pending.push_back(std::move(callback));
+  }
+};
+
+/// An entry whose schema lacks a change that was accepted.
+class OldSchemaTest : public CallerEndpointTest {
+ protected:
+  OldSchemaTest() {
+    m_endpoint.SetFreshness(&m_freshness, &m_scheduler);
+    m_request.path = "/macchie.EyepieceDesk/Compare";
+    m_request.body = R"({"sketch_id":"s"})";
+    m_request = WithHeader(m_request, kHeaderWorkspace, "observers");
+  }
+
+  void SendAndWait(Duration wait) {
+    m_endpoint.Handle(m_request, [this](HttpResponse response) {
+      m_response = std::move(response);
+    });
+    EXPECT_FALSE(m_response) << m_response->body;
+    m_scheduler.RunFor(wait);
+  }
+
+  void Confirm(bool is_current) {
+    ASSERT_EQ(m_freshness.m_pending.size(), 1U);
+    m_freshness.m_pending.front()(is_current);
+  }
+
+  void ApplyNewerSchema() {
+    m_config.version = 5;
+    m_config.schema_text = ReadExample("macchie");
+    ASSERT_TRUE(m_endpoint.SetConfig(m_config, ConfigTrust::kConfirmed));
+  }
+
+  FakeScheduler m_scheduler;
+  OpenFreshness m_freshness;
+  HttpRequest m_request = ValidRequest();
+  std::optional<HttpResponse> m_response;
+};
+
+// An entry answered 404 for a method that an accepted change had added.
+TEST_F(OldSchemaTest, AMethodThatAChangeHasAddedIsServed) {
+  SendAndWait(milliseconds(100));
+  ApplyNewerSchema();
+  Confirm(true);
+  ASSERT_TRUE(m_response);
+  EXPECT_EQ(m_response->status, 200) << m_response->body;
+  ASSERT_EQ(m_runner.m_specs.size(), 1U);
+  EXPECT_EQ(m_runner.m_specs.front().timeout, milliseconds(150));
+}
+
+TEST_F(OldSchemaTest, ACurrentSchemaRefusesForGood) {
+  SendAndWait(milliseconds(1));
+  Confirm(true);
+  ASSERT_TRUE(m_response);
+  EXPECT_EQ(m_response->status, 404);
+}
+
+TEST_F(OldSchemaTest, AnUnconfirmedSchemaRefusesNothingForGood) {
+  SendAndWait(milliseconds(300));
+  Confirm(false);
+  ASSERT_TRUE(m_response);
+  EXPECT_EQ(m_response->status, 503);
+  EXPECT_THAT(m_response->body, testing::HasSubstr("no_configuration"));
+  EXPECT_THAT(m_response->body, testing::HasSubstr("\"ran\":\"no\""));
+}
+
+TEST_F(OldSchemaTest, ADeadlineThatPassesMeanwhileIsTold) {
+  m_request = WithHeader(m_request, kHeaderDeadlineMs, "100");
+  SendAndWait(milliseconds(100));
+  ApplyNewerSchema();
+  Confirm(true);
+  ASSERT_TRUE(m_response);
+  EXPECT_THAT(m_response->body, testing::HasSubstr("deadline_exceeded"));
+  EXPECT_TRUE(m_runner.m_specs.empty());
+}
+
+// What a request lacks by itself is told at once, whatever the schema.
+TEST_F(OldSchemaTest, RefusesAtOnceWhatNoSchemaAllows) {
+  m_request = ValidRequest();
+  m_request.method = "GET";
+  EXPECT_EQ(Send(m_request).status, 405);
+  m_request = ValidRequest();
+  m_request.too_large = true;
+  EXPECT_EQ(Send(m_request).status, 413);
+  EXPECT_TRUE(m_freshness.m_pending.empty());
+}
+
 }  // namespace
 }  // namespace chicoryvale
