Caller server: reset a connection whose caller sends without end

What callers saw: after the limit on a body, or the idle limit, the caller's send neither went on nor failed, for 10 s and more (EndsAConnectionWhoseCallerSendsWithoutEnd, rows body and chunks).

Cause, by ss and gdb on hanging runs (3 of 3): the server had closed its descriptor. The caller's socket was in CLOSE-WAIT with 4 MB unsent and its persist timer running: once the receiving side is shut down, Linux announces no room that reading makes, and the data that would draw a reset never arrives. If unread bytes were left at the close there was a reset, hence the flakiness.

Change: such connections are closed with a reset (SO_LINGER 0). Ruled out: the table of connections and the idle limit, which had done their part.

--- a/src/adapters/soup_http_server.cc
+++ b/src/adapters/soup_http_server.cc
@@ -109,6 +109,17 @@
   if (!g_socket_is_closed(socket)) shutdown(g_socket_get_fd(socket), SHUT_RDWR);
 }
 
+// Ends a connection whose caller may send without end. A caller whose window is
+// closed learns of the end by a reset only: once the receiving side is shut
+// down, the kernel announces no more room, and the data never arrives that it
+// would answer with a reset.
+void ResetSocket(GSocket* socket) {
+  const linger reset_at_close{.l_onoff = 1, .l_linger = 0};
+  setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &reset_at_close,
+             sizeof reset_at_close);
+  ShutDownSocket(socket);
+}
+
 }  // namespace
 
 /// One connection from a caller.
@@ -346,7 +357,7 @@
   server->MarkBodyTooLarge(exchange);
   if (exchange->body_bytes <= limit * kMaxDiscardedBodyFactor) return;
   server->m_counters.Add(SoupHttpServerCounter::kBodiesCutOff);
-  ShutDownSocket(exchange->connection->socket.get());
+  ResetSocket(exchange->connection->socket.get());
 }
 
 void SoupHttpServer::MarkBodyTooLarge(Exchange* exchange) {
@@ -591,7 +602,7 @@
       EndIdleConnection(connection.get());
     } else {
       connection->waiting_since = m_scheduler.Now();
-      ShutDownSocket(socket);
+      ResetSocket(socket);
     }
   }
 }
