Caller server: 413 and 431 by current limits only

Change: BeastHttpServer asks ConfigFreshness before it refuses for good because of a limit. If the limits are not confirmed, or have changed meanwhile, the answer is 503, not run, with Retry-After; the bytes are dropped while it waits. Malformed bytes are refused at once.

--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -183,6 +183,7 @@
   options.scheduler = &m_scheduler;
   options.bind = {address};
   options.max_connections = m_settings.max_connections;
+  options.freshness = m_peers->Freshness();
   auto server = BeastHttpServer::Make(options);
   if (server) (*server)->SetHandler(std::move(handler));
   return server;
--- a/src/adapters/beast_http_server.cc
+++ b/src/adapters/beast_http_server.cc
@@ -41,8 +41,9 @@
 constexpr int kStatusUnavailable = 503;
 
 /// Time after which a caller should send a request again that was refused
-/// because the requests of all callers together were too large.
-constexpr char kRetryAfterOverloadS[] = "1";
+/// because the requests of all callers together were too large, or because a
+/// limit was not confirmed to be current.
+constexpr char kRetryAfterS[] = "1";
 
 int StatusForParseError(const boost::system::error_code& code) {
   if (code == http::error::header_limit) return kStatusHeadersTooLarge;
@@ -90,12 +91,7 @@
   /// Refuses the request that is being read and ends the connection.
   void RefuseOverloaded() {
     m_server->m_counters.Add(BeastHttpServerCounter::kOverTotal);
-    HttpResponse response;
-    response.status = kStatusUnavailable;
-    response.headers = {{"Retry-After", kRetryAfterOverloadS}};
-    response.body = R"({"kind":"overloaded","ran":"no"})";
-    m_socket->Write(FormatResponse(response, true));
-    FinishAndLinger();
+    RefuseForNow(R"({"kind":"overloaded","ran":"no"})");
   }
 
   void Close() {
@@ -109,7 +105,7 @@
   }
 
   void OnBytes(std::string_view bytes) override {
-    if (m_lingering) return Discard(bytes.size());
+    if (m_lingering || m_exceeded_status != 0) return Discard(bytes.size());
     AddHeldBytes(bytes.size());
     m_unparsed.append(bytes);
     if (m_server->m_held_bytes > m_server->m_options.max_held_bytes) {
@@ -209,7 +205,7 @@
   }
 
   void Parse() {
-    if (m_awaiting_response || m_lingering) return;
+    if (m_awaiting_response || m_lingering || m_exceeded_status != 0) return;
     while (!m_unparsed.empty()) {
       if (!m_reading_request) BeginRequest();
       boost::system::error_code code;
@@ -221,10 +217,10 @@
         if (m_unparsed.size() <= kMaxPipelinedBytes) return;
         return Reject(kStatusBadRequest);
       }
-      if (code) return Reject(StatusForParseError(code));
+      if (code) return RejectUnlessLimitIsOld(StatusForParseError(code));
       if (AnnouncesMoreThan(*m_parser,
                             m_server->m_options.limits.max_body_bytes)) {
-        return Reject(kStatusTooLarge);
+        return RejectUnlessLimitIsOld(kStatusTooLarge);
       }
       if (m_parser->is_header_done()) CancelTimer();
       if (m_parser->is_done()) return HandleRequest();
@@ -242,6 +238,49 @@
     }
   }
 
+  // A change that has not arrived here may allow a request beyond the limits.
+  // Its bytes are dropped meanwhile, so it is never handled.
+  void RejectUnlessLimitIsOld(int status) {
+    ConfigFreshness* freshness = m_server->m_options.freshness;
+    if (status == kStatusBadRequest || freshness == nullptr) {
+      return Reject(status);
+    }
+    m_exceeded_status = status;
+    m_unparsed.clear();
+    ReleaseHeldBytes(0);
+    CancelTimer();
+    freshness->Confirm([server = m_server,
+                        alive = std::weak_ptr<int>(m_server->m_alive),
+                        number = m_number,
+                        limits = m_server->m_options.limits](bool is_current) {
+      if (alive.expired()) return;
+      const auto found = server->m_connections.find(number);
+      if (found == server->m_connections.end()) return;
+      found->second->OnLimitsChecked(is_current, limits);
+    });
+  }
+
+  void OnLimitsChecked(bool is_current, const HttpServerLimits& exceeded) {
+    const HttpServerLimits& limits = m_server->m_options.limits;
+    const bool are_unchanged =
+        limits.max_header_bytes == exceeded.max_header_bytes &&
+        limits.max_body_bytes == exceeded.max_body_bytes;
+    if (is_current && are_unchanged) return Reject(m_exceeded_status);
+    m_server->m_counters.Add(BeastHttpServerCounter::kLimitNotConfirmed);
+    RefuseForNow(R"({"kind":"no_configuration","ran":"no"})");
+  }
+
+  // Refuses the request that is being read, which the caller may repeat, and
+  // ends the connection.
+  void RefuseForNow(const char* body) {
+    HttpResponse response;
+    response.status = kStatusUnavailable;
+    response.headers = {{"Retry-After", kRetryAfterS}};
+    response.body = body;
+    m_socket->Write(FormatResponse(response, true));
+    FinishAndLinger();
+  }
+
   // Responds with an error to a request that could not be read and ends the
   // connection, which cannot be used for further requests.
   void Reject(int status) {
@@ -329,6 +368,8 @@
   /// Whether the current request has the method HEAD.
   bool m_is_head = false;
   bool m_lingering = false;
+  /// Status for a request beyond a limit that is being confirmed; otherwise 0.
+  int m_exceeded_status = 0;
   TimerId m_timer = 0;
 };
 
--- a/src/adapters/beast_http_server.h
+++ b/src/adapters/beast_http_server.h
@@ -12,6 +12,7 @@
 #include "base/counters.h"
 #include "base/time.h"
 #include "chicoryvale/error.h"
+#include "ports/config_freshness.h"
 #include "ports/http.h"
 #include "ports/scheduler.h"
 
@@ -28,6 +29,8 @@
   /// Requests that were refused because those of all callers together were too
   /// large.
   kOverTotal,
+  /// Requests beyond a limit that was not confirmed to be current.
+  kLimitNotConfirmed,
   /// Connections that the caller closed before the response to its request.
   kCallersGone,
   /// Responses whose connection had already ended.
@@ -36,10 +39,12 @@
 
 template <>
 struct CounterNames<BeastHttpServerCounter> {
-  static constexpr std::array<std::string_view, 9> kNames = {
-      "connections", "connections_refused", "requests",
-      "malformed",   "too_large",           "header_timeouts",
-      "over_total",  "callers_gone",        "answers_undeliverable"};
+  static constexpr std::array<std::string_view, 10> kNames = {
+      "connections",  "connections_refused",
+      "requests",     "malformed",
+      "too_large",    "header_timeouts",
+      "over_total",   "limit_not_confirmed",
+      "callers_gone", "answers_undeliverable"};
 };
 
 /// Limits on the size and duration of requests.
@@ -63,6 +68,9 @@
   /// Limit on the received bytes of all requests that have no response yet.
   /// Beyond it, the largest of those that are being read is refused.
   std::size_t max_held_bytes = std::size_t{32} << 20;
+  /// Tells whether the limits are current. A request beyond them is refused for
+  /// good only then, and otherwise with 503. May be null: they always are.
+  ConfigFreshness* freshness = nullptr;
 };
 
 /// HttpServer on non-blocking sockets, with Boost.Beast's parser. It passes the
--- a/tests/adapters/beast_http_server_test.cc
+++ b/tests/adapters/beast_http_server_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -342,5 +343,85 @@
   }
 }
 
+/// Answers each question after `on_question` has run.
+class FixedFreshness : public ConfigFreshness {
+ public:
+  bool m_is_current = true;
+  std::function<void()> m_on_question = [] {};
+  int m_questions = 0;
+
+ protected:
+  void OnConfirm(Callback callback) override {
+    ++m_questions;
+    m_on_question();
+    callback(m_is_current);
+  }
+};
+
+/// A server whose limits come from a configuration that may be old.
+class OldLimitsTest : public BeastHttpServerTest {
+ protected:
+  OldLimitsTest() {
+    m_options.poller = &m_poller;
+    m_options.scheduler = &m_scheduler;
+    m_options.bind = {"127.0.0.1:0"};
+    m_options.limits.max_body_bytes = kMaxBodyBytes;
+    m_options.limits.max_header_bytes = 4096;
+    m_options.freshness = &m_freshness;
+    m_server = std::move(*BeastHttpServer::Make(m_options));
+    m_server->SetHandler([this](HttpRequest request, const HttpResponder&) {
+      m_requests.push_back(std::move(request));
+    });
+  }
+
+  std::string SendLargeBody() {
+    return SendAndReceiveAll(
+        {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n",
+         std::string(1001, 'x')});
+  }
+  std::string SendLargeHead() {
+    return SendAndReceiveAll({"GET / HTTP/1.1\r\nHost: h\r\nName: " +
+                              std::string(5000, 'x') + "\r\n\r\n"});
+  }
+
+  FixedFreshness m_freshness;
+  BeastHttpServerOptions m_options;
+};
+
+// An entry answered 413 or 431 by limits that an accepted change had raised.
+TEST_F(OldLimitsTest, ARequestThatAChangeMayAllowIsNotRefusedForGood) {
+  const auto send = [this](bool is_head) {
+    const std::string answer = is_head ? SendLargeHead() : SendLargeBody();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
+    EXPECT_NE(answer.find("Retry-After"), std::string::npos) << answer;
+    EXPECT_NE(answer.find(R"("ran":"no")"), std::string::npos) << answer;
+  };
+  m_freshness.m_is_current = false;
+  send(false);
+  send(true);
+  m_freshness.m_is_current = true;
+  m_freshness.m_on_question = [this] {
+    HttpServerLimits raised = m_options.limits;
+    raised.max_body_bytes *= 2;
+    m_server->SetLimits(raised);
+  };
+  send(false);
+  EXPECT_TRUE(m_requests.empty());
+}
+
+TEST_F(OldLimitsTest, CurrentLimitsRefuseForGood) {
+  EXPECT_TRUE(SendLargeBody().starts_with("HTTP/1.1 413"));
+  EXPECT_TRUE(SendLargeHead().starts_with("HTTP/1.1 431"));
+  EXPECT_EQ(m_freshness.m_questions, 2);
+}
+
+// Only limits come from the configuration: malformed bytes are refused at once.
+TEST_F(OldLimitsTest, MalformedRequestsAreRefusedWhateverTheConfiguration) {
+  m_freshness.m_is_current = false;
+  EXPECT_TRUE(
+      SendAndReceiveAll({"no HTTP\r\n\r\n"}).starts_with("HTTP/1.1 400"));
+  EXPECT_EQ(m_freshness.m_questions, 0);
+}
+
 }  // namespace
 }  // namespace chicoryvale
