--- a/tests/process/gateway_deployment.cc
+++ b/tests/process/gateway_deployment.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -28,8 +29,13 @@
 
 const Address kAnyPort = {"127.0.0.1:0"};
 
-/// Host number of the control process; those of the gateways follow.
+/// Host number of the first control process; those of the others follow.
 constexpr int kControlHost = 100;
+constexpr int kMaxControls = 10;
+/// Host number of the first gateway.
+constexpr int kGatewayHost = kControlHost + kMaxControls;
+/// Maximum number of control processes that settings name.
+constexpr int kMaxNamedControls = 3;
 
 std::string Exchange(const Address& server, const std::string& request) {
   RawSocket connection(server);
@@ -103,26 +109,39 @@
          ":7000";
 }
 
-void GatewayDeployment::Start(int gateways) {
-  StartControl();
+void GatewayDeployment::Start(int gateways, int controls) {
+  m_controls.resize(static_cast<std::size_t>(controls));
+  for (int i = 0; i < controls; ++i) StartControl(i, controls);
   Deploy(std::string(kConfig));
   m_gateways.resize(static_cast<std::size_t>(gateways));
   for (int i = 0; i < gateways; ++i) StartGateway(i);
 }
 
-void GatewayDeployment::StartControl() {
-  m_control = std::make_unique<Process>(
-      "chicory-controld", "control", m_folder.Path(),
+std::string GatewayDeployment::NamedControls(int controls) {
+  std::string text;
+  for (int i = 0; i < std::min(controls, kMaxNamedControls); ++i) {
+    if (!text.empty()) text += ", ";
+    text += '"' + PeerAddress(kControlHost + i) + '"';
+  }
+  return text;
+}
+
+void GatewayDeployment::StartControl(int index, int controls) {
+  const std::string name = "control" + std::to_string(index);
+  m_controls.at(static_cast<std::size_t>(index)) = std::make_unique<Process>(
+      "chicory-controld", name, m_folder.Path(),
       "availability_zone = \"a\"\ndata_folder = \"" + m_folder.Path() +
-          "/data\"\n[listen]\npeers = \"" + PeerAddress(kControlHost) +
+          "/data-" + name + "\"\n[listen]\npeers = \"" +
+          PeerAddress(kControlHost + index) +
           "\"\nmetrics = \"127.0.0.1:0\"\nrouting = \"127.0.0.1:0\"\n" + kKeys +
-          "[group]\nmembers = [\"" + PeerAddress(kControlHost) +
-          "\"]\nmay_form = true\nkeep_members = true\n");
+          "[group]\nmembers = [" + NamedControls(controls) +
+          "]\nmay_form = true\nkeep_members = true\n");
 }
 
-void GatewayDeployment::Deploy(const std::string& text) const {
-  WaitFor([this, &text] {
-    return Exchange({m_control->AddressOf("routing")},
+void GatewayDeployment::Deploy(const std::string& text, int control) const {
+  const Process& process = *m_controls.at(static_cast<std::size_t>(control));
+  WaitFor([&process, &text] {
+    return Exchange({process.AddressOf("routing")},
                     "PUT /config HTTP/1.1\r\nHost: c\r\nConnection: close\r\n"
                     "Content-Type: application/json\r\nContent-Length: " +
                         std::to_string(text.size()) + "\r\n\r\n" + text)
@@ -134,11 +153,12 @@
   m_gateways.at(static_cast<std::size_t>(index)) = std::make_unique<Process>(
       "chicory-gatewayd", "gateway" + std::to_string(index), m_folder.Path(),
       "availability_zone = \"a\"\n[listen]\npeers = \"" +
-          PeerAddress(kControlHost + 1 + index) +
+          PeerAddress(kGatewayHost + index) +
           "\"\nmetrics = \"127.0.0.1:0\"\ncallers = \"127.0.0.1:0\"\n"
           "ready = \"127.0.0.1:0\"\n" +
-          kKeys + "[control]\naddresses = [\"" + PeerAddress(kControlHost) +
-          "\"]\n[platform]\nreplica_list = \"" +
+          kKeys + "[control]\naddresses = [" +
+          NamedControls(static_cast<int>(m_controls.size())) +
+          "]\n[platform]\nreplica_list = \"" +
           m_list_server->LocalAddress().host_port +
           "\"\n[repeats]\nratio = 0.2\nwindow_ms = 10000\nfixed = 100\n"
           "[shutdown]\nlinger_ms = " +
--- a/tests/process/gateway_deployment.h
+++ b/tests/process/gateway_deployment.h
@@ -14,11 +14,11 @@
 
 namespace chicoryvale {
 
-/// Real gateway processes with one control process, and a platform whose
-/// replicas run in the test: one service "s" with the routes /once/ (requests
-/// may run once at most) and /many/ (idempotent), both of host "h". The
-/// platform is served by the default main context; everything else is called
-/// from another thread beside it (RunBeside).
+/// Real gateway processes with one or more control processes, and a platform
+/// whose replicas run in the test: one service "s" with the routes /once/
+/// (requests may run once at most) and /many/ (idempotent), both of host "h".
+/// The platform is served by the default main context; everything else is
+/// called from another thread beside it (RunBeside).
 class GatewayDeployment {
  public:
   using ReplicaHandler = std::function<void(
@@ -40,19 +40,22 @@
     m_replicas[replica_id].address = address;
   }
 
-  /// Starts the control process and `gateways` gateways, deploys the routes,
-  /// and waits until each gateway is ready.
-  void Start(int gateways);
+  /// Starts `controls` control processes, of which the settings of all name the
+  /// first three, and `gateways` gateways, deploys the routes, and waits until
+  /// each gateway is ready.
+  void Start(int gateways, int controls = 1);
 
   /// Starts gateway `index` again after it has ended, and waits until it is
   /// ready.
   void StartGateway(int index);
 
   /// Replaces the routes by the configuration `text` and waits until the
-  /// control process has accepted it.
-  void Deploy(const std::string& text) const;
+  /// control process `control` has accepted it.
+  void Deploy(const std::string& text, int control = 0) const;
 
-  Process& Control() { return *m_control; }
+  Process& Control(int index = 0) {
+    return *m_controls.at(static_cast<std::size_t>(index));
+  }
   Process& Gateway(int index) {
     return *m_gateways.at(static_cast<std::size_t>(index));
   }
@@ -84,7 +87,10 @@
   void StartReplica(const std::string& replica_id, const Address& address);
   [[nodiscard]] std::string ReplicaListJson() const;
   [[nodiscard]] static std::string PeerAddress(int host);
-  void StartControl();
+  void StartControl(int index, int controls);
+  /// Returns the quoted peer addresses of the control processes that settings
+  /// name, of `controls` in all.
+  [[nodiscard]] static std::string NamedControls(int controls);
   struct Replica {
     Address address;
     /// Null while the replica is down after a crash.
@@ -98,7 +104,7 @@
   std::map<std::string, Replica> m_replicas;
   std::unique_ptr<BeastHttpServer> m_list_server;
   ScratchFolder m_folder;
-  std::unique_ptr<Process> m_control;
+  std::vector<std::unique_ptr<Process>> m_controls;
   std::vector<std::unique_ptr<Process>> m_gateways;
 };
 
