--- a/tests/replication/replica_fault_test.cc
+++ b/tests/replication/replica_fault_test.cc
@@ -460,5 +460,30 @@
   }
 }
 
+/// Time without a leader that leaves an accepted change the time to spread.
+constexpr Duration kLeaderlessTarget = seconds(3);
+
+// A leader falls silent while a voter that has lost its disk comes back.
+TEST(ReplicaFaultTest, AGroupOfSevenHasALeaderSoonAfterItFallsSilent) {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    Fixture f(7, 1, seed);
+    const std::size_t silent = *f.group.AwaitLeader();
+    const std::size_t wiped = (silent + 1) % 7;
+    f.group.Wipe(wiped);
+    f.group.Start(wiped);
+    f.group.scheduler.RunFor(milliseconds(20 * (seed % 25)));
+    f.group.Isolate(silent);
+    const TimePoint silent_at = f.group.scheduler.Now();
+    const auto has_new_leader = [&] {
+      const auto leader = f.group.Leader();
+      return leader && *leader != silent;
+    };
+    ASSERT_TRUE(f.group.RunUntil(has_new_leader)) << f.group.Describe();
+    ASSERT_TRUE(f.group.AwaitLeader());
+    EXPECT_LT(f.group.scheduler.Now() - silent_at, kLeaderlessTarget);
+  }
+}
+
 }  // namespace
 }  // namespace chicoryvale
