Crash guard: bytes that are no answer are no crash

What callers could see: a sound request (method, host, target and body; so all callers of a popular target) is refused with 503 for a minute, at all entries, after two replicas have answered it with bytes that are no answer.

Cause: BeastHttpClient reports one end, kBroken, for a connection that the server ended and for one that it ended itself because the bytes were no answer, or because all incomplete answers together were too large. The crash guard took each for a crashed replica.

Change: the end says whether the server ended the connection; only then the replica counts as lost. The crash marks of a request that makes replicas close are as before.

--- a/src/adapters/beast_http_client.cc
+++ b/src/adapters/beast_http_client.cc
@@ -153,12 +153,12 @@
         return;
       }
     }
-    Fail(end == StreamEnd::kFinished ? "connection closed"
-                                     : "connection reset");
+    Fail(end == StreamEnd::kFinished ? "connection closed" : "connection reset",
+         true);
   }
 
   /// Ends the call of this connection, whose response cannot be used.
-  void Fail(const std::string& detail) {
+  void Fail(const std::string& detail, bool ended_by_server = false) {
     const HttpCallId id = std::exchange(m_call_id, 0);
     const bool sent = m_socket->HasSent();
     HttpClientAnswer head = HeadOfIncompleteResponse();
@@ -166,7 +166,7 @@
     m_client->DestroyLater(std::move(call->second->connection));
     m_client->m_counters.Add(BeastHttpClientCounter::kBroken);
     m_client->Finish(id, {sent ? HttpCallEnd::kBroken : HttpCallEnd::kNotSent,
-                          std::move(head), detail});
+                          std::move(head), detail, ended_by_server});
   }
 
  private:
--- a/src/ports/http_client.h
+++ b/src/ports/http_client.h
@@ -48,6 +48,9 @@
   HttpClientAnswer answer;
   /// Description of the failure for a log line.
   std::string detail;
+  /// If `end` is kBroken: whether the server ended the connection. If not, this
+  /// side did, because of the bytes received.
+  bool ended_by_server = false;
 };
 
 /// One request to a server.
--- a/src/ports/replica_transport.h
+++ b/src/ports/replica_transport.h
@@ -91,6 +91,9 @@
   std::optional<ReplicaLoad> load;
   /// Also set if the answer is not complete, but its head is.
   ReplicaNotice notice;
+  /// If `end` is kBroken: whether the replica ended the connection, as in a
+  /// crash. If not, it sent bytes that are no answer.
+  bool ended_by_replica = true;
   /// Whether the replica closes this connection after the answer, which may
   /// mean that it is about to leave.
   bool closes_connection = false;
--- a/src/routing/routed_query.cc
+++ b/src/routing/routed_query.cc
@@ -179,7 +179,7 @@
     if (IsForRelay() && answer.notice.draining) {
       m_draining_replicas.push_back(ended->replica_id);
     }
-    RecordReplicaState(*ended, answer.end);
+    RecordReplicaState(*ended, answer);
     sub_request.open.erase(ended);
   }
   if (m_is_canary && m_replica_survived && !m_finished) {
@@ -195,12 +195,14 @@
   FinishIfSettled();
 }
 
-void RoutedQuery::RecordReplicaState(const Send& send, SendEnd end) {
-  if (end == SendEnd::kBroken) {
+// A replica that sends bytes which are no answer has not crashed.
+void RoutedQuery::RecordReplicaState(const Send& send,
+                                     const ReplicaAnswer& answer) {
+  if (answer.end == SendEnd::kBroken && answer.ended_by_replica) {
     ++m_lost_count;
     m_lost_replica = send.address;
   }
-  if (end != SendEnd::kAnswered) return;
+  if (answer.end != SendEnd::kAnswered) return;
   m_replica_survived = true;
   if (m_context.crash_guard != nullptr) {
     m_context.crash_guard->RecordAnswer(send.address, send.sent_at);
--- a/src/routing/routed_query.h
+++ b/src/routing/routed_query.h
@@ -303,7 +303,7 @@
                     ReplicaAnswer answer);
   void OnAttemptFailed(std::size_t index, const ReplicaAnswer& answer);
   /// Records whether the replica of `send` survived the request.
-  void RecordReplicaState(const Send& send, SendEnd end);
+  void RecordReplicaState(const Send& send, const ReplicaAnswer& answer);
   /// Reports to the crash guard how the request ended.
   void ReportToCrashGuard() const;
   /// Returns whether a retry of the sub-request waits until a replica has
--- a/tests/adapters/beast_http_client_test.cc
+++ b/tests/adapters/beast_http_client_test.cc
@@ -139,6 +139,7 @@
                 [&](HttpCallResult got) { result = std::move(got); });
     IterateUntil([&] { return result.has_value(); });
     EXPECT_EQ(result->end, HttpCallEnd::kBroken) << result->detail;
+    EXPECT_FALSE(result->ended_by_server);
     const std::uint64_t received =
         client.Counters().Get(BeastHttpClientCounter::kBytesReceived);
     EXPECT_LT(received - received_before, kMaxResponseBytes + kBytesInFlight);
--- a/tests/routing/crash_guard_test.cc
+++ b/tests/routing/crash_guard_test.cc
@@ -127,6 +127,29 @@
   int m_request_count = 0;
 };
 
+// Callers of a sound request were refused for a minute after two replicas had
+// answered it with bytes that are no answer.
+TEST_F(CrashGuardTest, BytesThatAreNoAnswerAreNoCrash) {
+  for (const auto& entry : m_entries) {
+    entry->transport.SetBehaviour([](const ReplicaSend& /*send*/) {
+      ReplicaAnswer garbage = FailedAnswer(SendEnd::kBroken);
+      garbage.ended_by_replica = false;
+      return ReplicaBehaviour{milliseconds(3), garbage, false};
+    });
+  }
+  for (std::size_t i = 0; i < 10; ++i) Run(i % 2, "/sound");
+  for (const auto& entry : m_entries) {
+    entry->transport.SetBehaviour([](const ReplicaSend& send) {
+      return ReplicaBehaviour{milliseconds(10), SignedAnswer(send.replica_id),
+                              false};
+    });
+  }
+  for (std::size_t i = 0; i < 2; ++i) {
+    const RoutedAnswer answer = Run(i, "/sound");
+    EXPECT_FALSE(answer.error) << answer.error->message;
+  }
+}
+
 // A request that crashes replicas came again through all entries, and each time
 // crashed two replicas of each shard.
 TEST_F(CrashGuardTest, ARequestThatCrashesReplicasIsStoppedAtAllEntries) {
