--- a/tests/adapters/beast_http_client_test.cc
+++ b/tests/adapters/beast_http_client_test.cc
@@ -91,8 +91,9 @@
 TEST_F(BeastHttpClientTest, ReportsBrokenIfTheConnectionEndsWithoutAResponse) {
   RawUpstream upstream(
       [&](RawSocket& connection, int) { connection.ReceiveUntil("\r\n\r\n"); });
-  EXPECT_EQ(SendAndWait(MakeCall(upstream.LocalAddress())).end,
-            HttpCallEnd::kBroken);
+  const HttpCallResult result = SendAndWait(MakeCall(upstream.LocalAddress()));
+  EXPECT_EQ(result.end, HttpCallEnd::kBroken);
+  EXPECT_TRUE(result.ended_by_server);
 }
 
 TEST_F(BeastHttpClientTest, ReportsBrokenForATruncatedOrMalformedResponse) {
@@ -102,10 +103,12 @@
                         ? "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab"
                         : "nonsense\r\n\r\n");
   });
-  EXPECT_EQ(SendAndWait(MakeCall(upstream.LocalAddress())).end,
-            HttpCallEnd::kBroken);
-  EXPECT_EQ(SendAndWait(MakeCall(upstream.LocalAddress())).end,
-            HttpCallEnd::kBroken);
+  for (const bool is_truncated : {true, false}) {
+    const HttpCallResult result =
+        SendAndWait(MakeCall(upstream.LocalAddress()));
+    EXPECT_EQ(result.end, HttpCallEnd::kBroken);
+    EXPECT_EQ(result.ended_by_server, is_truncated);
+  }
 }
 
 // A server in trouble sends bytes that are no answer until its client closes
