--- a/src/base/ids_codec.h
+++ b/src/base/ids_codec.h
@@ -1,6 +1,8 @@
 #ifndef CHICORYVALE_SRC_BASE_IDS_CODEC_H_
 #define CHICORYVALE_SRC_BASE_IDS_CODEC_H_
 
+// Serialization of the identifiers, for messages that contain them.
+
 #include "base/codec.h"
 #include "base/ids.h"
 
--- a/src/config/config_recovery.h
+++ b/src/config/config_recovery.h
@@ -26,8 +26,8 @@
   PeerTransport* transport = nullptr;
   PeerGossip* gossip = nullptr;
   /// Maximum number of random members that are drawn in a round to get a
-  /// request. In a larger group, asking more is not needed: the
-  /// configuration spreads among the members, so those asked already have it.
+  /// request. In a larger group, asking more is not needed: the configuration
+  /// spreads among the members, so those asked already have it.
   std::size_t peers_per_round = 64;
   /// Timeout of a request in the first round. Like the pause, it doubles with
   /// each round: when all processes restart, the control VMs are available
