Recovery: the version of the quorum with the lowest versions is enough

Cause: an entry waited for the highest version that any answering VM had logged. The count of logged changes includes refused ones, and a VM that was removed, or has no leader, never learns which were accepted.

Change: only voters of the newest membership count, and of those the quorum with the lowest versions: each quorum has a voter that logged the newest accepted one.

Tests: ARemovedVmDoesNotRaiseTheVersion and OneVoterWithRefusedChangesDoesNotRaiseTheVersion failed before.

--- a/src/config/config_recovery.cc
+++ b/src/config/config_recovery.cc
@@ -1,6 +1,7 @@
 #include "config/config_recovery.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -23,16 +24,34 @@
   std::size_t answer_count = 0;
   /// The newest membership of the control group among the answers.
   ControlGroupView group;
-  std::set<Address> answered_voters;
-  std::uint64_t highest_known_version = 0;
+  /// The highest version in the log of each VM that is a voter by its own log.
+  std::map<Address, std::uint64_t> logged_versions;
   std::uint64_t highest_adopted_version = 0;
 
+  /// Returns the versions of the voters in `group` that have answered, in
+  /// ascending order.
+  [[nodiscard]] std::vector<std::uint64_t> VersionsOfVoters() const {
+    std::vector<std::uint64_t> versions;
+    for (const Address& voter : group.voters) {
+      const auto answered = logged_versions.find(voter);
+      if (answered != logged_versions.end()) {
+        versions.push_back(answered->second);
+      }
+    }
+    std::ranges::sort(versions);
+    return versions;
+  }
+
   [[nodiscard]] bool HasQuorum() const {
-    const auto answered =
-        std::ranges::count_if(group.voters, [this](const Address& voter) {
-          return answered_voters.contains(voter);
-        });
-    return 2 * static_cast<std::size_t>(answered) > group.voters.size();
+    return 2 * VersionsOfVoters().size() > group.voters.size();
+  }
+
+  /// Returns a version that is at least the newest accepted one. Requires a
+  /// quorum. Each quorum has a voter that has logged that version, so the one
+  /// with the lowest versions is enough. A voter that has lost its leader may
+  /// have logged changes that were refused or lost.
+  [[nodiscard]] std::uint64_t QuorumVersion() const {
+    return VersionsOfVoters().at(group.voters.size() / 2);
   }
 };
 
@@ -96,9 +115,7 @@
   round->highest_adopted_version =
       std::max(round->highest_adopted_version, answer.digest.version);
   if (!answer.group.voter.host_port.empty()) {
-    round->answered_voters.insert(answer.group.voter);
-    round->highest_known_version =
-        std::max(round->highest_known_version, answer.known_version);
+    round->logged_versions[answer.group.voter] = answer.known_version;
   }
   if (answer.group.index > round->group.index) {
     round->group = std::move(answer.group);
@@ -124,7 +141,7 @@
   // be committed.
   const std::uint64_t min_version =
       has_quorum
-          ? std::max(round.highest_known_version, round.highest_adopted_version)
+          ? std::max(round.QuorumVersion(), round.highest_adopted_version)
           : round.highest_adopted_version;
   m_on_round({has_quorum, round.answer_count, min_version});
 }
--- a/tests/config/config_recovery_test.cc
+++ b/tests/config/config_recovery_test.cc
@@ -82,17 +82,20 @@
     m_recovery.emplace(
         options, [](const Address&, const ConfigDigest&) {},
         [this](const RecoveryRound& round) {
-          if (!round.has_quorum || m_quorum_version) return;
+          if (!round.has_quorum) return;
+          m_last_version = round.min_version;
+          if (m_quorum_version) return;
           m_quorum_version = round.min_version;
           m_quorum_after = m_scheduler.Now() - TimePoint{};
         });
   }
 
-  /// Lets control VM `number` answer that it knows `version`.
+  /// Lets control VM `number` answer that it has `version` in its log, and
+  /// `adopted` in force.
   void Answer(std::size_t number, std::uint64_t version,
-              const ControlGroupView& group) {
+              const ControlGroupView& group, std::uint64_t adopted = 4) {
     DistributionAnswer answer;
-    answer.digest.version = version;
+    answer.digest.version = adopted;
     answer.known_version = version;
     answer.group = group;
     if (std::ranges::find(group.voters, Control(number)) !=
@@ -109,6 +112,8 @@
   /// Minimum version of the first round with a quorum, and when it ended.
   std::optional<std::uint64_t> m_quorum_version;
   Duration m_quorum_after{};
+  /// Minimum version of the last round with a quorum.
+  std::uint64_t m_last_version = 0;
 };
 
 const ControlGroupView kGroupOfSeven{9, Controls({0, 1, 2, 3, 4, 5, 6}),
@@ -164,5 +169,30 @@
   EXPECT_EQ(m_quorum_version, 6U);
 }
 
+// Entries had no configuration for the rest of a day: a VM that had been
+// removed from the group, and would never learn what was committed, raised the
+// version that they waited for.
+TEST_F(ConfigRecoveryTest, ARemovedVmDoesNotRaiseTheVersion) {
+  Answer(0, 99, {2, Controls({0, 1, 2}), Address{}});
+  for (const std::size_t number : {1, 2, 3}) {
+    Answer(number, 5, {9, Controls({1, 2, 3}), Address{}});
+  }
+  m_recovery->Start();
+  m_scheduler.RunFor(seconds(5));
+  EXPECT_EQ(m_quorum_version, 5U);
+}
+
+// The same, with a voter that has lost its leader and has logged changes that
+// were refused.
+TEST_F(ConfigRecoveryTest, OneVoterWithRefusedChangesDoesNotRaiseTheVersion) {
+  const ControlGroupView group{9, Controls({0, 1, 2}), Address{}};
+  Answer(0, 99, group);
+  Answer(1, 5, group);
+  Answer(2, 5, group);
+  m_recovery->Start();
+  m_scheduler.RunFor(seconds(5));
+  EXPECT_EQ(m_last_version, 5U);
+}
+
 }  // namespace
 }  // namespace chicoryvale
