Workspaces: identify callers by key, and tell replicas the workspace

Cause: a configuration with workspaces was read as if it had none. Keys were passed on to replicas, keys that a later version had taken away were served, and a key that two workspaces share was accepted.

Change: the configuration's workspaces are decoded and checked; errors never show a key. An entry finds the workspace of a key in a hash table, removes the key and any workspace name that the caller sent, and names the workspace to the replica on each send, also through relays. An unknown key is refused with 401 only by a confirmed configuration, otherwise with 503. A request that waited for its admission is judged again. Without workspaces, headers pass unchanged.

--- a/src/ports/replica_transport.h
+++ b/src/ports/replica_transport.h
@@ -28,6 +28,9 @@
   std::string target;
   std::vector<HttpHeader> headers;
   std::shared_ptr<const std::string> body;
+  /// Name of the workspace that sent the request, which the replica is told;
+  /// absent if the request has no workspace.
+  std::optional<std::string> workspace = std::nullopt;
 };
 
 /// A send of a request to one replica.
--- a/src/routing/relay_client.cc
+++ b/src/routing/relay_client.cc
@@ -67,6 +67,7 @@
   message.target_latency_ms = ToMilliseconds(relay_request.target_latency);
   message.answer_within_ms = ToMilliseconds(relay_request.answer_within);
   message.time_left_ms = ToMilliseconds(relay_request.time_left);
+  message.workspace = request.workspace.value_or("");
   return message;
 }
 
--- a/src/routing/relay_messages.h
+++ b/src/routing/relay_messages.h
@@ -42,12 +42,24 @@
   std::uint32_t target_latency_ms = 0;
   std::uint32_t answer_within_ms = 0;
   std::uint32_t time_left_ms = 0;
+  /// Name of the workspace that sent the request; empty if there is none. It is
+  /// encoded only if set, so that entries of an earlier version read other
+  /// requests.
+  std::string workspace;
 
   template <class Archive>
-  void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+  void save(Archive& archive) const {  // NOLINT(readability-identifier-naming)
+    archive(relay_id, cancel, request_id, method, target, headers, body,
+            services, rank_limit, max_attempts, target_latency_ms,
+            answer_within_ms, time_left_ms);
+    if (!workspace.empty()) archive(workspace);
+  }
+  template <class Archive>
+  void load(Archive& archive) {  // NOLINT(readability-identifier-naming)
     archive(relay_id, cancel, request_id, method, target, headers, body,
             services, rank_limit, max_attempts, target_latency_ms,
             answer_within_ms, time_left_ms);
+    if (archive.Remaining() > 0) archive(workspace);
   }
 };
 
--- a/src/routing/relay_service.cc
+++ b/src/routing/relay_service.cc
@@ -23,6 +23,9 @@
     request->body =
         std::make_shared<const std::string>(std::move(message->body));
   }
+  if (!message->workspace.empty()) {
+    request->workspace = std::move(message->workspace);
+  }
   return request;
 }
 
--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -27,6 +27,17 @@
   for (const Route& route : m_config->routes) {
     m_routes_by_host[HostKey(route.host)].emplace(route.path_prefix, &route);
   }
+  if (!m_config->workspaces) return;
+  for (const Workspace& workspace : *m_config->workspaces) {
+    for (const std::string& key : workspace.keys) {
+      m_workspace_by_key.emplace(key, &workspace);
+    }
+  }
+}
+
+const Workspace* RouteTable::FindWorkspace(std::string_view key) const {
+  const auto found = m_workspace_by_key.find(key);
+  return found == m_workspace_by_key.end() ? nullptr : found->second;
 }
 
 const Route* RouteTable::Find(std::string_view host,
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -11,7 +11,8 @@
 
 namespace chicoryvale {
 
-/// Finds the route of a request. Immutable and therefore thread safe.
+/// Finds the route of a request and the workspace of a key. Immutable and
+/// therefore thread safe.
 class RouteTable {
  public:
   explicit RouteTable(std::shared_ptr<const RoutingConfig> config);
@@ -22,6 +23,9 @@
   [[nodiscard]] const Route* Find(std::string_view host,
                                   std::string_view path) const;
 
+  /// Returns the workspace that holds `key`, or nullptr. Takes constant time.
+  [[nodiscard]] const Workspace* FindWorkspace(std::string_view key) const;
+
   [[nodiscard]] const std::shared_ptr<const RoutingConfig>& Config() const {
     return m_config;
   }
@@ -31,6 +35,7 @@
 
   std::shared_ptr<const RoutingConfig> m_config;
   std::unordered_map<std::string, RoutesByPrefix> m_routes_by_host;
+  std::unordered_map<std::string_view, const Workspace*> m_workspace_by_key;
 };
 
 }  // namespace chicoryvale
--- a/src/routing/routed_query.h
+++ b/src/routing/routed_query.h
@@ -54,8 +54,10 @@
   kRepeatsOverBudget,
   kRefusedNoConfiguration,
   kRefusedUnknownRoute,
-  /// Requests without a route, while it could not be confirmed that the
-  /// configuration in force is current.
+  /// Requests whose key no workspace holds.
+  kRefusedUnknownKey,
+  /// Requests without a route or with an unknown key, while it could not be
+  /// confirmed that the configuration in force is current.
   kRefusedUnconfirmed,
   kRefusedOverloaded,
   /// Requests that came too late before the end of this process.
@@ -72,7 +74,7 @@
 
 template <>
 struct CounterNames<RoutingCounter> {
-  static constexpr std::array<std::string_view, 25> kNames = {
+  static constexpr std::array<std::string_view, 26> kNames = {
       "requests",
       "answered_whole",
       "answered_short",
@@ -89,6 +91,7 @@
       "repeats_over_budget",
       "refused_no_configuration",
       "refused_unknown_route",
+      "refused_unknown_key",
       "refused_unconfirmed",
       "refused_overloaded",
       "refused_stopping",
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -53,27 +53,52 @@
     return 0;
   }
   const std::uint64_t number = ++m_last_query_number;
-  const Route* route = m_table->Find(request.host, request.path);
-  if (route != nullptr) {
-    Dispatch(number, request, *route, std::move(callback));
+  const Match match = FindMatch(request);
+  if (match.IsServed()) {
+    Dispatch(number, request, match, std::move(callback));
   } else {
     AwaitFreshness(number, request, std::move(callback));
   }
   return IsOpen(number) ? number : 0;
 }
 
+Router::Match Router::FindMatch(const RoutedRequest& request) const {
+  Match match;
+  match.route = m_table->Find(request.host, request.path);
+  if (match.route == nullptr || !m_table->Config()->workspaces) return match;
+  match.workspace = m_table->FindWorkspace(request.key);
+  match.lacks_key = match.workspace == nullptr && !match.route->is_public;
+  return match;
+}
+
+std::shared_ptr<const OpaqueRequest> Router::Forwarded(
+    const RoutedRequest& request, const Workspace* workspace) const {
+  const bool has_workspaces = m_table->Config()->workspaces.has_value();
+  const bool is_unchanged =
+      has_workspaces ? workspace == nullptr : request.identity_headers.empty();
+  if (is_unchanged) return request.request;
+  auto forwarded = std::make_shared<OpaqueRequest>(*request.request);
+  if (has_workspaces) {
+    forwarded->workspace = workspace->name;
+  } else {
+    std::ranges::copy(request.identity_headers,
+                      std::back_inserter(forwarded->headers));
+  }
+  return forwarded;
+}
+
 bool Router::IsOpen(std::uint64_t number) const {
   return m_queries.contains(number) || m_waiting.contains(number) ||
-         m_without_route.contains(number);
+         m_unmatched.contains(number);
 }
 
-// The route may have been added by a change that has not arrived here. Only if
-// the configuration is current does the lack of a route say that there is none.
+// The route or the key may have been added by a change that has not arrived
+// here. Only if the configuration is current does their lack say that there is
+// none.
 void Router::AwaitFreshness(std::uint64_t number, const RoutedRequest& request,
                             Callback callback) {
-  m_without_route.emplace(number,
-                          RequestWithoutRoute{request, std::move(callback),
-                                              m_context.scheduler->Now()});
+  m_unmatched.emplace(number, UnmatchedRequest{request, std::move(callback),
+                                               m_context.scheduler->Now()});
   if (m_freshness == nullptr) return OnFreshness(number, true);
   const std::weak_ptr<int> alive = m_alive;
   m_freshness->Confirm([this, alive, number](bool is_current) {
@@ -82,33 +107,48 @@
 }
 
 void Router::OnFreshness(std::uint64_t number, bool is_current) {
-  auto node = m_without_route.extract(number);
+  auto node = m_unmatched.extract(number);
   if (node.empty()) return;
-  RequestWithoutRoute& waited = node.mapped();
-  RoutedRequest& request = waited.request;
-  const Route* route = m_table->Find(request.host, request.path);
-  if (route != nullptr) {
+  UnmatchedRequest& unmatched = node.mapped();
+  RoutedRequest& request = unmatched.request;
+  const Match match = FindMatch(request);
+  if (match.IsServed()) {
     if (request.time_left) {
-      *request.time_left -= m_context.scheduler->Now() - waited.received_at;
+      *request.time_left -= m_context.scheduler->Now() - unmatched.received_at;
     }
-    return Dispatch(number, request, *route, std::move(waited.callback));
+    return Dispatch(number, request, match, std::move(unmatched.callback));
   }
-  if (is_current) {
-    return Refuse(request, RoutingCounter::kRefusedUnknownRoute,
+  if (is_current) return RefuseUnmatched(unmatched, match);
+  RefuseUnconfirmed(request, unmatched.callback);
+}
+
+void Router::RefuseUnmatched(const UnmatchedRequest& unmatched,
+                             const Match& match) {
+  if (match.route == nullptr) {
+    return Refuse(unmatched.request, RoutingCounter::kRefusedUnknownRoute,
                   {ErrorKind::kUnknownEndpoint,
                    "no route matches this host and path", Ran::kNo},
-                  Duration::zero(), waited.callback);
+                  Duration::zero(), unmatched.callback);
   }
+  Refuse(unmatched.request, RoutingCounter::kRefusedUnknownKey,
+         {ErrorKind::kUnauthenticated,
+          "the request has no key that a workspace holds", Ran::kNo},
+         Duration::zero(), unmatched.callback);
+}
+
+void Router::RefuseUnconfirmed(const RoutedRequest& request,
+                               const Callback& callback) {
   Refuse(request, RoutingCounter::kRefusedUnconfirmed,
          {ErrorKind::kNoConfiguration,
-          "no route matches, but this entry cannot confirm now that its "
+          "no route or key matches, but this entry cannot confirm now that its "
           "configuration is current",
           Ran::kNo},
-         SpreadRetryAfter(kRetryAfterUnconfirmed), waited.callback);
+         SpreadRetryAfter(kRetryAfterUnconfirmed), callback);
 }
 
 void Router::Dispatch(std::uint64_t number, const RoutedRequest& request,
-                      const Route& route, Callback callback) {
+                      const Match& match, Callback callback) {
+  const Route& route = *match.route;
   if (!MayEndInTime(route)) {
     return Refuse(
         request, RoutingCounter::kRefusedStopping,
@@ -124,7 +164,7 @@
         kRetryAfterQuarantine, callback);
   }
   RoutedQuery::Input input;
-  input.request = request.request;
+  input.request = Forwarded(request, match.workspace);
   input.config = m_table->Config();
   input.route = &route;
   input.services = route.IsScattered()
@@ -137,8 +177,12 @@
         std::min(input.time_limit, *m_end - m_context.scheduler->Now());
   }
   if (route.IsScattered()) {
+    const std::uint32_t priority =
+        match.workspace == nullptr
+            ? route.priority
+            : match.workspace->priority.value_or(route.priority);
     SubmitScattered(number, {request, std::move(input), std::move(callback),
-                             m_context.scheduler->Now()});
+                             m_context.scheduler->Now(), priority});
   } else {
     StartQuery(number, std::move(input), std::move(callback));
   }
@@ -153,10 +197,10 @@
 }
 
 void Router::EndAll() {
-  std::vector<std::uint64_t> without_route;
-  std::ranges::transform(m_without_route, std::back_inserter(without_route),
+  std::vector<std::uint64_t> unmatched;
+  std::ranges::transform(m_unmatched, std::back_inserter(unmatched),
                          [](const auto& entry) { return entry.first; });
-  for (const std::uint64_t number : without_route) OnFreshness(number, false);
+  for (const std::uint64_t number : unmatched) OnFreshness(number, false);
   std::vector<std::uint64_t> waiting;
   std::ranges::transform(m_waiting, std::back_inserter(waiting),
                          [](const auto& entry) { return entry.first; });
@@ -195,7 +239,7 @@
   const Route& route = *waiting.input.route;
   RequestAdmission& admission = AdmissionOf(route);
   RequestAdmission::Request request;
-  request.priority = route.priority;
+  request.priority = waiting.priority;
   request.target_latency = route.target_latency;
   request.admit = [this, number] { StartAdmitted(number); };
   request.refuse = [this, number](Duration retry_after) {
@@ -205,6 +249,14 @@
   admission.Submit(number, std::move(request));
 }
 
+bool Router::IsStillAuthorized(const WaitingRequest& waiting) const {
+  if (m_table->Config() == waiting.input.config) return true;
+  const Match match = FindMatch(waiting.request);
+  return match.route == nullptr ||
+         Forwarded(waiting.request, match.workspace)->workspace ==
+             waiting.input.request->workspace;
+}
+
 void Router::StartAdmitted(std::uint64_t number) {
   auto node = m_waiting.extract(number);
   WaitingRequest& waiting = node.mapped();
@@ -212,6 +264,10 @@
   const TimePoint received_at = waiting.received_at;
   input.waited = m_context.scheduler->Now() - received_at;
   const ShardSet shards = input.services.front();
+  if (!IsStillAuthorized(waiting)) {
+    m_admissions.at(shards)->Finish(number, AdmittedOutcome::kUnknown);
+    return RefuseUnconfirmed(waiting.request, waiting.callback);
+  }
   const Duration target_latency = input.route->target_latency;
   StartQuery(
       number, std::move(input),
@@ -269,7 +325,7 @@
   for (const auto& [shards, admission] : m_admissions) {
     admission->Cancel(query);
   }
-  if (m_waiting.erase(query) + m_without_route.erase(query) != 0) {
+  if (m_waiting.erase(query) + m_unmatched.erase(query) != 0) {
     return m_context.counters->Add(RoutingCounter::kCallersGone);
   }
   const auto node = m_queries.extract(query);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -27,6 +27,11 @@
   std::string path;
   /// Time that the caller waits for the answer; absent if not stated.
   std::optional<Duration> time_left;
+  /// Key of the caller's workspace; empty if there is none, or more than one.
+  std::string key{};
+  /// Headers of the caller that concern its workspace. They are not part of
+  /// `request` and are forwarded only if the configuration has no workspaces.
+  std::vector<HttpHeader> identity_headers{};
 };
 
 /// Handles the requests of callers: finds the route, picks the service, and
@@ -37,8 +42,8 @@
   using Callback = std::function<void(RoutedAnswer answer)>;
 
   /// `freshness` must outlive the router. It is asked before a request without
-  /// a route is refused as such; without it, the configuration counts as
-  /// current.
+  /// a route or with an unknown key is refused as such; without it, the
+  /// configuration counts as current.
   Router(const RoutingContext& context, std::uint64_t seed,
          ConfigFreshness* freshness = nullptr)
       : m_context(context),
@@ -71,7 +76,7 @@
 
   /// Returns the number of requests that have not been answered.
   [[nodiscard]] std::size_t InFlight() const {
-    return m_queries.size() + m_waiting.size() + m_without_route.size();
+    return m_queries.size() + m_waiting.size() + m_unmatched.size();
   }
 
  private:
@@ -85,21 +90,46 @@
     RoutedQuery::Input input;
     Callback callback;
     TimePoint received_at{};
+    std::uint32_t priority = 0;
   };
 
-  /// A request without a route that waits until the configuration is confirmed.
-  struct RequestWithoutRoute {
+  /// A request without a route, or with an unknown key, that waits until the
+  /// configuration is confirmed.
+  struct UnmatchedRequest {
     RoutedRequest request;
     Callback callback;
     TimePoint received_at{};
   };
 
-  /// Starts request `number`, which `route` matches, or refuses it.
+  /// What the configuration says about a request.
+  struct Match {
+    const Route* route = nullptr;
+    /// Workspace of the caller; null if its key is unknown or not needed.
+    const Workspace* workspace = nullptr;
+    /// Whether the request lacks a key that it needs.
+    bool lacks_key = false;
+
+    [[nodiscard]] bool IsServed() const {
+      return route != nullptr && !lacks_key;
+    }
+  };
+
+  [[nodiscard]] Match FindMatch(const RoutedRequest& request) const;
+  /// Returns the request that replicas get.
+  [[nodiscard]] std::shared_ptr<const OpaqueRequest> Forwarded(
+      const RoutedRequest& request, const Workspace* workspace) const;
+  /// Starts request `number` according to `match`, or refuses it.
   void Dispatch(std::uint64_t number, const RoutedRequest& request,
-                const Route& route, Callback callback);
+                const Match& match, Callback callback);
   void AwaitFreshness(std::uint64_t number, const RoutedRequest& request,
                       Callback callback);
   void OnFreshness(std::uint64_t number, bool is_current);
+  void RefuseUnmatched(const UnmatchedRequest& unmatched, const Match& match);
+  void RefuseUnconfirmed(const RoutedRequest& request,
+                         const Callback& callback);
+  /// Returns whether the key of a request still belongs to the workspace for
+  /// which the request was dispatched.
+  [[nodiscard]] bool IsStillAuthorized(const WaitingRequest& waiting) const;
   [[nodiscard]] bool IsOpen(std::uint64_t number) const;
   [[nodiscard]] bool MayEndInTime(const Route& route) const;
   Duration SpreadRetryAfter(Duration retry_after);
@@ -124,7 +154,7 @@
   /// When all requests have to be answered because the process stops.
   std::optional<TimePoint> m_end;
   std::map<ShardSet, std::unique_ptr<RequestAdmission>> m_admissions;
-  std::unordered_map<std::uint64_t, RequestWithoutRoute> m_without_route;
+  std::unordered_map<std::uint64_t, UnmatchedRequest> m_unmatched;
   std::unordered_map<std::uint64_t, WaitingRequest> m_waiting;
   std::unordered_map<std::uint64_t, std::unique_ptr<RoutedQuery>> m_queries;
   /// Expires with this object, so that later callbacks do nothing.
--- a/src/routing/routing_config.h
+++ b/src/routing/routing_config.h
@@ -5,6 +5,7 @@
 // and path. The schema describes the other kind of request, queries.
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,8 @@
   std::vector<WeightedService> services;
   /// Its `shards` are empty unless the route is scattered.
   ScatterRule scatter;
+  /// Whether requests need no key although the configuration has workspaces.
+  bool is_public = false;
 
   [[nodiscard]] bool IsScattered() const { return !scatter.shards.empty(); }
   bool operator==(const Route&) const = default;
@@ -63,6 +66,11 @@
   /// Maximum number of connections that each replica accepts from all entries
   /// together.
   std::uint32_t max_connections = 0;
+  /// Time for which a replica is cold after its start.
+  Duration warmup{};
+  /// Maximum requests a second that a cold replica gets from all entries
+  /// together; 0 for no limit.
+  double max_warmup_requests_per_s = 0;
   bool operator==(const RoutedService&) const = default;
 };
 
@@ -76,12 +84,29 @@
   bool operator==(const CallerLimits&) const = default;
 };
 
+/// A workspace, whose callers identify themselves by a key.
+struct Workspace {
+  std::string name;
+  std::vector<std::string> keys;
+  /// Replaces the priority of the route.
+  std::optional<std::uint32_t> priority;
+  /// Maximum requests a second from all callers of the workspace, at all
+  /// entries together; 0 for no limit.
+  double max_requests_per_s = 0;
+  /// Requests that the workspace may send at once beyond that rate.
+  double burst = 0;
+  bool operator==(const Workspace&) const = default;
+};
+
 /// A complete configuration of routed requests.
 struct RoutingConfig {
   std::uint64_t version = 0;
   std::vector<Route> routes;
   std::vector<RoutedService> services;
   CallerLimits limits;
+  /// If present, a request needs the key of a workspace unless its route is
+  /// public.
+  std::optional<std::vector<Workspace>> workspaces;
   bool operator==(const RoutingConfig&) const = default;
 };
 
--- a/src/routing/routing_rules.cc
+++ b/src/routing/routing_rules.cc
@@ -56,6 +56,43 @@
   return FindScatterError(route.scatter, services);
 }
 
+// Returns whether `text` can be a header value that needs no quoting.
+bool IsVisibleAscii(std::string_view text) {
+  return std::ranges::all_of(
+      text, [](char character) { return character > ' ' && character <= '~'; });
+}
+
+// The errors name the workspace but never a key, because keys are secrets.
+ConfigError FindKeyError(const Workspace& workspace, NameSet* seen_keys) {
+  for (const std::string& key : workspace.keys) {
+    if (key.empty() || !IsVisibleAscii(key)) {
+      return "a key is empty or contains characters other than visible ASCII";
+    }
+    if (!seen_keys->insert(key).second) {
+      return "one of its keys occurs more than once";
+    }
+  }
+  return std::nullopt;
+}
+
+ConfigError FindWorkspaceError(const std::vector<Workspace>& workspaces) {
+  NameSet names;
+  NameSet keys;
+  for (const Workspace& workspace : workspaces) {
+    if (workspace.name.empty() || !IsVisibleAscii(workspace.name)) {
+      return "a workspace has no name, or one that contains characters other "
+             "than visible ASCII";
+    }
+    if (!names.insert(workspace.name).second) {
+      return "workspace \"" + workspace.name + "\" is listed twice";
+    }
+    if (ConfigError error = FindKeyError(workspace, &keys)) {
+      return "workspace \"" + workspace.name + "\": " + *error;
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 std::optional<std::string> FindRoutingConfigError(const RoutingConfig& config) {
@@ -77,6 +114,7 @@
              "\": another route has the same host and path prefix";
     }
   }
+  if (config.workspaces) return FindWorkspaceError(*config.workspaces);
   return std::nullopt;
 }
 
