Evacuation: operators order that a zone gets no requests; cold replicas have a limit

Cause: an order to evacuate an availability zone was answered with 404, and replicas that are cold had a higher cost but no limit.

Change: SetEvacuation is a change of the replicated log, accepted at any control VM and forwarded to the leader. Each reception is a change of its own, as orders have no id. The evacuated zones are part of the configuration; without any, its bytes, hash and deltas stay as they are. Entries and relays leave out the replicas of evacuated zones, which are cold again when the evacuation ends. A cold replica's limit is shared among the entries like a limit that it states.

--- a/programs/chicory-controld/control_daemon.cc
+++ b/programs/chicory-controld/control_daemon.cc
@@ -11,6 +11,12 @@
 namespace chicoryvale {
 namespace {
 
+std::uint64_t RandomSeed() {
+  std::random_device device;
+  constexpr int kHalfBits = 32;
+  return (std::uint64_t{device()} << kHalfBits) | device();
+}
+
 constexpr Duration kMaxRolloutVersionAge = milliseconds(50);
 
 ReplicaOptions MakeReplicaOptions(const ControlSettings& settings,
@@ -20,9 +26,7 @@
   options.initial_members = settings.peers.controls;
   if (options.initial_members.empty()) options.initial_members = {self};
   options.may_form_group = settings.may_form_group;
-  std::random_device device;
-  constexpr int kHalfBits = 32;
-  options.seed = (std::uint64_t{device()} << kHalfBits) | device();
+  options.seed = RandomSeed();
   return options;
 }
 
@@ -185,7 +189,7 @@
                                    .group = m_group.get(),
                                    .transport = m_peers->TcpTransport(),
                                    .log = &m_log},
-      m_peers->LocalAddress());
+      m_peers->LocalAddress(), RandomSeed());
   m_routing_endpoint = std::make_unique<platform::RoutingEndpoint>(
       m_routing_service.get(), &m_log);
   BeastHttpServerOptions options;
@@ -231,6 +235,8 @@
   page.AddValue("control", "config_version", m_group->Config().version)
       .AddValue("control", "voter",
                 IsCommittedVoter(m_group->Node().Status()) ? 1 : 0)
+      .AddValue("control", "evacuated_zones",
+                m_group->Config().evacuated_zones.size())
       .Add("control", m_group->Node().Counters());
   if (m_operator_endpoint) page.Add("refused", m_operator_endpoint->Errors());
   if (m_routing_server) page.Add("routing", m_routing_server->Counters());
--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -20,6 +20,16 @@
 constexpr int kShutdownGracePercent = 92;
 constexpr int kPercent = 100;
 
+std::unordered_map<std::string, ReplicaWarmup> WarmupsOf(
+    const RoutingConfig& config) {
+  std::unordered_map<std::string, ReplicaWarmup> warmups;
+  for (const RoutedService& service : config.services) {
+    if (service.warmup == Duration::zero()) continue;
+    warmups[service.name] = {service.warmup, service.max_warmup_requests_per_s};
+  }
+  return warmups;
+}
+
 std::uint64_t RandomSeed() {
   std::random_device device;
   constexpr int kHalfBits = 32;
@@ -217,7 +227,19 @@
         restart_settings_unchanged ? "" : "listen, peers, zone or key"}});
 }
 
+void GatewayDaemon::ApplyEvacuations(const std::vector<std::string>& zones) {
+  if (m_evacuated_zones == zones) return;
+  m_evacuated_zones = zones;
+  m_replica_pool->SetEvacuatedZones(zones, m_scheduler.Now());
+  std::string names;
+  for (const std::string& zone : zones) {
+    names += (names.empty() ? "" : ",") + zone;
+  }
+  Log(LogLevel::kInfo, "evacuations_in_force", {{"availability_zones", names}});
+}
+
 void GatewayDaemon::ApplyConfig(const ClusterConfig& config) {
+  ApplyEvacuations(config.evacuated_zones);
   if (config.routing.version <= m_router->ConfigVersion()) {
     return m_peers->Freshness()->OnApplied(config.version);
   }
@@ -237,6 +259,7 @@
                               .idle_timeout = limits.idle_timeout});
   m_routing_config = std::make_shared<const RoutingConfig>(std::move(*routing));
   m_router->SetConfig(m_routing_config);
+  m_replica_pool->SetWarmups(WarmupsOf(*m_routing_config), m_scheduler.Now());
   UpdateLimitShares();
   Log(LogLevel::kInfo, "configuration_in_force",
       {{"version", std::to_string(m_router->ConfigVersion())}});
@@ -278,6 +301,7 @@
   MetricsPage page;
   page.AddValue("gateway", "config_version", m_router->ConfigVersion())
       .AddValue("gateway", "in_flight", m_router->InFlight())
+      .AddValue("gateway", "evacuated_zones", m_evacuated_zones.size())
       .Add("gateway", m_counters)
       .Add("callers", m_caller_server->Counters())
       .Add("settings", m_settings_watch.Counters())
--- a/programs/chicory-gatewayd/gateway_daemon.h
+++ b/programs/chicory-gatewayd/gateway_daemon.h
@@ -3,7 +3,9 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "adapters/beast_http_client.h"
 #include "adapters/beast_http_server.h"
@@ -53,6 +55,7 @@
       const std::string& address, HttpServer::Handler handler);
   void AdoptSettings();
   void ApplyConfig(const ClusterConfig& config);
+  void ApplyEvacuations(const std::vector<std::string>& zones);
   void UpdateLimitShares();
   void HandleCallerRequest(HttpRequest request, const HttpResponder& respond);
   void OnCallerDisconnected(std::uint64_t connection);
@@ -86,6 +89,7 @@
   LatencyHistogram m_latencies;
   platform::RoutingDecoder m_routing_decoder;
   std::shared_ptr<const RoutingConfig> m_routing_config;
+  std::vector<std::string> m_evacuated_zones;
   /// The number of the open query of each caller connection, by connection
   /// number.
   std::unordered_map<std::uint64_t, std::uint64_t> m_query_by_connection;
--- a/src/config/change.cc
+++ b/src/config/change.cc
@@ -7,9 +7,9 @@
 namespace chicoryvale {
 namespace {
 
-constexpr std::array<std::string_view, 7> kKindNames = {
+constexpr std::array<std::string_view, 8> kKindNames = {
     "apply_schema",  "set_placement", "drain_replica",   "set_limits",
-    "publish_index", "quarantine",    "replace_routing",
+    "publish_index", "quarantine",    "replace_routing", "set_evacuation",
 };
 static_assert(kKindNames.size() == std::variant_size_v<ChangePayload>);
 
--- a/src/config/change.h
+++ b/src/config/change.h
@@ -23,6 +23,7 @@
   kPublishIndex,
   kQuarantine,
   kReplaceRouting,
+  kSetEvacuation,
 };
 
 /// Replaces the schema of the cluster.
@@ -77,9 +78,18 @@
   bool operator==(const ReplaceRouting&) const = default;
 };
 
+/// Evacuates an availability zone, so that its replicas get no more requests,
+/// or ends its evacuation. Accepted without effect if it is so already. The
+/// expected version of the change is ignored.
+struct SetEvacuation {
+  std::string availability_zone;
+  bool evacuated = true;
+  bool operator==(const SetEvacuation&) const = default;
+};
+
 using ChangePayload =
     std::variant<ApplySchema, SetPlacement, DrainReplica, SetLimits,
-                 PublishIndex, Quarantine, ReplaceRouting>;
+                 PublishIndex, Quarantine, ReplaceRouting, SetEvacuation>;
 
 /// One change as an operator sent it.
 struct Change {
@@ -89,7 +99,8 @@
   /// The configuration version on which the operator based the change; 0 if
   /// there was none.
   std::uint64_t expected_version = 0;
-  /// Full name of the service; empty for kApplySchema and kReplaceRouting.
+  /// Full name of the service; empty for kApplySchema, kReplaceRouting and
+  /// kSetEvacuation.
   std::string service;
   ChangePayload payload;
   bool operator==(const Change&) const = default;
@@ -116,8 +127,8 @@
 struct ChangeResult {
   ChangeOutcome outcome = ChangeOutcome::kInvalidChange;
   /// kAccepted: the version that contains the change, or the current version if
-  /// a ReplaceRouting was accepted without effect. Any other outcome: the
-  /// version that was current when the change was applied.
+  /// the change was accepted without effect. Any other outcome: the version
+  /// that was current when the change was applied.
   std::uint64_t version = 0;
   /// The reason why the change was refused, in human-readable form; empty if it
   /// was accepted.
--- a/src/config/change_codec.h
+++ b/src/config/change_codec.h
@@ -47,6 +47,11 @@
   archive(value.document);
 }
 
+template <class Archive>
+void serialize(Archive& archive, SetEvacuation& value) {
+  archive(value.availability_zone, value.evacuated);
+}
+
 template <class Archive>
 void serialize(Archive& archive, Change& value) {
   archive(value.operation_id, value.expected_version, value.service,
--- a/src/config/change_rules.cc
+++ b/src/config/change_rules.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cctype>
 #include <charconv>
 #include <utility>
 #include <variant>
@@ -123,6 +124,19 @@
     return std::nullopt;
   }
 
+  Problem operator()(const SetEvacuation& payload) const {
+    if (!IsZoneName(payload.availability_zone)) {
+      return "the name of the availability zone is empty, too long or contains "
+             "a slash or a control character";
+    }
+    if (payload.evacuated &&
+        m_config.evacuated_zones.size() >= kMaxEvacuatedZones) {
+      return std::to_string(kMaxEvacuatedZones) +
+             " availability zones are evacuated already";
+    }
+    return std::nullopt;
+  }
+
   Problem operator()(const DrainReplica& payload) const {
     if (m_service == nullptr) return NoPlacementProblem();
     if (HasReplica(*m_service, payload.address)) return std::nullopt;
@@ -220,6 +234,14 @@
     m_config->routing = payload.document;
   }
 
+  void operator()(const SetEvacuation& payload) const {
+    auto& zones = m_config->evacuated_zones;
+    std::erase(zones, payload.availability_zone);
+    if (!payload.evacuated) return;
+    zones.insert(std::ranges::lower_bound(zones, payload.availability_zone),
+                 payload.availability_zone);
+  }
+
   void operator()(const DrainReplica& payload) const {
     for (ShardConfig& shard : FindOrAddService().shards) {
       const auto replica = std::ranges::find(shard.replicas, payload.address,
@@ -259,6 +281,30 @@
 
 }  // namespace
 
+bool IsZoneName(std::string_view name) {
+  return !name.empty() && name.size() <= kMaxZoneNameBytes &&
+         std::ranges::none_of(name, [](unsigned char character) {
+           return character == '/' || std::iscntrl(character) != 0;
+         });
+}
+
+bool IsUnchangedBy(const ClusterConfig& config, const Change& change) {
+  if (const auto* routing = std::get_if<ReplaceRouting>(&change.payload)) {
+    return routing->document.version <= config.routing.version;
+  }
+  if (const auto* evacuation = std::get_if<SetEvacuation>(&change.payload)) {
+    return std::ranges::binary_search(config.evacuated_zones,
+                                      evacuation->availability_zone) ==
+           evacuation->evacuated;
+  }
+  return false;
+}
+
+bool IgnoresExpectedVersion(const Change& change) {
+  return std::holds_alternative<ReplaceRouting>(change.payload) ||
+         std::holds_alternative<SetEvacuation>(change.payload);
+}
+
 std::optional<std::string> ValidateChange(const ClusterConfig& config,
                                           const Change& change,
                                           const SchemaRules* rules) {
--- a/src/config/change_rules.h
+++ b/src/config/change_rules.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "config/change.h"
 #include "config/cluster_config.h"
@@ -25,6 +26,22 @@
 inline constexpr std::size_t kMaxReplicasPerShard = 256;
 inline constexpr std::size_t kMaxQuarantinedPerService = 4096;
 
+/// Maximum size of the name of an availability zone, and number of evacuated
+/// ones.
+inline constexpr std::size_t kMaxZoneNameBytes = 128;
+inline constexpr std::size_t kMaxEvacuatedZones = 256;
+
+/// Returns whether `name` can be the name of an availability zone. Thread safe.
+bool IsZoneName(std::string_view name);
+
+/// Returns whether `change` is accepted without effect, because `config` is so
+/// already or has a newer document. Thread safe.
+bool IsUnchangedBy(const ClusterConfig& config, const Change& change);
+
+/// Returns whether `change` is accepted whatever its expected version is.
+/// Thread safe.
+bool IgnoresExpectedVersion(const Change& change);
+
 /// Returns the reason why `change` may not be applied to `config`, or nullopt
 /// if it may. The result depends only on the arguments; the versions are not
 /// compared. If `rules` is null, the content of schemas is not checked and
--- a/src/config/cluster_config.h
+++ b/src/config/cluster_config.h
@@ -56,13 +56,15 @@
 };
 
 /// One accepted configuration. `version` is 0 before the first change and
-/// increases by one with each accepted change, except a ReplaceRouting that is
-/// accepted without effect.
+/// increases by one with each accepted change, except one that is accepted
+/// without effect.
 struct ClusterConfig {
   std::uint64_t version = 0;
   std::string schema_text;
   std::vector<ServiceConfig> services;
   RoutingDocument routing;
+  /// Availability zones whose replicas get no requests, in ascending order.
+  std::vector<std::string> evacuated_zones;
   bool operator==(const ClusterConfig&) const = default;
 };
 
--- a/src/config/cluster_config_codec.h
+++ b/src/config/cluster_config_codec.h
@@ -3,6 +3,8 @@
 
 // Serialization of the configuration types, for messages that contain them.
 
+#include <cstdint>
+
 #include "base/codec.h"
 #include "base/ids_codec.h"
 #include "config/cluster_config.h"
@@ -41,11 +43,28 @@
   archive(value.version, value.text);
 }
 
+/// Set in the encoded version of a configuration if evacuated zones follow.
+/// Without any, the bytes are those of builds that don't know evacuations.
+inline constexpr std::uint64_t kHasEvacuatedZones = std::uint64_t{1} << 63U;
+
+// NOLINTBEGIN(readability-identifier-naming)
 template <class Archive>
-void serialize(Archive& archive,
-               ClusterConfig& value) {  // NOLINT(readability-identifier-naming)
+void save(Archive& archive, const ClusterConfig& value) {
+  const bool has_evacuated_zones = !value.evacuated_zones.empty();
+  archive(value.version | (has_evacuated_zones ? kHasEvacuatedZones : 0),
+          value.schema_text, value.services, value.routing);
+  if (has_evacuated_zones) archive(value.evacuated_zones);
+}
+
+template <class Archive>
+void load(Archive& archive, ClusterConfig& value) {
   archive(value.version, value.schema_text, value.services, value.routing);
+  const bool has_evacuated_zones = (value.version & kHasEvacuatedZones) != 0;
+  value.version &= ~kHasEvacuatedZones;
+  value.evacuated_zones.clear();
+  if (has_evacuated_zones) archive(value.evacuated_zones);
 }
+// NOLINTEND(readability-identifier-naming)
 
 }  // namespace chicoryvale
 
--- a/src/config/config_delta.cc
+++ b/src/config/config_delta.cc
@@ -52,11 +52,21 @@
   std::vector<std::string> removed_services;
   std::vector<ServiceDelta> services;
   std::optional<RoutingDelta> routing;
+  /// Encoded only if present, so that deltas without it keep their bytes.
+  std::optional<std::vector<std::string>> evacuated_zones;
 
+  // NOLINTBEGIN(readability-identifier-naming)
   template <class Archive>
-  void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+  void save(Archive& archive) const {
+    archive(schema_text, removed_services, services, routing);
+    if (evacuated_zones) archive(*evacuated_zones);
+  }
+  template <class Archive>
+  void load(Archive& archive) {
     archive(schema_text, removed_services, services, routing);
+    if (archive.Remaining() > 0) archive(evacuated_zones.emplace());
   }
+  // NOLINTEND(readability-identifier-naming)
 };
 
 bool ApplyRoutingDelta(const RoutingDelta& delta, RoutingDocument* routing) {
@@ -130,6 +140,9 @@
   if (body.routing && !ApplyRoutingDelta(*body.routing, &config->routing)) {
     return false;
   }
+  if (body.evacuated_zones) {
+    config->evacuated_zones = std::move(*body.evacuated_zones);
+  }
   config->version = delta.header.to_version;
   return true;
 }
@@ -154,6 +167,9 @@
     body.routing = {to.routing.version,
                     MakeTextPatch(from.routing.text, to.routing.text)};
   }
+  if (from.evacuated_zones != to.evacuated_zones) {
+    body.evacuated_zones = to.evacuated_zones;
+  }
   ConfigDelta delta{{from.version, to.version, HashConfig(to)}, Encode(body)};
   ClusterConfig applied = from;
   if (!ApplyBody(delta, &applied) || applied != to) return std::nullopt;
--- a/src/config/config_state.cc
+++ b/src/config/config_state.cc
@@ -3,7 +3,6 @@
 #include <cassert>
 #include <cereal/types/deque.hpp>
 #include <utility>
-#include <variant>
 
 #include "base/hash.h"
 #include "config/change_codec.h"
@@ -40,12 +39,11 @@
 }
 
 ChangeResult ConfigState::ValidateAndApply(const Change& change) {
-  const auto* routing = std::get_if<ReplaceRouting>(&change.payload);
-  if (routing != nullptr) {
-    if (routing->document.version <= m_config.routing.version) {
-      return {ChangeOutcome::kAccepted, m_config.version, {}};
-    }
-  } else if (change.expected_version != m_config.version) {
+  if (IsUnchangedBy(m_config, change)) {
+    return {ChangeOutcome::kAccepted, m_config.version, {}};
+  }
+  if (!IgnoresExpectedVersion(change) &&
+      change.expected_version != m_config.version) {
     return {ChangeOutcome::kVersionConflict, m_config.version,
             "expected version " + std::to_string(change.expected_version) +
                 ", current version " + std::to_string(m_config.version)};
--- a/src/control/routing_service.cc
+++ b/src/control/routing_service.cc
@@ -15,18 +15,26 @@
 /// Delay before a failed request is retried.
 constexpr Duration kRetryDelay = milliseconds(75);
 
-Change ToChange(const RoutingDocument& document) {
+}  // namespace
+
+Change RoutingService::ToChange(const Request& request) {
   Change change;
+  if (request.evacuation) {
+    change.operation_id = request.evacuation->operation_id;
+    change.payload = chicoryvale::SetEvacuation{
+        request.evacuation->availability_zone, request.evacuation->evacuated};
+    return change;
+  }
+  const RoutingDocument& document = request.document;
   change.operation_id = "routing-" + std::to_string(document.version) + "-" +
                         std::to_string(HashBytes(document.text));
   change.payload = ReplaceRouting{document};
   return change;
 }
 
-}  // namespace
-
-RoutingService::RoutingService(const Dependencies& dependencies, Address self)
-    : m_dependencies(dependencies), m_self(std::move(self)) {
+RoutingService::RoutingService(const Dependencies& dependencies, Address self,
+                               std::uint64_t run_id)
+    : m_dependencies(dependencies), m_self(std::move(self)), m_run_id(run_id) {
   m_dependencies.transport->SetHandler(
       PeerChannel::kRouting,
       [this](const Address& /*from*/, const std::string& request,
@@ -51,6 +59,29 @@
       });
 }
 
+void RoutingService::SetEvacuation(const std::string& availability_zone,
+                                   bool evacuated, AcceptCallback callback) {
+  EvacuationOrder order;
+  order.operation_id = "evacuation-" + m_self.host_port + "-" +
+                       std::to_string(m_run_id) + "-" +
+                       std::to_string(++m_last_order);
+  order.availability_zone = availability_zone;
+  order.evacuated = evacuated;
+  const TimePoint deadline = m_dependencies.scheduler->Now() + kRequestTimeout;
+  Execute(
+      {true, {}, order}, deadline,
+      [this, order, callback = std::move(callback)](const Reply& reply) {
+        m_dependencies.log->Write(
+            reply.succeeded ? LogLevel::kInfo : LogLevel::kWarning,
+            reply.succeeded ? "evacuation_accepted" : "evacuation_not_accepted",
+            {{"availability_zone", order.availability_zone},
+             {"evacuated", order.evacuated ? "true" : "false"},
+             {"reason", reply.message}});
+        if (reply.succeeded) return callback({});
+        callback(tl::unexpected<Error>(ToError(reply)));
+      });
+}
+
 void RoutingService::Read(ReadCallback callback) {
   const TimePoint deadline = m_dependencies.scheduler->Now() + kRequestTimeout;
   Execute({false, {}}, deadline,
@@ -108,7 +139,7 @@
     return;
   }
   m_dependencies.group->Propose(
-      ToChange(request.document),
+      ToChange(request),
       [callback = std::move(callback)](const Result<ChangeResult>& result) {
         if (!result) return callback(ErrorReply(result.error()));
         const Result<std::uint64_t> version = ToResult(*result);
--- a/src/control/routing_service.h
+++ b/src/control/routing_service.h
@@ -4,10 +4,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/codec.h"
 #include "base/time.h"
+#include "config/change.h"
 #include "config/cluster_config_codec.h"
 #include "ports/control_group.h"
 #include "ports/event_log.h"
@@ -16,9 +18,9 @@
 
 namespace chicoryvale {
 
-/// Accepts and reads the routing document at any control VM. A control VM that
-/// is not the leader forwards the request to the leader, and retries while a
-/// short election is held. Not thread safe.
+/// Accepts and reads the routing document, and accepts evacuations, at any
+/// control VM. A control VM that is not the leader forwards the request to the
+/// leader, and retries while a short election is held. Not thread safe.
 class RoutingService {
  public:
   using AcceptCallback = std::function<void(Result<void>)>;
@@ -32,8 +34,10 @@
     EventLog* log = nullptr;
   };
 
-  /// `self` is the peer address of this control VM.
-  RoutingService(const Dependencies& dependencies, Address self);
+  /// `self` is the peer address of this control VM. `run_id` is a random number
+  /// that identifies this run of the process.
+  RoutingService(const Dependencies& dependencies, Address self,
+                 std::uint64_t run_id);
 
   /// Accepts `document`. A version that is not higher than the one in force is
   /// accepted without effect. Calls `callback` once: with success after a
@@ -42,21 +46,51 @@
   /// valid.
   void Accept(const RoutingDocument& document, AcceptCallback callback);
 
+  /// Evacuates an availability zone, or ends its evacuation. Each call is a
+  /// change of its own; one that changes nothing is accepted without effect.
+  /// Calls `callback` like Accept.
+  void SetEvacuation(const std::string& availability_zone, bool evacuated,
+                     AcceptCallback callback);
+
   /// Calls `callback` once with the newest accepted document, confirmed by a
   /// quorum after this call, or with kNoQuorum if it cannot be confirmed. The
   /// version is 0 if no document was accepted yet.
   void Read(ReadCallback callback);
 
  private:
-  /// A request to the leader: accepts `document` or reads the current one.
+  /// An evacuation that an operator ordered.
+  struct EvacuationOrder {
+    /// Unique for each order. Retries keep it.
+    std::string operation_id;
+    std::string availability_zone;
+    bool evacuated = true;
+
+    template <class Archive>
+    void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+      archive(operation_id, availability_zone, evacuated);
+    }
+  };
+
+  /// A request to the leader: accepts `document` or `evacuation`, or reads the
+  /// current document.
   struct Request {
     bool is_accept = false;
     RoutingDocument document;
+    /// Encoded only if present, as earlier builds don't know it.
+    std::optional<EvacuationOrder> evacuation = std::nullopt;
 
+    // NOLINTBEGIN(readability-identifier-naming)
     template <class Archive>
-    void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+    void save(Archive& archive) const {
+      archive(is_accept, document);
+      if (evacuation) archive(*evacuation);
+    }
+    template <class Archive>
+    void load(Archive& archive) {
       archive(is_accept, document);
+      if (archive.Remaining() > 0) archive(evacuation.emplace());
     }
+    // NOLINTEND(readability-identifier-naming)
   };
 
   /// The leader's reply. `error` is an ErrorKind, valid unless `succeeded`.
@@ -73,6 +107,7 @@
   };
   using ReplyCallback = std::function<void(Reply)>;
 
+  static Change ToChange(const Request& request);
   static Reply ErrorReply(const Error& error);
   static Error ToError(const Reply& reply);
   /// Runs `request` at the leader, which may be this VM, with retries until
@@ -90,6 +125,8 @@
 
   Dependencies m_dependencies;
   Address m_self;
+  std::uint64_t m_run_id;
+  std::uint64_t m_last_order = 0;
 };
 
 }  // namespace chicoryvale
--- a/src/routing/replica_pool.cc
+++ b/src/routing/replica_pool.cc
@@ -106,13 +106,46 @@
     // Another replica at another address has the id now.
     if (known != m_replicas.end() && !same) m_notices.Forget(listed.id);
     replica.listed = listed;
-    replica.warm_at = now + listed.warmup_left;
+    replica.evacuated =
+        std::ranges::binary_search(m_evacuated_zones, listed.availability_zone);
+    // The list lags and does not know that a zone was evacuated.
+    const bool was_evacuated = same && replica.warm_after_evacuation > now;
+    replica.warm_at =
+        std::max(now + listed.warmup_left,
+                 was_evacuated ? replica.warm_after_evacuation : TimePoint{});
     if (!listed.draining) m_usable[listed.service].push_back(listed.id);
   }
   m_replicas = std::move(next);
   m_notices.RecordList(
       [this](const std::string& id) { return m_replicas.contains(id); }, now);
-  for (auto& [id, replica] : m_replicas) CopyNotice(&replica);
+  for (auto& [id, replica] : m_replicas) {
+    CopyNotice(&replica);
+    UpdateRates(&replica, now);
+  }
+}
+
+void ReplicaPool::SetEvacuatedZones(const std::vector<std::string>& zones,
+                                    TimePoint now) {
+  m_evacuated_zones = zones;
+  for (auto& [id, replica] : m_replicas) {
+    const bool was_evacuated = std::exchange(
+        replica.evacuated,
+        std::ranges::binary_search(zones, replica.listed.availability_zone));
+    const auto warmup = m_warmups.find(replica.listed.service);
+    if (!was_evacuated || replica.evacuated || warmup == m_warmups.end()) {
+      continue;
+    }
+    replica.warm_after_evacuation = now + warmup->second.duration;
+    replica.warm_at = std::max(replica.warm_at, replica.warm_after_evacuation);
+    UpdateRates(&replica, now);
+  }
+}
+
+void ReplicaPool::SetWarmups(
+    std::unordered_map<std::string, ReplicaWarmup> warmups, TimePoint now) {
+  if (m_warmups == warmups) return;
+  m_warmups = std::move(warmups);
+  for (auto& [id, replica] : m_replicas) UpdateRates(&replica, now);
 }
 
 void ReplicaPool::CopyNotice(Replica* replica) const {
@@ -135,17 +168,54 @@
 
 void ReplicaPool::SetRateSharers(RateSharers sharers, TimePoint now) {
   m_rate_sharers = std::move(sharers);
-  for (auto& [id, replica] : m_replicas) {
-    if (replica.rate) replica.rate->SetRate(RateOf(replica), now);
-  }
+  for (auto& [id, replica] : m_replicas) UpdateRates(&replica, now);
 }
 
-double ReplicaPool::RateOf(const Replica& replica) const {
-  return ShareOfRate(std::max(replica.max_requests_per_s, kMinRatePerSecond),
+double ReplicaPool::ShareOf(double max_requests_per_s,
+                            const Replica& replica) const {
+  return ShareOfRate(std::max(max_requests_per_s, kMinRatePerSecond),
                      {replica.listed.id, replica.listed.availability_zone},
                      m_rate_sharers);
 }
 
+void ReplicaPool::UpdateRates(Replica* replica, TimePoint now) const {
+  const auto set = [this, replica, now](std::optional<RateBucket>* bucket,
+                                        double max_requests_per_s) {
+    const double share = ShareOf(max_requests_per_s, *replica);
+    if (*bucket) {
+      (*bucket)->SetRate(share, now);
+    } else {
+      bucket->emplace(share, now);
+    }
+  };
+  if (replica->max_requests_per_s == ReplicaNotice::kNoRateLimit) {
+    replica->rate.reset();
+  } else {
+    set(&replica->rate, replica->max_requests_per_s);
+  }
+  const auto warmup = m_warmups.find(replica->listed.service);
+  const bool is_limited = now < replica->warm_at && warmup != m_warmups.end() &&
+                          warmup->second.max_requests_per_s > 0;
+  if (is_limited) {
+    set(&replica->cold_rate, warmup->second.max_requests_per_s);
+  } else {
+    replica->cold_rate.reset();
+  }
+}
+
+TimePoint ReplicaPool::RateAvailableAt(const Replica& replica, TimePoint now) {
+  TimePoint available_at = now;
+  if (replica.rate) {
+    available_at = std::max(available_at, replica.rate->NextTokenAt(now));
+  }
+  if (replica.cold_rate && now < replica.warm_at) {
+    const TimePoint cold_available_at =
+        std::min(replica.cold_rate->NextTokenAt(now), replica.warm_at);
+    available_at = std::max(available_at, cold_available_at);
+  }
+  return available_at;
+}
+
 bool ReplicaPool::RecordRateLimit(const std::string& id,
                                   std::optional<double> max_requests_per_s,
                                   TimePoint now) {
@@ -154,15 +224,9 @@
   Replica& replica = found->second;
   if (replica.max_requests_per_s == *max_requests_per_s) return false;
   replica.max_requests_per_s = *max_requests_per_s;
-  if (*max_requests_per_s == ReplicaNotice::kNoRateLimit) {
-    replica.rate.reset();
-    return true;
-  }
-  m_counters.Add(ReplicaPoolCounter::kRateLimitsStated);
-  if (replica.rate) {
-    replica.rate->SetRate(RateOf(replica), now);
-  } else {
-    replica.rate.emplace(RateOf(replica), now);
+  UpdateRates(&replica, now);
+  if (*max_requests_per_s != ReplicaNotice::kNoRateLimit) {
+    m_counters.Add(ReplicaPoolCounter::kRateLimitsStated);
   }
   return true;
 }
@@ -171,11 +235,13 @@
                           TimePoint now) const {
   const bool is_up_to_relay = reach == Reach::kByRelay &&
                               replica.listed.availability_zone != m_own_zone;
-  return is_up_to_relay || !replica.rate ||
-         replica.rate->NextTokenAt(now) <= now;
+  return is_up_to_relay || RateAvailableAt(replica, now) <= now;
 }
 
 void ReplicaPool::CountAvoided(const Replica& replica) {
+  if (replica.evacuated) {
+    return m_counters.Add(ReplicaPoolCounter::kChoicesWithoutEvacuated);
+  }
   m_counters.Add(replica.says_draining
                      ? ReplicaPoolCounter::kChoicesWithoutDraining
                      : ReplicaPoolCounter::kChoicesWithoutBackingOff);
@@ -320,6 +386,7 @@
   if (replica == m_replicas.end()) return send;
   replica->second.open_sends[send] = now;
   if (replica->second.rate) replica->second.rate->Take(now);
+  if (replica->second.cold_rate) replica->second.cold_rate->Take(now);
   return send;
 }
 
@@ -398,11 +465,9 @@
   std::optional<TimePoint> earliest;
   for (const std::string& id : usable->second) {
     const Replica& replica = m_replicas.at(id);
-    if (replica.says_draining) continue;
-    TimePoint usable_at = std::max(now, replica.back_off_end);
-    if (replica.rate) {
-      usable_at = std::max(usable_at, replica.rate->NextTokenAt(now));
-    }
+    if (replica.says_draining || replica.evacuated) continue;
+    const TimePoint usable_at =
+        std::max(RateAvailableAt(replica, now), replica.back_off_end);
     if (!earliest || usable_at < *earliest) earliest = usable_at;
   }
   return earliest;
--- a/src/routing/replica_pool.h
+++ b/src/routing/replica_pool.h
@@ -36,6 +36,16 @@
   bool operator==(const ListedReplica&) const = default;
 };
 
+/// How the replicas of a service warm up.
+struct ReplicaWarmup {
+  /// Time for which a replica is cold after it was idle.
+  Duration duration{};
+  /// Maximum requests a second that a cold replica gets from all entries
+  /// together; 0 for no limit.
+  double max_requests_per_s = 0;
+  bool operator==(const ReplicaWarmup&) const = default;
+};
+
 /// The replica that is chosen for a send.
 struct ChosenReplica {
   std::string id;
@@ -61,14 +71,18 @@
   /// Choices that left out a replica because this entry's share of its limit
   /// was used.
   kChoicesWithoutRate,
+  /// Choices that left out a replica because its availability zone is
+  /// evacuated.
+  kChoicesWithoutEvacuated,
 };
 
 template <>
 struct CounterNames<ReplicaPoolCounter> {
-  static constexpr std::array<std::string_view, 6> kNames = {
+  static constexpr std::array<std::string_view, 7> kNames = {
       "draining_announced",       "back_offs_announced",
       "choices_without_draining", "choices_without_backing_off",
-      "rate_limits_stated",       "choices_without_rate"};
+      "rate_limits_stated",       "choices_without_rate",
+      "choices_without_evacuated"};
 };
 
 /// The replicas that this process knows: the list of the platform, and the
@@ -99,6 +113,16 @@
     m_connection_shares[service] = share;
   }
 
+  /// Sets the availability zones whose replicas get no sends, in ascending
+  /// order. The replicas of a zone that is no longer evacuated are cold for the
+  /// warmup time of their service, because they were idle.
+  void SetEvacuatedZones(const std::vector<std::string>& zones, TimePoint now);
+
+  /// Sets how the replicas of services warm up, by service. Services without an
+  /// entry have no limit.
+  void SetWarmups(std::unordered_map<std::string, ReplicaWarmup> warmups,
+                  TimePoint now);
+
   /// Sets the entries among which the limits are divided that replicas state
   /// for all entries together.
   void SetRateSharers(RateSharers sharers, TimePoint now);
@@ -178,6 +202,11 @@
     /// entry's share of it; absent without a limit.
     double max_requests_per_s = ReplicaNotice::kNoRateLimit;
     std::optional<RateBucket> rate;
+    /// This entry's share of the limit while the replica is cold; absent
+    /// without a limit.
+    std::optional<RateBucket> cold_rate;
+    /// Whether its availability zone is evacuated.
+    bool evacuated = false;
     /// Start times of the sends that have not ended, by number.
     std::map<std::uint64_t, TimePoint> open_sends;
     std::optional<TimePoint> last_answer_at;
@@ -197,6 +226,9 @@
     double reported_queue = 0;
     TimePoint queue_reported_at{};
     TimePoint warm_at{};
+    /// Until this time the replica is cold because its availability zone was
+    /// evacuated.
+    TimePoint warm_after_evacuation{};
     /// Until this time the replica is avoided because it announced that it
     /// closes its connections.
     TimePoint closing_until{};
@@ -219,13 +251,20 @@
 
   void CopyNotice(Replica* replica) const;
   static bool WantsRequests(const Replica& replica, TimePoint now) {
-    return !replica.says_draining && now >= replica.back_off_end;
+    return !replica.evacuated && !replica.says_draining &&
+           now >= replica.back_off_end;
   }
+  // Sets the buckets of `replica` to this entry's shares of its limits.
+  void UpdateRates(Replica* replica, TimePoint now) const;
+  // Returns the earliest time, `now` or later, at which this entry's shares of
+  // the limits of `replica` have room.
+  static TimePoint RateAvailableAt(const Replica& replica, TimePoint now);
+  // Returns this entry's share of a limit of `replica`.
+  [[nodiscard]] double ShareOf(double max_requests_per_s,
+                               const Replica& replica) const;
   // Returns whether `replica` has room in the share of its stated limit.
   [[nodiscard]] bool HasRate(const Replica& replica, Reach reach,
                              TimePoint now) const;
-  // Returns this entry's share of the limit that `replica` states.
-  [[nodiscard]] double RateOf(const Replica& replica) const;
   std::optional<ChosenReplica> ChooseReachable(
       const std::string& service, const std::vector<std::string>& excluded,
       Reach reach, TimePoint now);
@@ -243,6 +282,8 @@
   /// Ids of the replicas that are not draining, by service.
   std::unordered_map<std::string, std::vector<std::string>> m_usable;
   std::unordered_map<std::string, std::uint32_t> m_connection_shares;
+  std::unordered_map<std::string, ReplicaWarmup> m_warmups;
+  std::vector<std::string> m_evacuated_zones;
   /// Recency-weighted mean time to an answer over all replicas of a service, by
   /// service.
   std::unordered_map<std::string, double> m_service_latency_us;
--- a/tests/control/routing_service_test.cc
+++ b/tests/control/routing_service_test.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "config/config_state.h"
 #include "fakes/fake_network.h"
@@ -67,7 +68,7 @@
 
   RoutingService Make(FakeControlGroup* group, FakePeerTransport* peers,
                       const Address& self) {
-    return RoutingService({&m_scheduler, group, peers, &m_log}, self);
+    return RoutingService({&m_scheduler, group, peers, &m_log}, self, 7);
   }
 
   std::optional<Result<void>> Accept(RoutingService* service,
@@ -87,6 +88,16 @@
     return result;
   }
 
+  std::optional<Result<void>> Evacuate(RoutingService* service,
+                                       bool evacuated) {
+    std::optional<Result<void>> result;
+    service->SetEvacuation(
+        "zone-b", evacuated,
+        [&](const Result<void>& received) { result = received; });
+    m_scheduler.RunFor(seconds(2));
+    return result;
+  }
+
   FakeScheduler m_scheduler;
   FakeNetwork m_network{&m_scheduler, 1};
   RecordingLog m_log;
@@ -152,6 +163,27 @@
   EXPECT_LE(*answered_at - read_start, seconds(1));
 }
 
+// Orders have no id of their own, so the second evacuation was taken for a
+// resend of the first one.
+TEST_F(RoutingServiceTest, AnEvacuationCanBeEndedAndOrderedAgain) {
+  for (RoutingService* service : {&m_leader_service, &m_other_service}) {
+    EXPECT_TRUE(Evacuate(service, true)->has_value());
+    EXPECT_EQ(m_state.Config().evacuated_zones,
+              std::vector<std::string>{"zone-b"});
+    const std::uint64_t version = m_state.Config().version;
+    EXPECT_TRUE(Evacuate(service, true)->has_value()) << "resent";
+    EXPECT_EQ(m_state.Config().version, version);
+    EXPECT_TRUE(Evacuate(service, false)->has_value());
+    EXPECT_TRUE(m_state.Config().evacuated_zones.empty());
+  }
+}
+
+TEST_F(RoutingServiceTest, AnEvacuationNeedsAQuorum) {
+  m_leader_group.SetQuorum(false);
+  EXPECT_EQ(Evacuate(&m_other_service, true)->error().kind,
+            ErrorKind::kNoQuorum);
+}
+
 TEST_F(RoutingServiceTest, AForwardedRequestIsNotForwardedAgain) {
   m_leader_group.SetLeader(kOther);
   EXPECT_FALSE(Read(&m_other_service)->has_value());
