Quotas: one bucket a workspace at its owner, asked by all entries

Cause: the rate and burst of a workspace were not read, so that a workspace that sends many times its usual load was served beyond its quota.

Change: the owner of a workspace, found by rendezvous hashing over the live entries, keeps its bucket and grants tokens to the others, some in advance while much of the burst is left. An owner grants the part of the rate that corresponds to the entries that it can reach; whoever takes over starts with a quarter of the allowed slack. A request beyond the quota is refused as not run with the time until there is a token; if no owner answers, with 503. Tokens of requests that were not sent are given back.

--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -114,6 +114,11 @@
                         .log = &m_log},
       m_peers->LocalAddress().host_port + "/" + std::to_string(RandomSeed()));
   m_crash_guard->Start();
+  m_quota_client = std::make_unique<QuotaClient>(
+      QuotaClient::Ports{.scheduler = &m_scheduler,
+                         .peers = m_peers->TcpTransport(),
+                         .members = m_peers->membership()},
+      m_settings.quota);
   const RoutingContext routing_context{.scheduler = &m_scheduler,
                                        .sends = m_send_tracker.get(),
                                        .pool = m_replica_pool.get(),
@@ -122,7 +127,8 @@
                                        .counters = &m_counters,
                                        .latencies = &m_latencies,
                                        .relay = m_relay_client.get(),
-                                       .crash_guard = m_crash_guard.get()};
+                                       .crash_guard = m_crash_guard.get(),
+                                       .quota = m_quota_client.get()};
   m_router = std::make_unique<Router>(routing_context, RandomSeed(),
                                       m_peers->Freshness());
   m_relay_service =
@@ -307,7 +313,10 @@
       .Add("settings", m_settings_watch.Counters())
       .Add("replicas", m_http_client->Counters())
       .Add("replica_pool", m_replica_pool->Counters())
-      .Add("crash_guard", m_crash_guard->Counters());
+      .Add("crash_guard", m_crash_guard->Counters())
+      .Add("quota", m_quota_client->Counters())
+      .AddValue("quota", "granted_workspaces",
+                m_quota_client->GrantedWorkspaces());
   m_latencies.Visit([&page](const std::string& name, std::uint64_t count) {
     page.AddValue("gateway", "request_latency_" + name, count);
   });
--- a/programs/chicory-gatewayd/gateway_daemon.h
+++ b/programs/chicory-gatewayd/gateway_daemon.h
@@ -20,6 +20,7 @@
 #include "platform/http_replica_directory.h"
 #include "platform/http_replica_transport.h"
 #include "platform/routing_codec.h"
+#include "quota/quota_client.h"
 #include "routing/crash_guard.h"
 #include "routing/relay_client.h"
 #include "routing/relay_service.h"
@@ -78,6 +79,7 @@
   std::unique_ptr<SendTracker> m_send_tracker;
   std::unique_ptr<RetryBudget> m_retry_budget;
   std::unique_ptr<CrashGuard> m_crash_guard;
+  std::unique_ptr<QuotaClient> m_quota_client;
   std::unique_ptr<RelayClient> m_relay_client;
   std::unique_ptr<RelayService> m_relay_service;
   std::unique_ptr<Router> m_router;
--- a/programs/chicory-gatewayd/gateway_settings.cc
+++ b/programs/chicory-gatewayd/gateway_settings.cc
@@ -16,6 +16,7 @@
 constexpr Duration kDefaultRetryBudgetWindow = seconds(10);
 constexpr IntegerRange kRetryBudgetWindowRangeMs = {100, 600'000};
 constexpr IntegerRange kFixedRetriesRange = {0, 1'000'000};
+constexpr double kMaxQuotaSlack = 1'000'000;
 constexpr std::int64_t kDefaultMaxConnections = 2000;
 constexpr IntegerRange kMaxConnectionsRange = {1, 1'000'000};
 
@@ -50,6 +51,8 @@
       "platform.drain_time_ms", kDefaultDrainTime, kDrainTimeRangeMs);
   settings.retry_budget = ReadRetryBudget(reader);
   settings.retry_budget.first_start = settings.replica_list.first_start;
+  settings.quota.slack = reader.Number("quota.slack", 0, 0, kMaxQuotaSlack);
+  settings.quota.first_start = settings.replica_list.first_start;
   settings.max_connections = static_cast<std::uint32_t>(reader.Integer(
       "callers.max_connections", kDefaultMaxConnections, kMaxConnectionsRange));
   settings.linger = ReadLinger(reader);
--- a/programs/chicory-gatewayd/gateway_settings.h
+++ b/programs/chicory-gatewayd/gateway_settings.h
@@ -6,6 +6,7 @@
 #include "adapters/log.h"
 #include "adapters/peer_stack.h"
 #include "base/time.h"
+#include "quota/quota_owner.h"
 #include "routing/replica_list_sync.h"
 #include "routing/retry_budget.h"
 
@@ -27,6 +28,7 @@
   std::string replica_list_address;
   ReplicaListOptions replica_list;
   RetryBudgetOptions retry_budget;
+  QuotaOptions quota;
   /// Maximum number of open connections at each of the HTTP servers for
   /// callers, readiness and metrics.
   std::uint32_t max_connections = 0;
--- a/src/ports/peer_transport.h
+++ b/src/ports/peer_transport.h
@@ -42,6 +42,7 @@
   kRouting,
   kRelay,
   kReplicaList,
+  kQuota,
 };
 
 /// Interface to requests and answers between the system's own processes over a
--- /dev/null
+++ b/src/quota/quota_bucket.h
@@ -0,0 +1,44 @@
+#ifndef CHICORYVALE_SRC_QUOTA_QUOTA_BUCKET_H_
+#define CHICORYVALE_SRC_QUOTA_QUOTA_BUCKET_H_
+
+#include "base/time.h"
+
+namespace chicoryvale {
+
+/// Token bucket of a workspace: it refills at a rate and holds a burst. Not
+/// thread safe.
+class QuotaBucket {
+ public:
+  /// Makes a bucket with `level` tokens, or fewer if it holds fewer.
+  QuotaBucket(double tokens_per_s, double burst, double level, TimePoint now);
+
+  /// Changes rate and burst from `now` on. Tokens beyond the new burst are
+  /// lost.
+  void SetLimits(double tokens_per_s, double burst, TimePoint now);
+
+  /// Lowers the level to `level` if it is higher.
+  void LowerTo(double level, TimePoint now);
+
+  /// Returns the number of tokens in the bucket.
+  [[nodiscard]] double Level(TimePoint now) const;
+
+  /// Returns the maximum number of tokens: the burst, and at least 1.
+  [[nodiscard]] double Capacity() const;
+
+  /// Takes `tokens`. Precondition: the level is at least `tokens`.
+  void Take(double tokens, TimePoint now);
+
+  /// Returns the time until the level is at least 1; a minute if the rate is so
+  /// low that it takes longer.
+  [[nodiscard]] Duration TimeToNextToken(TimePoint now) const;
+
+ private:
+  double m_tokens_per_s;
+  double m_burst;
+  double m_level;
+  TimePoint m_updated_at;
+};
+
+}  // namespace chicoryvale
+
+#endif  // CHICORYVALE_SRC_QUOTA_QUOTA_BUCKET_H_
--- a/src/routing/routed_query.cc
+++ b/src/routing/routed_query.cc
@@ -50,9 +50,10 @@
                                                   [this] { OnHedgeTimer(); });
   }
   if (m_input.route->IsScattered()) {
+    const Duration partial_answer_time =
+        m_input.answer_within.value_or(m_timing.PartialAnswerTime());
     m_partial_answer_timer = m_context.scheduler->Schedule(
-        m_input.answer_within.value_or(m_timing.PartialAnswerTime()) -
-            m_input.waited,
+        std::max(partial_answer_time - m_input.waited, Duration::zero()),
         [this] { OnPartialAnswerTimer(); });
   }
   m_is_canary = m_context.crash_guard != nullptr && !IsForRelay() &&
--- a/src/routing/routed_query.h
+++ b/src/routing/routed_query.h
@@ -15,6 +15,7 @@
 #include "ports/event_log.h"
 #include "ports/relay.h"
 #include "ports/replica_transport.h"
+#include "ports/request_quota.h"
 #include "ports/scheduler.h"
 #include "routing/answer_timing.h"
 #include "routing/crash_guard.h"
@@ -60,6 +61,10 @@
   /// confirmed that the configuration in force is current.
   kRefusedUnconfirmed,
   kRefusedOverloaded,
+  /// Requests beyond the quota of their workspace.
+  kRefusedOverQuota,
+  /// Requests for which the use of the quota could not be found out.
+  kRefusedQuotaUnknown,
   /// Requests that came too late before the end of this process.
   kRefusedStopping,
   kRefusedNoReplica,
@@ -74,7 +79,7 @@
 
 template <>
 struct CounterNames<RoutingCounter> {
-  static constexpr std::array<std::string_view, 26> kNames = {
+  static constexpr std::array<std::string_view, 28> kNames = {
       "requests",
       "answered_whole",
       "answered_short",
@@ -94,6 +99,8 @@
       "refused_unknown_key",
       "refused_unconfirmed",
       "refused_overloaded",
+      "refused_over_quota",
+      "refused_quota_unknown",
       "refused_stopping",
       "refused_no_replica",
       "refused_replicas_busy",
@@ -147,6 +154,8 @@
   Relay* relay = nullptr;
   /// Stops requests that crash replicas. If null, none is stopped.
   CrashGuard* crash_guard = nullptr;
+  /// Limits the requests of workspaces. If null, they have no quota.
+  RequestQuota* quota = nullptr;
 };
 
 /// One routed request: sends its sub-requests to replicas, retries those that
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -89,7 +89,7 @@
 
 bool Router::IsOpen(std::uint64_t number) const {
   return m_queries.contains(number) || m_waiting.contains(number) ||
-         m_unmatched.contains(number);
+         m_unmatched.contains(number) || m_awaiting_quota.contains(number);
 }
 
 // The route or the key may have been added by a change that has not arrived
@@ -163,6 +163,79 @@
          "this request has crashed the replicas that ran it", Ran::kNo},
         kRetryAfterQuarantine, callback);
   }
+  const bool has_quota = m_context.quota != nullptr &&
+                         match.workspace != nullptr &&
+                         match.workspace->max_requests_per_s > 0;
+  if (has_quota) {
+    return AwaitQuota(number, request, *match.workspace, std::move(callback));
+  }
+  StartMatched(number, request, match, m_context.scheduler->Now(),
+               std::move(callback));
+}
+
+void Router::AwaitQuota(std::uint64_t number, const RoutedRequest& request,
+                        const Workspace& workspace, Callback callback) {
+  m_awaiting_quota.emplace(number,
+                           RequestAwaitingQuota{request, std::move(callback),
+                                                m_context.scheduler->Now()});
+  const std::weak_ptr<int> alive = m_alive;
+  m_context.quota->Acquire({workspace.name, workspace.max_requests_per_s,
+                            workspace.burst, ConfigVersion()},
+                           [this, alive, number, name = workspace.name](
+                               const QuotaDecision& decision) {
+                             if (!alive.expired())
+                               OnQuotaDecision(number, name, decision);
+                           });
+}
+
+void Router::OnQuotaDecision(std::uint64_t number, const std::string& workspace,
+                             const QuotaDecision& decision) {
+  const bool has_token = decision.verdict == QuotaVerdict::kWithinQuota;
+  auto node = m_awaiting_quota.extract(number);
+  if (node.empty()) {
+    if (has_token) m_context.quota->GiveBack(workspace);
+    return;
+  }
+  RequestAwaitingQuota& waited = node.mapped();
+  if (!has_token) return RefuseByQuota(waited, decision);
+  // The configuration may have changed meanwhile.
+  const Match match = FindMatch(waited.request);
+  const bool is_same_workspace = match.IsServed() &&
+                                 match.workspace != nullptr &&
+                                 match.workspace->name == workspace;
+  if (!is_same_workspace) {
+    m_context.quota->GiveBack(workspace);
+    return RefuseUnconfirmed(waited.request, waited.callback);
+  }
+  StartMatched(number, waited.request, match, waited.received_at,
+               std::move(waited.callback));
+}
+
+void Router::RefuseByQuota(const RequestAwaitingQuota& waited,
+                           const QuotaDecision& decision) {
+  const Duration retry_after = SpreadRetryAfter(decision.retry_after);
+  if (decision.verdict == QuotaVerdict::kOverQuota) {
+    return Refuse(waited.request, RoutingCounter::kRefusedOverQuota,
+                  {ErrorKind::kWorkspaceOverShare,
+                   "the workspace has used its quota", Ran::kNo},
+                  retry_after, waited.callback);
+  }
+  Refuse(waited.request, RoutingCounter::kRefusedQuotaUnknown,
+         {ErrorKind::kOverloaded,
+          "the entry that owns the quota of the workspace does not answer",
+          Ran::kNo},
+         retry_after, waited.callback);
+}
+
+void Router::GiveBackToken(const OpaqueRequest& request) {
+  if (m_context.quota == nullptr || !request.workspace) return;
+  m_context.quota->GiveBack(*request.workspace);
+}
+
+void Router::StartMatched(std::uint64_t number, const RoutedRequest& request,
+                          const Match& match, TimePoint received_at,
+                          Callback callback) {
+  const Route& route = *match.route;
   RoutedQuery::Input input;
   input.request = Forwarded(request, match.workspace);
   input.config = m_table->Config();
@@ -173,8 +246,7 @@
   input.time_limit =
       std::min(route.timeout, request.time_left.value_or(route.timeout));
   if (m_end) {
-    input.time_limit =
-        std::min(input.time_limit, *m_end - m_context.scheduler->Now());
+    input.time_limit = std::min(input.time_limit, *m_end - received_at);
   }
   if (route.IsScattered()) {
     const std::uint32_t priority =
@@ -182,8 +254,9 @@
             ? route.priority
             : match.workspace->priority.value_or(route.priority);
     SubmitScattered(number, {request, std::move(input), std::move(callback),
-                             m_context.scheduler->Now(), priority});
+                             received_at, priority});
   } else {
+    input.waited = m_context.scheduler->Now() - received_at;
     StartQuery(number, std::move(input), std::move(callback));
   }
 }
@@ -201,6 +274,13 @@
   std::ranges::transform(m_unmatched, std::back_inserter(unmatched),
                          [](const auto& entry) { return entry.first; });
   for (const std::uint64_t number : unmatched) OnFreshness(number, false);
+  const QuotaDecision unknown{QuotaVerdict::kUnknown, Duration::zero()};
+  std::vector<std::uint64_t> awaiting_quota;
+  std::ranges::transform(m_awaiting_quota, std::back_inserter(awaiting_quota),
+                         [](const auto& entry) { return entry.first; });
+  for (const std::uint64_t number : awaiting_quota) {
+    OnQuotaDecision(number, {}, unknown);
+  }
   std::vector<std::uint64_t> waiting;
   std::ranges::transform(m_waiting, std::back_inserter(waiting),
                          [](const auto& entry) { return entry.first; });
@@ -266,6 +346,7 @@
   const ShardSet shards = input.services.front();
   if (!IsStillAuthorized(waiting)) {
     m_admissions.at(shards)->Finish(number, AdmittedOutcome::kUnknown);
+    GiveBackToken(*input.request);
     return RefuseUnconfirmed(waiting.request, waiting.callback);
   }
   const Duration target_latency = input.route->target_latency;
@@ -282,6 +363,7 @@
 void Router::RefuseWaiting(std::uint64_t number, Duration retry_after) {
   const auto node = m_waiting.extract(number);
   const WaitingRequest& waiting = node.mapped();
+  GiveBackToken(*waiting.input.request);
   Refuse(waiting.request, RoutingCounter::kRefusedOverloaded,
          {ErrorKind::kOverloaded, "too many requests are in flight", Ran::kNo},
          retry_after, waiting.callback);
@@ -303,9 +385,14 @@
 
 void Router::StartQuery(std::uint64_t number, RoutedQuery::Input input,
                         Callback callback) {
+  const std::shared_ptr<const OpaqueRequest> request = input.request;
   auto query = std::make_unique<RoutedQuery>(
       m_context, std::move(input),
-      [this, number, callback = std::move(callback)](RoutedAnswer answer) {
+      [this, number, request,
+       callback = std::move(callback)](RoutedAnswer answer) {
+        if (answer.error && answer.error->ran == Ran::kNo) {
+          GiveBackToken(*request);
+        }
         // The query is destroyed after its current call has returned.
         auto node = m_queries.extract(number);
         if (!node.empty()) {
@@ -325,7 +412,11 @@
   for (const auto& [shards, admission] : m_admissions) {
     admission->Cancel(query);
   }
-  if (m_waiting.erase(query) + m_unmatched.erase(query) != 0) {
+  const auto waiting = m_waiting.find(query);
+  if (waiting != m_waiting.end()) GiveBackToken(*waiting->second.input.request);
+  if (m_waiting.erase(query) + m_unmatched.erase(query) +
+          m_awaiting_quota.erase(query) !=
+      0) {
     return m_context.counters->Add(RoutingCounter::kCallersGone);
   }
   const auto node = m_queries.extract(query);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -34,8 +34,9 @@
   std::vector<HttpHeader> identity_headers{};
 };
 
-/// Handles the requests of callers: finds the route, picks the service, and
-/// runs a query. Scattered requests are first admitted, see RequestAdmission.
+/// Handles the requests of callers: finds the route and the workspace, takes a
+/// token of its quota, picks the service, and runs a query. Scattered requests
+/// are first admitted, see RequestAdmission.
 /// Not thread safe.
 class Router {
  public:
@@ -76,7 +77,8 @@
 
   /// Returns the number of requests that have not been answered.
   [[nodiscard]] std::size_t InFlight() const {
-    return m_queries.size() + m_waiting.size() + m_unmatched.size();
+    return m_queries.size() + m_waiting.size() + m_unmatched.size() +
+           m_awaiting_quota.size();
   }
 
  private:
@@ -118,9 +120,28 @@
   /// Returns the request that replicas get.
   [[nodiscard]] std::shared_ptr<const OpaqueRequest> Forwarded(
       const RoutedRequest& request, const Workspace* workspace) const;
-  /// Starts request `number` according to `match`, or refuses it.
+  /// A request that waits for a token of its workspace's quota.
+  struct RequestAwaitingQuota {
+    RoutedRequest request;
+    Callback callback;
+    TimePoint received_at{};
+  };
+
+  /// Handles request `number` according to `match`, or refuses it.
   void Dispatch(std::uint64_t number, const RoutedRequest& request,
                 const Match& match, Callback callback);
+  void AwaitQuota(std::uint64_t number, const RoutedRequest& request,
+                  const Workspace& workspace, Callback callback);
+  void OnQuotaDecision(std::uint64_t number, const std::string& workspace,
+                       const QuotaDecision& decision);
+  void RefuseByQuota(const RequestAwaitingQuota& waited,
+                     const QuotaDecision& decision);
+  /// Gives back the token of a request that was not sent.
+  void GiveBackToken(const OpaqueRequest& request);
+  /// Starts request `number`, which is within its quota.
+  void StartMatched(std::uint64_t number, const RoutedRequest& request,
+                    const Match& match, TimePoint received_at,
+                    Callback callback);
   void AwaitFreshness(std::uint64_t number, const RoutedRequest& request,
                       Callback callback);
   void OnFreshness(std::uint64_t number, bool is_current);
@@ -155,6 +176,7 @@
   std::optional<TimePoint> m_end;
   std::map<ShardSet, std::unique_ptr<RequestAdmission>> m_admissions;
   std::unordered_map<std::uint64_t, UnmatchedRequest> m_unmatched;
+  std::unordered_map<std::uint64_t, RequestAwaitingQuota> m_awaiting_quota;
   std::unordered_map<std::uint64_t, WaitingRequest> m_waiting;
   std::unordered_map<std::uint64_t, std::unique_ptr<RoutedQuery>> m_queries;
   /// Expires with this object, so that later callbacks do nothing.
--- /dev/null
+++ b/tests/quota/quota_test.cc
@@ -0,0 +1,277 @@
+// Quotas of workspaces that hold over all entries, under load, partitions and
+// failures.
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fakes/fake_network.h"
+#include "fakes/fake_scheduler.h"
+#include "quota/quota_client.h"
+#include "quota/quota_messages.h"
+
+namespace chicoryvale {
+namespace {
+
+constexpr int kEntries = 9;
+constexpr double kRate = 20;
+constexpr double kBurst = 30;
+
+/// Members that a test changes.
+class ChangingMembers : public MemberView {
+ public:
+  ChangingMembers(MemberInfo self, std::vector<Member> members)
+      : m_self(std::move(self)), m_members(std::move(members)) {}
+
+  void SetState(const Address& address, MemberState state) {
+    const auto found =
+        std::ranges::find_if(m_members, [&address](const Member& member) {
+          return member.info.address == address;
+        });
+    found->state = state;
+    for (const Listener& listener : m_listeners) listener();
+  }
+
+ protected:
+  [[nodiscard]] std::vector<Member> OnMembers() const override {
+    return m_members;
+  }
+  [[nodiscard]] const MemberInfo& OnSelf() const override { return m_self; }
+  [[nodiscard]] bool OnOwnLeaseHeld() const override { return true; }
+  void OnAddListener(Listener listener) override {
+    m_listeners.push_back(std::move(listener));
+  }
+
+ private:
+  MemberInfo m_self;
+  std::vector<Member> m_members;
+  std::vector<Listener> m_listeners;
+};
+
+class QuotaTest : public testing::Test {
+ protected:
+  struct Entry {
+    std::unique_ptr<FakePeerTransport> peers;
+    std::unique_ptr<ChangingMembers> members;
+    std::unique_ptr<QuotaClient> client;
+  };
+
+  QuotaTest() { Start({.slack = 8, .first_start = true}); }
+
+  static MemberInfo Info(int index) {
+    const std::string number = std::to_string(index);
+    return {number, {"10.0.0." + number + ":1"}, "z", MemberRole::kEntry};
+  }
+
+  void Start(const QuotaOptions& options) {
+    std::vector<Member> members;
+    for (int i = 0; i < kEntries; ++i) {
+      members.push_back({Info(i), MemberState::kAlive, 1});
+    }
+    m_entries.clear();
+    m_entries.resize(kEntries);
+    for (int i = 0; i < kEntries; ++i) {
+      Entry& entry = At(i);
+      entry.peers = std::make_unique<FakePeerTransport>(
+          &m_network, Info(i).address, &m_scheduler);
+      entry.members = std::make_unique<ChangingMembers>(Info(i), members);
+      entry.client = std::make_unique<QuotaClient>(
+          QuotaClient::Ports{&m_scheduler, entry.peers.get(),
+                             entry.members.get()},
+          options);
+    }
+  }
+
+  Entry& At(int index) { return m_entries[static_cast<std::size_t>(index)]; }
+
+  int OwnerIndex() {
+    const Address owner = QuotaMembers(*At(0).members).OwnersOf("w", 1).front();
+    int index = 0;
+    while (Info(index).address != owner) ++index;
+    return index;
+  }
+
+  void Send(int entry) {
+    At(entry).client->Acquire({"w", m_rate, m_burst, m_config_version},
+                              [this](const QuotaDecision& decision) {
+                                ++m_verdicts[decision.verdict];
+                                m_last_retry_after = decision.retry_after;
+                              });
+  }
+
+  // Sends `per_second` requests a second for `duration`, each at an entry that
+  // `pick` returns for its number. Returns how many were within the quota.
+  template <typename Pick>
+  int Load(Duration duration, int per_second, const Pick& pick) {
+    const int before = m_verdicts[QuotaVerdict::kWithinQuota];
+    const TimePoint end = m_scheduler.Now() + duration;
+    for (int i = 0; m_scheduler.Now() < end; ++i) {
+      Send(pick(i));
+      m_scheduler.RunFor(Duration(seconds(1)) / per_second);
+    }
+    m_scheduler.RunFor(milliseconds(200));
+    return m_verdicts[QuotaVerdict::kWithinQuota] - before;
+  }
+
+  // Tells each entry of `first` and each other one that the others are dead,
+  // and cuts the links between them.
+  void Divide(int first_count, bool divided) {
+    for (int i = 0; i < kEntries; ++i) {
+      for (int j = 0; j < kEntries; ++j) {
+        if ((i < first_count) == (j < first_count)) continue;
+        m_network.SetCut(Info(i).address, Info(j).address, divided);
+        At(i).members->SetState(Info(j).address, divided ? MemberState::kDead
+                                                         : MemberState::kAlive);
+      }
+    }
+  }
+
+  FakeScheduler m_scheduler;
+  FakeNetwork m_network{&m_scheduler, 1};
+  std::vector<Entry> m_entries;
+  double m_rate = kRate;
+  double m_burst = kBurst;
+  std::uint64_t m_config_version = 1;
+  std::map<QuotaVerdict, int> m_verdicts;
+  Duration m_last_retry_after{};
+};
+
+// An equal division among the entries refused callers that used one entry.
+TEST_F(QuotaTest, NothingWithinTheQuotaIsRefusedWhereverCallersAre) {
+  Load(seconds(5), 18, [](int) { return 3; });
+  Load(seconds(5), 18, [](int i) { return i % 2 == 0 ? 1 : 7; });
+  Load(seconds(5), 18, [](int i) { return i % kEntries; });
+  EXPECT_EQ(m_verdicts[QuotaVerdict::kOverQuota], 0);
+  EXPECT_EQ(m_verdicts[QuotaVerdict::kUnknown], 0);
+}
+
+TEST_F(QuotaTest, AllEntriesTogetherStayWithinTheQuota) {
+  const int served = Load(seconds(5), 200, [](int i) { return i % kEntries; });
+  EXPECT_LE(served, 5 * kRate + kBurst);
+  EXPECT_GE(served, 5 * kRate);
+  EXPECT_GT(m_last_retry_after, Duration::zero());
+}
+
+TEST_F(QuotaTest, RepeatedRequestsOfAnEntryNeedFewMessages) {
+  Load(seconds(5), 18, [this](int) { return OwnerIndex() == 3 ? 4 : 3; });
+  EXPECT_LT(m_network.calls, 5U * 18U / 2);
+}
+
+TEST_F(QuotaTest, TwoPartsOfADividedGroupStayWithinTheRate) {
+  Load(seconds(5), 200, [](int i) { return i % kEntries; });
+  Divide(3, true);
+  const int served = Load(seconds(5), 200, [](int i) { return i % kEntries; });
+  EXPECT_LE(served, 5 * kRate + kBurst);
+  // Each part gets its share.
+  EXPECT_GE(served, 5 * kRate / 2);
+  Divide(3, false);
+  const int reunited =
+      Load(seconds(5), 200, [](int i) { return i % kEntries; });
+  EXPECT_LE(reunited, 5 * kRate + kBurst);
+}
+
+// Entries notice the failure of an owner at different times. Meanwhile, some
+// ask another one.
+TEST_F(QuotaTest, AFailedOwnerIsReplacedWithoutGrantingTheBurstAgain) {
+  Load(seconds(3), 200, [](int i) { return i % kEntries; });
+  const int owner = OwnerIndex();
+  const auto pick = [owner](int i) {
+    const int entry = i % kEntries;
+    return entry == owner ? (owner + 1) % kEntries : entry;
+  };
+  for (int i = 0; i < kEntries; ++i) {
+    m_network.SetCut(Info(i).address, Info(owner).address, true);
+  }
+  const int unnoticed = Load(seconds(2), 200, pick);
+  EXPECT_GT(unnoticed, 0);
+  for (int i = 0; i < kEntries; ++i) {
+    if (i != owner) {
+      At(i).members->SetState(Info(owner).address, MemberState::kDead);
+    }
+  }
+  const int noticed = Load(seconds(3), 200, pick);
+  EXPECT_LE(unnoticed + noticed, 5 * kRate + kBurst);
+  EXPECT_GE(noticed, 3 * kRate * 0.7);
+}
+
+TEST_F(QuotaTest, ARestartedGroupDoesNotGrantTheBurstAgain) {
+  Load(seconds(3), 200, [](int i) { return i % kEntries; });
+  Start({.slack = 8, .first_start = false});
+  const int served = Load(seconds(1), 200, [](int i) { return i % kEntries; });
+  EXPECT_LE(served, kRate + 8);
+}
+
+TEST_F(QuotaTest, ALowerQuotaHoldsAtOnce) {
+  Load(seconds(2), 10, [](int i) { return i % kEntries; });
+  m_rate = 2;
+  m_burst = 3;
+  m_config_version = 2;
+  const int served = Load(seconds(5), 200, [](int i) { return i % kEntries; });
+  // Some tokens of the earlier quota were granted in advance.
+  EXPECT_LE(served, 5 * 2 + 3 + kEntries);
+}
+
+// An entry that has not received the change yet must not bring the old quota
+// back.
+TEST_F(QuotaTest, AnOlderConfigurationDoesNotReplaceTheQuota) {
+  m_rate = 2;
+  m_burst = 3;
+  m_config_version = 2;
+  Send(0);
+  m_scheduler.RunFor(milliseconds(100));
+  m_rate = 1000;
+  m_burst = 1000;
+  m_config_version = 1;
+  EXPECT_LE(Load(seconds(2), 200, [](int i) { return i % kEntries; }),
+            2 * 2 + 3 + kEntries);
+}
+
+TEST_F(QuotaTest, WithoutAnyOwnerTheUseIsUnknown) {
+  const auto owners = QuotaMembers(*At(0).members).OwnersOf("w", 2);
+  int asking = 0;
+  while (std::ranges::find(owners, Info(asking).address) != owners.end()) {
+    ++asking;
+  }
+  for (const Address& owner : owners) {
+    m_network.SetCut(Info(asking).address, owner, true);
+  }
+  Send(asking);
+  m_scheduler.RunFor(seconds(1));
+  EXPECT_EQ(m_verdicts[QuotaVerdict::kUnknown], 1);
+  EXPECT_GT(m_last_retry_after, Duration::zero());
+}
+
+TEST_F(QuotaTest, ATokenThatIsGivenBackIsUsedAgain) {
+  m_rate = 0.001;
+  m_burst = 1;
+  Send(2);
+  m_scheduler.RunFor(milliseconds(100));
+  At(2).client->GiveBack("w");
+  Send(2);
+  m_scheduler.RunFor(milliseconds(100));
+  EXPECT_EQ(m_verdicts[QuotaVerdict::kWithinQuota], 2);
+  Send(2);
+  m_scheduler.RunFor(milliseconds(100));
+  EXPECT_EQ(m_verdicts[QuotaVerdict::kOverQuota], 1);
+}
+
+TEST_F(QuotaTest, MalformedMessagesGrantNothing) {
+  for (const std::string& bytes :
+       {std::string("x"), std::string(), Encode(QuotaReplyMessage{1, 0})}) {
+    std::string answer = "none";
+    At(0).peers->Call(Info(1).address, PeerChannel::kQuota, bytes, seconds(1),
+                      [&answer](const Result<std::string>& received) {
+                        answer = received.value_or("failed");
+                      });
+    m_scheduler.RunFor(seconds(1));
+    EXPECT_EQ(answer, "");
+  }
+}
+
+}  // namespace
+}  // namespace chicoryvale
