Quotas: no request waits for the owner while much of the quota is left

Change: while at least half of the burst is left, requests are sent at once and reported to the owner together. Below that, the owner says so by gossip and requests need tokens as before. Half of the allowed slack adds to the burst. The log line of a refused request names the workspace and the retry time.

--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -117,7 +117,8 @@
   m_quota_client = std::make_unique<QuotaClient>(
       QuotaClient::Ports{.scheduler = &m_scheduler,
                          .peers = m_peers->TcpTransport(),
-                         .members = m_peers->membership()},
+                         .members = m_peers->membership(),
+                         .gossip = m_peers->membership()},
       m_settings.quota);
   const RoutingContext routing_context{.scheduler = &m_scheduler,
                                        .sends = m_send_tracker.get(),
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -116,7 +116,9 @@
 
 void Membership::OnPublish(const GossipItem& item) {
   ApplyItem(item);
-  if (item.kind == GossipKind::kCrashMark) SendUrgently(item);
+  const bool is_urgent = item.kind == GossipKind::kCrashMark ||
+                         item.kind == GossipKind::kScarceQuota;
+  if (is_urgent) SendUrgently(item);
 }
 
 void Membership::OnAddItemListener(ItemListener listener) {
--- a/src/ports/peer_gossip.h
+++ b/src/ports/peer_gossip.h
@@ -27,6 +27,8 @@
   kAvailabilitySignal,
   /// A request crashes upstreams. The key contains its fingerprint.
   kCrashMark,
+  /// Little of a workspace's quota is left. The key contains its name.
+  kScarceQuota,
 };
 
 /// A small item of information that is spread to all members. Of two items with
--- a/src/quota/quota_bucket.cc
+++ b/src/quota/quota_bucket.cc
@@ -44,6 +44,12 @@
   assert(m_level >= 0);
 }
 
+void QuotaBucket::Spend(double tokens, TimePoint now) {
+  m_level =
+      std::max(Level(now) - tokens, -m_tokens_per_s * ToSeconds(kMaxDebtTime));
+  m_updated_at = now;
+}
+
 Duration QuotaBucket::TimeToNextToken(TimePoint now) const {
   const double missing = 1 - Level(now);
   if (missing <= 0) return Duration::zero();
--- a/src/quota/quota_client.cc
+++ b/src/quota/quota_client.cc
@@ -4,8 +4,6 @@
 #include <cmath>
 #include <utility>
 
-#include "quota/quota_messages.h"
-
 namespace chicoryvale {
 namespace {
 
@@ -33,6 +31,19 @@
 /// Maximum number of tokens that are asked for at once.
 constexpr double kMaxWanted = 64;
 
+/// Time for which requests need tokens after an owner has said that little of a
+/// quota is left, in whole seconds.
+constexpr Duration kScarceTime = seconds(3);
+
+/// Time for which requests without a token are collected for one report.
+constexpr Duration kReportDelay = milliseconds(20);
+
+/// Minimum time between two gossip items of a workspace.
+constexpr Duration kPublishPeriod = seconds(1);
+
+/// Upper bound of the time to a token that an owner tells.
+constexpr std::uint64_t kMaxRetryAfterUs = 60'000'000;
+
 /// Time over which requests are counted to estimate how many follow.
 constexpr double kDemandHalfLifeSeconds = 0.5;
 
@@ -68,16 +79,46 @@
   QuotaRequestMessage request;
   const bool is_readable = Decode(bytes, &request);
   // An unreadable answer makes the asking entry try another owner.
-  const bool is_valid = is_readable && request.wanted > 0 &&
-                        request.max_requests_per_s > 0 &&
+  const bool is_valid = is_readable && request.max_requests_per_s > 0 &&
                         std::isfinite(request.max_requests_per_s);
   if (!is_valid) return {};
-  const QuotaOwner::Grant grant =
-      m_owner.Take({std::move(request.workspace), request.max_requests_per_s,
-                    request.burst, request.config_version},
-                   request.wanted, m_ports.scheduler->Now());
+  const TimePoint now = m_ports.scheduler->Now();
+  const WorkspaceQuota quota{request.workspace, request.max_requests_per_s,
+                             request.burst, request.config_version};
+  QuotaOwner::Grant grant;
+  if (request.spent > 0) {
+    grant.is_scarce = m_owner.Spend(quota, request.spent, now);
+  }
+  if (request.wanted > 0) grant = m_owner.Take(quota, request.wanted, now);
+  if (grant.is_scarce) PublishScarcity(quota.workspace);
   return Encode(QuotaReplyMessage{
-      grant.tokens, static_cast<std::uint64_t>(grant.retry_after.count())});
+      grant.tokens, static_cast<std::uint64_t>(grant.retry_after.count()),
+      grant.is_scarce});
+}
+
+void QuotaClient::PublishScarcity(const std::string& workspace) {
+  Holding& holding = m_holdings[workspace];
+  const TimePoint now = m_ports.scheduler->Now();
+  holding.scarce_until = now + kScarceTime;
+  const bool is_recent =
+      holding.last_stamp != 0 && now - holding.published_at < kPublishPeriod;
+  if (is_recent) return;
+  holding.published_at = now;
+  m_ports.gossip->Publish({GossipKind::kScarceQuota,
+                           workspace,
+                           ++holding.last_stamp,
+                           {},
+                           static_cast<std::uint32_t>(ToSeconds(kScarceTime))});
+}
+
+void QuotaClient::OnGossip(const GossipItem& item) {
+  if (item.kind != GossipKind::kScarceQuota) return;
+  Holding& holding = m_holdings[item.key];
+  holding.last_stamp = std::max(holding.last_stamp, item.stamp);
+  holding.scarce_until =
+      std::max(holding.scarce_until,
+               m_ports.scheduler->Now() +
+                   std::min<Duration>(seconds(item.lifetime_s), kScarceTime));
 }
 
 void QuotaClient::RecordRequest(Holding* holding) {
@@ -88,6 +129,32 @@
   holding->last_request_at = now;
 }
 
+const std::vector<Address>& QuotaClient::OwnersOf(const WorkspaceQuota& quota) {
+  Holding& holding = m_holdings[quota.workspace];
+  if (holding.owners.empty()) {
+    holding.owners = QuotaMembers(*m_ports.members)
+                         .OwnersOf(quota.workspace, kMaxOwnersAsked);
+  }
+  return holding.owners;
+}
+
+bool QuotaClient::IsOwner(const WorkspaceQuota& quota) {
+  return OwnersOf(quota).front() == m_ports.members->Self().address;
+}
+
+std::size_t QuotaClient::SkipAvoided(const std::vector<Address>& owners,
+                                     std::size_t owner_rank) const {
+  const TimePoint now = m_ports.scheduler->Now();
+  const auto is_avoided = [this, now](const Address& owner) {
+    const auto avoided = m_avoided_until.find(owner.host_port);
+    return avoided != m_avoided_until.end() && now < avoided->second;
+  };
+  while (owner_rank < owners.size() && is_avoided(owners[owner_rank])) {
+    ++owner_rank;
+  }
+  return owner_rank;
+}
+
 void QuotaClient::OnAcquire(const WorkspaceQuota& quota, Callback callback) {
   Holding& holding = m_holdings[quota.workspace];
   const TimePoint now = m_ports.scheduler->Now();
@@ -102,62 +169,112 @@
     m_counters.Add(QuotaCounter::kRefusedOverQuota);
     return callback({QuotaVerdict::kOverQuota, holding.refused_until - now});
   }
-  m_counters.Add(QuotaCounter::kAsked);
-  Ask(quota, 0, std::move(callback));
+  const bool needs_token = now < holding.scarce_until || IsOwner(quota);
+  if (needs_token) {
+    m_counters.Add(QuotaCounter::kAsked);
+    return Ask(quota, 0, std::move(callback));
+  }
+  m_counters.Add(QuotaCounter::kSentWithoutToken);
+  ReportSoon(quota);
+  callback({QuotaVerdict::kWithinQuota, {}});
 }
 
-void QuotaClient::Ask(const WorkspaceQuota& quota, std::size_t owner_rank,
-                      Callback callback) {
-  Holding& holding = m_holdings[quota.workspace];
-  const TimePoint now = m_ports.scheduler->Now();
-  if (holding.owners.empty()) {
-    holding.owners = QuotaMembers(*m_ports.members)
-                         .OwnersOf(quota.workspace, kMaxOwnersAsked);
-  }
-  while (owner_rank < holding.owners.size()) {
-    const auto avoided =
-        m_avoided_until.find(holding.owners[owner_rank].host_port);
-    if (avoided == m_avoided_until.end() || now >= avoided->second) break;
-    ++owner_rank;
-  }
-  if (owner_rank >= holding.owners.size()) {
-    m_counters.Add(QuotaCounter::kRefusedNoOwner);
-    return callback({QuotaVerdict::kUnknown, kRetryAfterUnknown});
-  }
-  const auto wanted = static_cast<std::uint32_t>(
-      std::clamp(holding.recent_requests, 1.0, kMaxWanted));
-  const Address owner = holding.owners[owner_rank];
-  if (owner == m_ports.members->Self().address) {
-    return Settle(quota.workspace, m_owner.Take(quota, wanted, now), now,
-                  callback);
-  }
-  const QuotaRequestMessage request{quota.workspace, quota.max_requests_per_s,
-                                    quota.burst, quota.config_version, wanted};
+void QuotaClient::Call(const Address& owner, const QuotaRequestMessage& request,
+                       PeerTransport::Callback on_reply) {
   m_ports.peers->Call(
       owner, PeerChannel::kQuota, Encode(request), kAskTimeout,
-      [this, alive = std::weak_ptr<int>(m_alive), quota, owner_rank, owner, now,
-       callback = std::move(callback)](const Result<std::string>& bytes) {
+      [this, alive = std::weak_ptr<int>(m_alive), owner,
+       on_reply = std::move(on_reply)](const Result<std::string>& bytes) {
         if (alive.expired()) return;
         if (!bytes) {
+          m_counters.Add(QuotaCounter::kOwnersUnavailable);
           m_avoided_until[owner.host_port] =
               m_ports.scheduler->Now() + kAvoidTime;
         }
-        OnReply(quota, owner_rank, now, bytes, callback);
+        on_reply(bytes);
+      });
+}
+
+void QuotaClient::ReportSoon(const WorkspaceQuota& quota) {
+  if (++m_holdings[quota.workspace].unreported > 1) return;
+  m_ports.scheduler->Schedule(
+      kReportDelay, [this, alive = std::weak_ptr<int>(m_alive), quota] {
+        if (alive.expired()) return;
+        Report(quota, std::exchange(m_holdings[quota.workspace].unreported, 0),
+               0);
       });
 }
 
+void QuotaClient::Report(const WorkspaceQuota& quota, std::uint32_t spent,
+                         std::size_t owner_rank) {
+  const std::vector<Address>& owners = OwnersOf(quota);
+  owner_rank = SkipAvoided(owners, owner_rank);
+  // What is not known to be within the quota needs a token from now on.
+  if (owner_rank >= owners.size()) return RecordScarcity(quota.workspace, true);
+  const Address owner = owners[owner_rank];
+  if (owner == m_ports.members->Self().address) {
+    const bool is_scarce =
+        m_owner.Spend(quota, spent, m_ports.scheduler->Now());
+    if (is_scarce) PublishScarcity(quota.workspace);
+    return;
+  }
+  QuotaRequestMessage request{quota.workspace, quota.max_requests_per_s,
+                              quota.burst, quota.config_version};
+  request.spent = spent;
+  Call(owner, request,
+       [this, quota, spent, owner_rank](const Result<std::string>& bytes) {
+         QuotaReplyMessage reply;
+         if (!bytes || !Decode(*bytes, &reply)) {
+           return Report(quota, spent, owner_rank + 1);
+         }
+         RecordScarcity(quota.workspace, reply.is_scarce);
+       });
+}
+
+void QuotaClient::RecordScarcity(const std::string& workspace, bool is_scarce) {
+  if (!is_scarce) return;
+  m_holdings[workspace].scarce_until = m_ports.scheduler->Now() + kScarceTime;
+}
+
+void QuotaClient::Ask(const WorkspaceQuota& quota, std::size_t owner_rank,
+                      Callback callback) {
+  const std::vector<Address>& owners = OwnersOf(quota);
+  owner_rank = SkipAvoided(owners, owner_rank);
+  if (owner_rank >= owners.size()) {
+    m_counters.Add(QuotaCounter::kRefusedNoOwner);
+    return callback({QuotaVerdict::kUnknown, kRetryAfterUnknown});
+  }
+  const TimePoint now = m_ports.scheduler->Now();
+  const auto wanted = static_cast<std::uint32_t>(
+      std::clamp(m_holdings[quota.workspace].recent_requests, 1.0, kMaxWanted));
+  const Address owner = owners[owner_rank];
+  if (owner == m_ports.members->Self().address) {
+    const QuotaOwner::Grant grant = m_owner.Take(quota, wanted, now);
+    if (grant.is_scarce) PublishScarcity(quota.workspace);
+    return Settle(quota.workspace, grant, now, callback);
+  }
+  QuotaRequestMessage request{quota.workspace, quota.max_requests_per_s,
+                              quota.burst, quota.config_version};
+  request.wanted = wanted;
+  Call(owner, request,
+       [this, quota, owner_rank, now,
+        callback = std::move(callback)](const Result<std::string>& bytes) {
+         OnReply(quota, owner_rank, now, bytes, callback);
+       });
+}
+
 void QuotaClient::OnReply(const WorkspaceQuota& quota, std::size_t owner_rank,
                           TimePoint asked_at, const Result<std::string>& bytes,
                           const Callback& callback) {
   QuotaReplyMessage reply;
   if (!bytes || !Decode(*bytes, &reply)) {
-    m_counters.Add(QuotaCounter::kOwnersUnavailable);
     return Ask(quota, owner_rank + 1, callback);
   }
-  const Duration retry_after(static_cast<Duration::rep>(std::min<std::uint64_t>(
-      reply.retry_after_us,
-      static_cast<std::uint64_t>(Duration(seconds(60)).count()))));
-  Settle(quota.workspace, {reply.granted, retry_after}, asked_at, callback);
+  RecordScarcity(quota.workspace, reply.is_scarce);
+  const Duration retry_after(static_cast<Duration::rep>(
+      std::min<std::uint64_t>(reply.retry_after_us, kMaxRetryAfterUs)));
+  Settle(quota.workspace, {reply.granted, retry_after, reply.is_scarce},
+         asked_at, callback);
 }
 
 void QuotaClient::Settle(const std::string& workspace,
--- a/src/quota/quota_client.h
+++ b/src/quota/quota_client.h
@@ -2,7 +2,9 @@
 #define CHICORYVALE_SRC_QUOTA_QUOTA_CLIENT_H_
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -11,9 +13,11 @@
 
 #include "base/counters.h"
 #include "ports/member_view.h"
+#include "ports/peer_gossip.h"
 #include "ports/peer_transport.h"
 #include "ports/request_quota.h"
 #include "ports/scheduler.h"
+#include "quota/quota_messages.h"
 #include "quota/quota_owner.h"
 
 namespace chicoryvale {
@@ -22,6 +26,9 @@
 enum class QuotaCounter : std::uint8_t {
   /// Requests within the quota, by a token that this entry held.
   kTakenFromGrant,
+  /// Requests that were sent without a token, because much of the quota was
+  /// left, and reported to the owner.
+  kSentWithoutToken,
   /// Requests for which an owner was asked, this entry included.
   kAsked,
   kRefusedOverQuota,
@@ -35,17 +42,20 @@
 
 template <>
 struct CounterNames<QuotaCounter> {
-  static constexpr std::array<std::string_view, 6> kNames = {
-      "taken_from_grant",   "asked",
-      "refused_over_quota", "refused_no_owner",
-      "owners_unavailable", "given_back"};
+  static constexpr std::array<std::string_view, 7> kNames = {
+      "taken_from_grant",   "sent_without_token", "asked",
+      "refused_over_quota", "refused_no_owner",   "owners_unavailable",
+      "given_back"};
 };
 
 /// Takes tokens of the quotas of workspaces for the requests of this entry, and
 /// grants tokens to other entries. The owner of a quota is found by rendezvous
 /// hashing over the live entries, without agreement; if it does not answer, the
 /// next one by weight is asked. Tokens that an owner grants in advance expire
-/// soon, so that idle entries hold none. Not thread safe.
+/// soon, so that idle entries hold none. As long as much of a quota is left,
+/// requests don't wait for the owner: they are sent at once and reported to it.
+/// Once little is left, the owner tells all entries by gossip that requests
+/// need tokens. Not thread safe.
 class QuotaClient : public RequestQuota {
  public:
   /// Ports that the class uses; all outlive it.
@@ -53,6 +63,7 @@
     Scheduler* scheduler = nullptr;
     PeerTransport* peers = nullptr;
     MemberView* members = nullptr;
+    PeerGossip* gossip = nullptr;
   };
 
   QuotaClient(const Ports& ports, const QuotaOptions& options);
@@ -77,6 +88,14 @@
     TimePoint expire_at{};
     /// Until this time the owner has no token.
     TimePoint refused_until{};
+    /// Requests sent without a token that have not been reported yet.
+    std::uint32_t unreported = 0;
+    /// Until this time requests need tokens.
+    TimePoint scarce_until{};
+    /// Stamp of the last gossip item of the workspace, and when this entry last
+    /// published one.
+    std::uint64_t last_stamp = 0;
+    TimePoint published_at{};
     /// Requests of about the last second, for the number of tokens to ask for.
     double recent_requests = 0;
     TimePoint last_request_at{};
@@ -85,6 +104,24 @@
   };
 
   void RecordRequest(Holding* holding);
+  [[nodiscard]] bool IsOwner(const WorkspaceQuota& quota);
+  const std::vector<Address>& OwnersOf(const WorkspaceQuota& quota);
+  /// Reports a request that is sent without a token, after a short time and
+  /// together with those that follow.
+  void ReportSoon(const WorkspaceQuota& quota);
+  void Report(const WorkspaceQuota& quota, std::uint32_t spent,
+              std::size_t owner_rank);
+  /// Adopts what an owner said, and tells others if this entry is the owner.
+  void RecordScarcity(const std::string& workspace, bool is_scarce);
+  void PublishScarcity(const std::string& workspace);
+  void OnGossip(const GossipItem& item);
+  /// Sends `request` to `owner`, which is avoided for a while if it does not
+  /// answer.
+  void Call(const Address& owner, const QuotaRequestMessage& request,
+            PeerTransport::Callback on_reply);
+  /// Returns the first rank from `owner_rank` on whose owner is not avoided.
+  std::size_t SkipAvoided(const std::vector<Address>& owners,
+                          std::size_t owner_rank) const;
   void Ask(const WorkspaceQuota& quota, std::size_t owner_rank,
            Callback callback);
   void OnReply(const WorkspaceQuota& quota, std::size_t owner_rank,
--- a/src/quota/quota_messages.h
+++ b/src/quota/quota_messages.h
@@ -18,12 +18,15 @@
   double max_requests_per_s = 0;
   double burst = 0;
   std::uint64_t config_version = 0;
-  /// Number of tokens that the entry will probably use soon, at least 1.
-  std::uint32_t wanted = 1;
+  /// Number of tokens that the entry will probably use soon.
+  std::uint32_t wanted = 0;
+  /// Number of requests that the entry has sent without a token.
+  std::uint32_t spent = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
-    archive(workspace, max_requests_per_s, burst, config_version, wanted);
+    archive(workspace, max_requests_per_s, burst, config_version, wanted,
+            spent);
   }
 };
 
@@ -32,10 +35,12 @@
   std::uint32_t granted = 0;
   /// Without a grant: the time until there is a token.
   std::uint64_t retry_after_us = 0;
+  /// Whether little of the quota is left, so that requests need tokens.
+  bool is_scarce = false;
 
   template <class Archive>
   void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
-    archive(granted, retry_after_us);
+    archive(granted, retry_after_us, is_scarce);
   }
 };
 
--- a/src/quota/quota_owner.cc
+++ b/src/quota/quota_owner.cc
@@ -13,8 +13,12 @@
 /// Part of the rate that an entry grants if it does not own the quota.
 constexpr double kSubstituteRateRatio = 0.5;
 
-/// Part of the capacity beyond which more than one token is granted.
-constexpr double kPrefetchLevelRatio = 0.5;
+/// Part of the slack that is added to the burst.
+constexpr double kBurstSlackRatio = 0.5;
+
+/// Part of the capacity beyond which more than one token is granted, and below
+/// which requests need tokens.
+constexpr double kAmpleLevelRatio = 0.5;
 
 /// Time after which the bucket of a workspace that sends nothing is forgotten.
 constexpr Duration kForgetAfter = seconds(600);
@@ -34,6 +38,14 @@
   return m_options.slack * kTakeoverSlackRatio;
 }
 
+double QuotaOwner::BurstOf(const WorkspaceQuota& quota) const {
+  return quota.burst + m_options.slack * kBurstSlackRatio;
+}
+
+bool QuotaOwner::IsScarce(const QuotaBucket& bucket, TimePoint now) {
+  return bucket.Level(now) < bucket.Capacity() * kAmpleLevelRatio;
+}
+
 double QuotaOwner::RateOf(const WorkspaceQuota& quota, bool is_owner) const {
   const double rate = quota.max_requests_per_s * m_members.LiveShare();
   return is_owner ? rate : rate * kSubstituteRateRatio;
@@ -53,7 +65,7 @@
         is_owner && (!owned.is_owner || was_taken_for_failed);
     owned.is_owner = is_owner;
     if (takes_over) owned.bucket.LowerTo(TakeoverLevel(), now);
-    owned.bucket.SetLimits(RateOf(owned.quota, is_owner), owned.quota.burst,
+    owned.bucket.SetLimits(RateOf(owned.quota, is_owner), BurstOf(owned.quota),
                            now);
   }
 }
@@ -65,7 +77,8 @@
     OwnedBucket& owned = found->second;
     if (quota.config_version > owned.quota.config_version) {
       owned.quota = quota;
-      owned.bucket.SetLimits(RateOf(quota, owned.is_owner), quota.burst, now);
+      owned.bucket.SetLimits(RateOf(quota, owned.is_owner), BurstOf(quota),
+                             now);
     }
     return owned;
   }
@@ -74,12 +87,12 @@
   const double rate = RateOf(quota, is_owner);
   const bool is_first_owner =
       is_owner && m_options.first_start && !m_has_seen_owner_change;
-  QuotaBucket bucket(rate, quota.burst, 0, now);
+  QuotaBucket bucket(rate, BurstOf(quota), 0, now);
   const double level =
       is_first_owner
           ? bucket.Capacity()
           : TakeoverLevel() + rate * ToSeconds(now - m_last_owner_change_at);
-  bucket = QuotaBucket(rate, quota.burst, level, now);
+  bucket = QuotaBucket(rate, BurstOf(quota), level, now);
   return m_buckets
       .emplace(quota.workspace, OwnedBucket{bucket, quota, is_owner, now})
       .first->second;
@@ -98,12 +111,20 @@
   owned.used_at = now;
   QuotaBucket& bucket = owned.bucket;
   const double level = bucket.Level(now);
-  if (level < 1) return {0, bucket.TimeToNextToken(now)};
-  const double spare = level - bucket.Capacity() * kPrefetchLevelRatio;
+  if (level < 1) return {0, bucket.TimeToNextToken(now), true};
+  const double spare = level - bucket.Capacity() * kAmpleLevelRatio;
   const double granted = std::clamp(spare, 1.0, static_cast<double>(wanted));
   const auto tokens = static_cast<std::uint32_t>(granted);
   bucket.Take(tokens, now);
-  return {tokens, {}};
+  return {tokens, {}, IsScarce(bucket, now)};
+}
+
+bool QuotaOwner::Spend(const WorkspaceQuota& quota, std::uint32_t tokens,
+                       TimePoint now) {
+  OwnedBucket& owned = BucketOf(quota, now);
+  owned.used_at = now;
+  owned.bucket.Spend(tokens, now);
+  return IsScarce(owned.bucket, now);
 }
 
 }  // namespace chicoryvale
--- a/src/quota/quota_owner.h
+++ b/src/quota/quota_owner.h
@@ -15,7 +15,8 @@
 /// Settings of the quotas.
 struct QuotaOptions {
   /// Requests by which a workspace may exceed its quota in a window of some
-  /// seconds. Covers what is granted anew when the owner of a quota changes.
+  /// seconds. Half of them add to the burst; the rest covers what is granted
+  /// anew when the owner of a quota changes.
   double slack = 0;
   /// Whether all processes start for the first time, so that no former owner
   /// has granted anything.
@@ -39,6 +40,8 @@
   struct Grant {
     std::uint32_t tokens = 0;
     Duration retry_after{};
+    /// Whether so little of the quota is left that requests need tokens.
+    bool is_scarce = false;
   };
 
   /// Grants up to `wanted` tokens. More than one is granted only while much of
@@ -46,6 +49,10 @@
   /// `wanted` is not 0 and the rate of `quota` is positive.
   Grant Take(const WorkspaceQuota& quota, std::uint32_t wanted, TimePoint now);
 
+  /// Records `tokens` requests that an entry has sent without tokens. Returns
+  /// whether the quota is scarce.
+  bool Spend(const WorkspaceQuota& quota, std::uint32_t tokens, TimePoint now);
+
   /// Returns the number of workspaces whose tokens were granted here.
   [[nodiscard]] std::size_t Size() const { return m_buckets.size(); }
 
@@ -60,6 +67,8 @@
   /// Number of tokens with which a quota is taken over.
   [[nodiscard]] double TakeoverLevel() const;
   [[nodiscard]] double RateOf(const WorkspaceQuota& quota, bool is_owner) const;
+  [[nodiscard]] double BurstOf(const WorkspaceQuota& quota) const;
+  static bool IsScarce(const QuotaBucket& bucket, TimePoint now);
   OwnedBucket& BucketOf(const WorkspaceQuota& quota, TimePoint now);
   void ForgetUnused(TimePoint now);
 
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -423,17 +423,24 @@
   if (!node.empty()) node.mapped()->CancelOnDisconnect();
 }
 
+std::string Router::WorkspaceName(const RoutedRequest& request) const {
+  const Workspace* workspace =
+      m_table ? m_table->FindWorkspace(request.key) : nullptr;
+  return workspace == nullptr ? "" : workspace->name;
+}
+
 void Router::Refuse(const RoutedRequest& request, RoutingCounter counter,
                     const Error& error, Duration retry_after,
                     const Callback& callback) {
   m_context.counters->Add(counter);
-  m_context.log->Write(
-      LogLevel::kWarning, "request_refused",
-      {{"id", request.request->id},
-       {"host", request.host},
-       {"path", request.path},
-       {"config_version", std::to_string(ConfigVersion())},
-       {"reason", std::string(PropertiesOf(error.kind).name)}});
+  m_context.log->Write(LogLevel::kWarning, "request_refused",
+                       {{"id", request.request->id},
+                        {"host", request.host},
+                        {"path", request.path},
+                        {"workspace", WorkspaceName(request)},
+                        {"config_version", std::to_string(ConfigVersion())},
+                        {"reason", std::string(PropertiesOf(error.kind).name)},
+                        {"retry_after_ms", MillisecondsText(retry_after)}});
   RoutedAnswer answer;
   answer.error = error;
   answer.retry_after = retry_after;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -162,6 +162,8 @@
                       const RoutedAnswer& answer, bool in_time);
   void StartQuery(std::uint64_t number, RoutedQuery::Input input,
                   Callback callback);
+  /// Returns the name of the caller's workspace; empty if it has none.
+  [[nodiscard]] std::string WorkspaceName(const RoutedRequest& request) const;
   void Refuse(const RoutedRequest& request, RoutingCounter counter,
               const Error& error, Duration retry_after,
               const Callback& callback);
