Quotas: the burst is exact, and a report is awaited before the next request

Half of the slack was added to the burst, and entries sent without tokens before they knew that the quota was scarce.

Change: the slack is not added to the burst any more. An entry whose last report has not been answered asks for a token.

--- a/src/quota/quota_client.cc
+++ b/src/quota/quota_client.cc
@@ -169,7 +169,8 @@
     m_counters.Add(QuotaCounter::kRefusedOverQuota);
     return callback({QuotaVerdict::kOverQuota, holding.refused_until - now});
   }
-  const bool needs_token = now < holding.scarce_until || IsOwner(quota);
+  const bool needs_token =
+      now < holding.scarce_until || holding.is_report_open || IsOwner(quota);
   if (needs_token) {
     m_counters.Add(QuotaCounter::kAsked);
     return Ask(quota, 0, std::move(callback));
@@ -200,8 +201,9 @@
   m_ports.scheduler->Schedule(
       kReportDelay, [this, alive = std::weak_ptr<int>(m_alive), quota] {
         if (alive.expired()) return;
-        Report(quota, std::exchange(m_holdings[quota.workspace].unreported, 0),
-               0);
+        Holding& holding = m_holdings[quota.workspace];
+        holding.is_report_open = true;
+        Report(quota, std::exchange(holding.unreported, 0), 0);
       });
 }
 
@@ -210,13 +212,13 @@
   const std::vector<Address>& owners = OwnersOf(quota);
   owner_rank = SkipAvoided(owners, owner_rank);
   // What is not known to be within the quota needs a token from now on.
-  if (owner_rank >= owners.size()) return RecordScarcity(quota.workspace, true);
+  if (owner_rank >= owners.size()) return EndReport(quota.workspace, true);
   const Address owner = owners[owner_rank];
   if (owner == m_ports.members->Self().address) {
     const bool is_scarce =
         m_owner.Spend(quota, spent, m_ports.scheduler->Now());
     if (is_scarce) PublishScarcity(quota.workspace);
-    return;
+    return EndReport(quota.workspace, is_scarce);
   }
   QuotaRequestMessage request{quota.workspace, quota.max_requests_per_s,
                               quota.burst, quota.config_version};
@@ -227,10 +229,15 @@
          if (!bytes || !Decode(*bytes, &reply)) {
            return Report(quota, spent, owner_rank + 1);
          }
-         RecordScarcity(quota.workspace, reply.is_scarce);
+         EndReport(quota.workspace, reply.is_scarce);
        });
 }
 
+void QuotaClient::EndReport(const std::string& workspace, bool is_scarce) {
+  m_holdings[workspace].is_report_open = false;
+  RecordScarcity(workspace, is_scarce);
+}
+
 void QuotaClient::RecordScarcity(const std::string& workspace, bool is_scarce) {
   if (!is_scarce) return;
   m_holdings[workspace].scarce_until = m_ports.scheduler->Now() + kScarceTime;
--- a/src/quota/quota_client.h
+++ b/src/quota/quota_client.h
@@ -90,6 +90,9 @@
     TimePoint refused_until{};
     /// Requests sent without a token that have not been reported yet.
     std::uint32_t unreported = 0;
+    /// Whether the owner has not answered the last report yet. Until then,
+    /// further requests need tokens.
+    bool is_report_open = false;
     /// Until this time requests need tokens.
     TimePoint scarce_until{};
     /// Stamp of the last gossip item of the workspace, and when this entry last
@@ -111,7 +114,8 @@
   void ReportSoon(const WorkspaceQuota& quota);
   void Report(const WorkspaceQuota& quota, std::uint32_t spent,
               std::size_t owner_rank);
-  /// Adopts what an owner said, and tells others if this entry is the owner.
+  void EndReport(const std::string& workspace, bool is_scarce);
+  /// Adopts what an owner said.
   void RecordScarcity(const std::string& workspace, bool is_scarce);
   void PublishScarcity(const std::string& workspace);
   void OnGossip(const GossipItem& item);
--- a/src/quota/quota_owner.cc
+++ b/src/quota/quota_owner.cc
@@ -13,9 +13,6 @@
 /// Part of the rate that an entry grants if it does not own the quota.
 constexpr double kSubstituteRateRatio = 0.5;
 
-/// Part of the slack that is added to the burst.
-constexpr double kBurstSlackRatio = 0.5;
-
 /// Part of the capacity beyond which more than one token is granted, and below
 /// which requests need tokens.
 constexpr double kAmpleLevelRatio = 0.5;
@@ -38,10 +35,6 @@
   return m_options.slack * kTakeoverSlackRatio;
 }
 
-double QuotaOwner::BurstOf(const WorkspaceQuota& quota) const {
-  return quota.burst + m_options.slack * kBurstSlackRatio;
-}
-
 bool QuotaOwner::IsScarce(const QuotaBucket& bucket, TimePoint now) {
   return bucket.Level(now) < bucket.Capacity() * kAmpleLevelRatio;
 }
@@ -65,7 +58,7 @@
         is_owner && (!owned.is_owner || was_taken_for_failed);
     owned.is_owner = is_owner;
     if (takes_over) owned.bucket.LowerTo(TakeoverLevel(), now);
-    owned.bucket.SetLimits(RateOf(owned.quota, is_owner), BurstOf(owned.quota),
+    owned.bucket.SetLimits(RateOf(owned.quota, is_owner), owned.quota.burst,
                            now);
   }
 }
@@ -77,8 +70,7 @@
     OwnedBucket& owned = found->second;
     if (quota.config_version > owned.quota.config_version) {
       owned.quota = quota;
-      owned.bucket.SetLimits(RateOf(quota, owned.is_owner), BurstOf(quota),
-                             now);
+      owned.bucket.SetLimits(RateOf(quota, owned.is_owner), quota.burst, now);
     }
     return owned;
   }
@@ -87,12 +79,12 @@
   const double rate = RateOf(quota, is_owner);
   const bool is_first_owner =
       is_owner && m_options.first_start && !m_has_seen_owner_change;
-  QuotaBucket bucket(rate, BurstOf(quota), 0, now);
+  QuotaBucket bucket(rate, quota.burst, 0, now);
   const double level =
       is_first_owner
           ? bucket.Capacity()
           : TakeoverLevel() + rate * ToSeconds(now - m_last_owner_change_at);
-  bucket = QuotaBucket(rate, BurstOf(quota), level, now);
+  bucket = QuotaBucket(rate, quota.burst, level, now);
   return m_buckets
       .emplace(quota.workspace, OwnedBucket{bucket, quota, is_owner, now})
       .first->second;
--- a/src/quota/quota_owner.h
+++ b/src/quota/quota_owner.h
@@ -15,8 +15,8 @@
 /// Settings of the quotas.
 struct QuotaOptions {
   /// Requests by which a workspace may exceed its quota in a window of some
-  /// seconds. Half of them add to the burst; the rest covers what is granted
-  /// anew when the owner of a quota changes.
+  /// seconds. Covers what is granted anew when the owner of a quota changes,
+  /// and what is sent before all entries know that a quota is scarce.
   double slack = 0;
   /// Whether all processes start for the first time, so that no former owner
   /// has granted anything.
@@ -67,7 +67,6 @@
   /// Number of tokens with which a quota is taken over.
   [[nodiscard]] double TakeoverLevel() const;
   [[nodiscard]] double RateOf(const WorkspaceQuota& quota, bool is_owner) const;
-  [[nodiscard]] double BurstOf(const WorkspaceQuota& quota) const;
   static bool IsScarce(const QuotaBucket& bucket, TimePoint now);
   OwnedBucket& BucketOf(const WorkspaceQuota& quota, TimePoint now);
   void ForgetUnused(TimePoint now);
