Quotas: entries listen for the gossip that a quota is scarce

Cause: the listener was never added, so each entry sent one request without a token every three seconds while the owner refused all others.

Change: QuotaClient adds its listener. The new test fails without it.

--- a/src/quota/quota_client.cc
+++ b/src/quota/quota_client.cc
@@ -62,6 +62,10 @@
              const PeerTransport::Responder& respond) {
         respond(Answer(bytes));
       });
+  m_ports.gossip->AddItemListener(
+      [this, alive = std::weak_ptr<int>(m_alive)](const GossipItem& item) {
+        if (!alive.expired()) OnGossip(item);
+      });
   m_ports.members->AddListener([this, alive = std::weak_ptr<int>(m_alive)] {
     if (!alive.expired()) OnMembersChanged();
   });
--- a/tests/quota/quota_test.cc
+++ b/tests/quota/quota_test.cc
@@ -181,6 +181,20 @@
   EXPECT_LE(m_network.calls, 1U);
 }
 
+// Entries that had not asked themselves went on to send without tokens.
+TEST_F(QuotaTest, AllEntriesLearnThatAQuotaIsScarce) {
+  const int owner = OwnerIndex();
+  const int first = (owner + 1) % kEntries;
+  const int other = (owner + 2) % kEntries;
+  Load(seconds(1), 100, [first](int) { return first; });
+  const std::uint64_t asked =
+      At(other).client->Counters().Get(QuotaCounter::kAsked);
+  Send(other);
+  EXPECT_EQ(At(other).client->Counters().Get(QuotaCounter::kSentWithoutToken),
+            0U);
+  EXPECT_EQ(At(other).client->Counters().Get(QuotaCounter::kAsked), asked + 1);
+}
+
 TEST_F(QuotaTest, ABurstAtOneEntryNeedsFewMessages) {
   const int entry = OwnerIndex() == 3 ? 4 : 3;
   Load(seconds(5), 200, [entry](int) { return entry; });
