--- a/programs/chicory-controld/control_settings.cc
+++ b/programs/chicory-controld/control_settings.cc
@@ -22,6 +22,7 @@
   settings.may_form_group = reader.Bool("group.may_form", false);
   settings.keep_members = reader.Bool("group.keep_members", false);
   settings.linger = ReadLinger(reader);
+  settings.resources = ReadResourceLimits(reader);
   settings.log_level = ReadLogLevel(reader);
   settings.log_target = ReadLogTarget(reader);
   return settings;
--- a/programs/chicory-controld/control_settings.h
+++ b/programs/chicory-controld/control_settings.h
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "adapters/common_settings.h"
 #include "adapters/log.h"
 #include "adapters/peer_stack.h"
 #include "base/time.h"
@@ -31,6 +32,7 @@
   /// Whether control VMs are added to the group automatically.
   bool keep_members = false;
   Duration linger{};
+  ResourceLimits resources;
   LogLevel log_level = LogLevel::kInfo;
   LogTarget log_target = LogTarget::kStandardError;
 };
--- a/programs/chicory-gatewayd/gateway_settings.cc
+++ b/programs/chicory-gatewayd/gateway_settings.cc
@@ -58,6 +58,7 @@
   settings.linger = ReadLinger(reader);
   settings.grace =
       reader.Milliseconds("shutdown.grace_ms", kDefaultGrace, kGraceRangeMs);
+  settings.resources = ReadResourceLimits(reader);
   settings.log_level = ReadLogLevel(reader);
   settings.log_target = ReadLogTarget(reader);
   return settings;
--- a/programs/chicory-gatewayd/gateway_settings.h
+++ b/programs/chicory-gatewayd/gateway_settings.h
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "adapters/common_settings.h"
 #include "adapters/log.h"
 #include "adapters/peer_stack.h"
 #include "base/time.h"
@@ -38,6 +39,7 @@
   /// Maximum time from a termination signal to the exit of the process; zero
   /// for no limit.
   Duration grace{};
+  ResourceLimits resources;
   LogLevel log_level = LogLevel::kInfo;
   LogTarget log_target = LogTarget::kStandardError;
 };
--- a/src/adapters/common_settings.cc
+++ b/src/adapters/common_settings.cc
@@ -12,6 +12,10 @@
 constexpr Duration kDefaultLinger = milliseconds(500);
 constexpr IntegerRange kLingerRangeMs = {0, 600'000};
 
+// A process uses 8 MB and some 30 descriptors before it has any caller.
+constexpr IntegerRange kMemoryRangeMb = {24, 16'777'216};
+constexpr IntegerRange kMaxFdsRange = {128, 10'000'000};
+
 }  // namespace
 
 std::string ReadSecretSetting(SettingsReader& reader, const std::string& key,
@@ -49,6 +53,17 @@
                              kLingerRangeMs);
 }
 
+ResourceLimits ReadResourceLimits(SettingsReader& reader) {
+  constexpr std::size_t kBytesPerMb = std::size_t{1} << 20;
+  ResourceLimits limits;
+  limits.memory_bytes = static_cast<std::size_t>(reader.Integer(
+                            "limits.memory_mb", 0, kMemoryRangeMb)) *
+                        kBytesPerMb;
+  limits.max_fds = static_cast<std::uint32_t>(
+      reader.Integer("limits.max_fds", 0, kMaxFdsRange));
+  return limits;
+}
+
 std::vector<Address> ToAddresses(const std::vector<std::string>& texts) {
   std::vector<Address> addresses;
   std::ranges::transform(texts, std::back_inserter(addresses),
--- a/src/adapters/common_settings.h
+++ b/src/adapters/common_settings.h
@@ -2,6 +2,7 @@
 #define CHICORYVALE_SRC_ADAPTERS_COMMON_SETTINGS_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,15 @@
 /// unready until new requests are refused.
 Duration ReadLinger(SettingsReader& reader);
 
+/// Limits of the VM on this process. 0: not set.
+struct ResourceLimits {
+  std::size_t memory_bytes = 0;
+  std::uint32_t max_fds = 0;
+};
+
+/// Reads the optional settings "limits.memory_mb" and "limits.max_fds".
+ResourceLimits ReadResourceLimits(SettingsReader& reader);
+
 /// Converts each text to an address and keeps the order.
 std::vector<Address> ToAddresses(const std::vector<std::string>& texts);
 
