--- a/tests/process/gateway_deployment.cc
+++ b/tests/process/gateway_deployment.cc
@@ -138,8 +138,8 @@
   const std::string name = "control" + std::to_string(index);
   m_controls.at(static_cast<std::size_t>(index)) = std::make_unique<Process>(
       "chicory-controld", name, m_folder.Path(),
-      "availability_zone = \"a\"\ndata_folder = \"" + m_folder.Path() +
-          "/data-" + name + "\"\n[listen]\npeers = \"" +
+      m_added_settings + "availability_zone = \"a\"\ndata_folder = \"" +
+          m_folder.Path() + "/data-" + name + "\"\n[listen]\npeers = \"" +
           PeerAddress(kControlHost + index) +
           "\"\nmetrics = \"127.0.0.1:0\"\nrouting = \"127.0.0.1:0\"\n" + kKeys +
           "[group]\nmembers = [" + NamedControls(controls) +
@@ -160,7 +160,7 @@
 void GatewayDeployment::StartGateway(int index) {
   m_gateways.at(static_cast<std::size_t>(index)) = std::make_unique<Process>(
       "chicory-gatewayd", "gateway" + std::to_string(index), m_folder.Path(),
-      "availability_zone = \"a\"\n[listen]\npeers = \"" +
+      m_added_settings + "availability_zone = \"a\"\n[listen]\npeers = \"" +
           PeerAddress(kGatewayHost + index) +
           "\"\nmetrics = \"127.0.0.1:0\"\ncallers = \"127.0.0.1:0\"\n"
           "ready = \"127.0.0.1:0\"\n" +
--- a/tests/process/gateway_deployment.h
+++ b/tests/process/gateway_deployment.h
@@ -43,6 +43,10 @@
     m_replicas[replica_id].address = address;
   }
 
+  /// Adds `lines` before the tables of the settings of all processes that are
+  /// started from now on.
+  void AddSettings(const std::string& lines) { m_added_settings += lines; }
+
   /// Starts `controls` control processes, of which the settings of all name the
   /// first three, and `gateways` gateways, deploys the routes, and waits until
   /// each gateway is ready.
@@ -107,6 +111,7 @@
   std::map<std::string, Replica> m_replicas;
   std::unique_ptr<BeastHttpServer> m_list_server;
   ScratchFolder m_folder;
+  std::string m_added_settings;
   std::vector<std::unique_ptr<Process>> m_controls;
   std::vector<std::unique_ptr<Process>> m_gateways;
 };
--- a/tests/process/process.cc
+++ b/tests/process/process.cc
@@ -126,6 +126,15 @@
   return 0;
 }
 
+std::size_t Process::OpenDescriptorCount() const {
+  std::error_code error;
+  const std::filesystem::directory_iterator open(
+      "/proc/" + std::to_string(m_pid) + "/fd", error);
+  if (error) return 0;
+  return static_cast<std::size_t>(
+      std::distance(begin(open), std::filesystem::directory_iterator()));
+}
+
 int Process::Wait() {
   int status = 0;
   waitpid(m_pid, &status, 0);
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -32,6 +32,10 @@
   /// bytes; 0 if it does not run.
   [[nodiscard]] std::size_t PeakMemoryBytes() const;
 
+  /// Returns the number of descriptors that the running process has open; 0 if
+  /// it does not run.
+  [[nodiscard]] std::size_t OpenDescriptorCount() const;
+
   /// Waits until the process ends. Returns its exit code, or the negated number
   /// of the signal that ended it.
   int Wait();
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -12,7 +12,7 @@
 if [ "${1:-}" = --sanitize ]; then
   shift
   options=(-DCHICORYVALE_SANITIZE=ON)
-  process_tests='process|programs|soak'
+  process_tests='process|hostile|programs|soak'
   for dir in tests/*/; do
     name=$(basename "$dir")
     ls "$dir"*.cc >/dev/null 2>&1 && ! [[ $name =~ ^($process_tests)$ ]] &&
