Callers: one account of the bytes that a process holds for them, and limits on descriptors

MemoryAccount covers received requests, requests that wait to be sent to replicas, incomplete responses, and responses that callers have not read. Beyond it, the largest request that is being read gets 503, or the connection that leaves more bytes unread is closed.

- Bodies grow no further than announced, idle connections keep no large buffers, and a large body is written to a replica without a copy.
- Freed buffers of 64 KiB or more return to the kernel (M_MMAP_THRESHOLD). glibc otherwise raises this threshold with each freed buffer and keeps the memory.
At the limit, an unused connection of a caller or an idle one to a replica is closed.
- A connection that brings no byte of a started body for the idle limit is closed.
- The next pipelined request waits until its caller has read the last response up to 64 KiB.

--- a/programs/chicory-controld/control_daemon.cc
+++ b/programs/chicory-controld/control_daemon.cc
@@ -57,12 +57,15 @@
 }  // namespace
 
 ControlDaemon::ControlDaemon(ControlSettings settings)
-    : m_settings(std::move(settings)) {}
+    : m_settings(std::move(settings)),
+      m_limits(DivideResources(m_settings.resources)),
+      m_account(m_limits.caller_bytes) {}
 
 ControlDaemon::~ControlDaemon() = default;
 
 ExitCode ControlDaemon::Run() {
   InitLog("chicory-controld", m_settings.log_level, m_settings.log_target);
+  ReturnFreedBuffers();
   if (auto started = Start(); !started) {
     Log(LogLevel::kError, "start_failed",
         {{"reason", started.error().message}});
@@ -196,6 +199,9 @@
   options.poller = &m_poller;
   options.scheduler = &m_scheduler;
   options.bind = {m_settings.listen_routing};
+  options.max_connections =
+      std::min(options.max_connections, m_limits.caller_connections);
+  options.account = &m_account;
   options.limits.max_body_bytes = kMaxRoutingDocumentBytes;
   auto server = BeastHttpServer::Make(options);
   if (!server) return tl::unexpected(server.error());
@@ -239,7 +245,12 @@
                 m_group->Config().evacuated_zones.size())
       .Add("control", m_group->Node().Counters());
   if (m_operator_endpoint) page.Add("refused", m_operator_endpoint->Errors());
-  if (m_routing_server) page.Add("routing", m_routing_server->Counters());
+  if (m_routing_server) {
+    page.AddValue("routing", "held_bytes", m_account.HeldBytes())
+        .AddValue("routing", "held_bytes_peak", m_account.PeakBytes())
+        .AddValue("routing", "held_bytes_limit", m_account.LimitBytes())
+        .Add("routing", m_routing_server->Counters());
+  }
   m_peers->AddMetrics(&page);
   return page.Response();
 }
--- a/programs/chicory-controld/control_daemon.h
+++ b/programs/chicory-controld/control_daemon.h
@@ -12,8 +12,10 @@
 #include "adapters/glib_scheduler.h"
 #include "adapters/log.h"
 #include "adapters/peer_stack.h"
+#include "adapters/process_limits.h"
 #include "adapters/soup_http_server.h"
 #include "adapters/system_wall_clock.h"
+#include "base/memory_account.h"
 #include "chicory-controld/control_settings.h"
 #include "config/rollout_tracker.h"
 #include "control/claim_service.h"
@@ -54,6 +56,8 @@
   ShutdownSteps Shutdown();
 
   ControlSettings m_settings;
+  ProcessLimits m_limits;
+  MemoryAccount m_account;
   GlibScheduler m_scheduler;
   DaemonLoop m_loop{&m_scheduler};
   std::unique_ptr<PeerStack> m_peers;
--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -40,6 +40,8 @@
 
 GatewayDaemon::GatewayDaemon(GatewaySettings settings, std::string config_path)
     : m_settings(std::move(settings)),
+      m_limits(DivideResources(m_settings.resources)),
+      m_account(m_limits.caller_bytes),
       m_settings_watch(
           &m_scheduler, std::move(config_path),
           [this](SettingsReader& reader) {
@@ -51,6 +53,7 @@
 
 ExitCode GatewayDaemon::Run() {
   InitLog("chicory-gatewayd", m_settings.log_level, m_settings.log_target);
+  ReturnFreedBuffers();
   if (auto started = Start(); !started) {
     Log(LogLevel::kError, "start_failed",
         {{"reason", started.error().message}});
@@ -92,7 +95,11 @@
 
 void GatewayDaemon::StartRouting() {
   m_http_client = std::make_unique<BeastHttpClient>(
-      BeastHttpClientOptions{.poller = &m_poller, .scheduler = &m_scheduler});
+      BeastHttpClientOptions{.poller = &m_poller,
+                             .scheduler = &m_scheduler,
+                             .max_buffered_bytes = m_limits.response_bytes,
+                             .account = &m_account,
+                             .max_connections = m_limits.replica_connections});
   m_replica_transport = std::make_unique<platform::HttpReplicaTransport>(
       m_http_client.get(), &m_log);
   m_replica_directory = std::make_unique<platform::HttpReplicaDirectory>(
@@ -199,7 +206,9 @@
   options.poller = &m_poller;
   options.scheduler = &m_scheduler;
   options.bind = {address};
-  options.max_connections = m_settings.max_connections;
+  options.max_connections = std::min<std::size_t>(m_settings.max_connections,
+                                                  m_limits.caller_connections);
+  options.account = &m_account;
   options.freshness = m_peers->Freshness();
   auto server = BeastHttpServer::Make(options);
   if (server) (*server)->SetHandler(std::move(handler));
@@ -310,6 +319,9 @@
       .AddValue("gateway", "in_flight", m_router->InFlight())
       .AddValue("gateway", "evacuated_zones", m_evacuated_zones.size())
       .Add("gateway", m_counters)
+      .AddValue("callers", "held_bytes", m_account.HeldBytes())
+      .AddValue("callers", "held_bytes_peak", m_account.PeakBytes())
+      .AddValue("callers", "held_bytes_limit", m_account.LimitBytes())
       .Add("callers", m_caller_server->Counters())
       .Add("settings", m_settings_watch.Counters())
       .Add("replicas", m_http_client->Counters())
--- a/programs/chicory-gatewayd/gateway_daemon.h
+++ b/programs/chicory-gatewayd/gateway_daemon.h
@@ -15,7 +15,9 @@
 #include "adapters/glib_scheduler.h"
 #include "adapters/log.h"
 #include "adapters/peer_stack.h"
+#include "adapters/process_limits.h"
 #include "adapters/settings_watch.h"
+#include "base/memory_account.h"
 #include "chicory-gatewayd/gateway_settings.h"
 #include "platform/http_replica_directory.h"
 #include "platform/http_replica_transport.h"
@@ -67,6 +69,8 @@
   ShutdownSteps Shutdown();
 
   GatewaySettings m_settings;
+  ProcessLimits m_limits;
+  MemoryAccount m_account;
   GlibScheduler m_scheduler;
   FdPoller m_poller;
   DaemonLoop m_loop{&m_scheduler};
--- a/src/adapters/beast_http_client.cc
+++ b/src/adapters/beast_http_client.cc
@@ -12,6 +12,7 @@
 #include "adapters/http_message_text.h"
 #include "adapters/received_body.h"
 #include "adapters/stream_socket.h"
+#include "base/spare_capacity.h"
 
 namespace chicoryvale {
 namespace {
@@ -35,6 +36,9 @@
 /// it has carried so many.
 constexpr std::size_t kMaxFailedRequests = 64;
 
+/// Larger bodies are written apart from the head, which saves a copy.
+constexpr std::size_t kMaxJoinedBodyBytes = std::size_t{16} << 10;
+
 constexpr int kFirstErrorStatus = 400;
 
 /// Returns the usable part of the "timeout=SECONDS" parameter of the Keep-Alive
@@ -67,11 +71,14 @@
 class BeastHttpClient::Connection : public StreamListener {
  public:
   Connection(BeastHttpClient* client, Address to)
-      : m_client(client), m_server_address(std::move(to)) {}
+      : m_client(client),
+        m_server_address(std::move(to)),
+        m_accounted(client->m_account) {}
 
   bool Open() {
     m_socket = StreamSocket::Connect(m_client->m_options.poller,
                                      m_server_address, this);
+    if (m_socket) ++m_client->m_open_connections;
     return m_socket != nullptr;
   }
 
@@ -86,11 +93,17 @@
     const std::size_t body_bytes = call.body ? call.body->size() : 0;
     std::string text =
         FormatRequestHead(call.method, call.target, call.headers, body_bytes);
-    if (call.body) text += *call.body;
-    m_client->m_counters.Add(BeastHttpClientCounter::kBytesSent, text.size());
+    m_client->m_counters.Add(BeastHttpClientCounter::kBytesSent,
+                             text.size() + body_bytes);
+    const bool is_joined = body_bytes > 0 && body_bytes <= kMaxJoinedBodyBytes;
+    if (is_joined) text += *call.body;
     m_socket->Write(text);
+    if (body_bytes > 0 && !is_joined) m_socket->Write(*call.body);
+    UpdateAccount();
   }
 
+  void OnFlushed() override { UpdateAccount(); }
+
   /// Returns whether the server has answered a request with the id `request_id`
   /// on this connection with an error status.
   [[nodiscard]] bool HasFailed(const std::string& request_id) const {
@@ -107,7 +120,9 @@
   void Close() {
     ReleaseBufferedBytes();
     m_client->m_options.scheduler->Cancel(std::exchange(m_idle_timer, 0));
+    if (m_socket) --m_client->m_open_connections;
     m_socket.reset();
+    m_accounted.Set(0);
   }
 
   /// Returns the status and the headers of the response that is being received
@@ -134,6 +149,7 @@
     }
     m_buffered_bytes += bytes.size();
     m_client->m_buffered_bytes += bytes.size();
+    UpdateAccount();
     while (m_client->m_buffered_bytes >
            m_client->m_options.max_buffered_bytes) {
       m_client->FailLargestResponse();
@@ -184,6 +200,7 @@
       const std::size_t parsed_bytes = m_parser->put(
           boost::asio::buffer(m_unparsed.data(), m_unparsed.size()), code);
       m_unparsed.erase(0, parsed_bytes);
+      ReleaseSpareCapacity(&m_unparsed);
       if (code == http::error::need_more) {
         if (m_unparsed.size() <= kMaxIncompleteLineBytes) return;
         return Fail("malformed response: a line is too long");
@@ -224,6 +241,12 @@
 
   void ReleaseBufferedBytes() {
     m_client->m_buffered_bytes -= std::exchange(m_buffered_bytes, 0);
+    if (m_socket) UpdateAccount();
+  }
+
+  // Accounts for the unsent bytes of the request and the incomplete response.
+  void UpdateAccount() {
+    m_accounted.Set(m_socket->UnsentBytes() + m_buffered_bytes);
   }
 
   // Returns the status and the headers of the response that is being parsed.
@@ -302,10 +325,13 @@
   std::optional<http::response_parser<ReceivedBody>> m_parser;
   std::string m_unparsed;
   TimerId m_idle_timer = 0;
+  AccountedBytes m_accounted;
 };
 
 BeastHttpClient::BeastHttpClient(const BeastHttpClientOptions& options)
-    : m_options(options) {}
+    : m_options(options),
+      m_account(options.account != nullptr ? options.account : &m_own_account) {
+}
 
 BeastHttpClient::~BeastHttpClient() {
   for (auto& [id, call] : m_calls) {
@@ -350,7 +376,7 @@
     m_counters.Add(BeastHttpClientCounter::kConnectionsReused);
   } else {
     auto new_connection = std::make_unique<Connection>(this, open_call.call.to);
-    if (!new_connection->Open()) {
+    if (!MakeRoomForConnection() || !new_connection->Open()) {
       m_counters.Add(BeastHttpClientCounter::kConnectionsRefusedHere);
       m_options.scheduler->Schedule(Duration::zero(), [this, id] {
         if (!m_calls.contains(id)) return;
@@ -420,6 +446,16 @@
   DestroyLater(std::move(removed));
 }
 
+bool BeastHttpClient::MakeRoomForConnection() {
+  if (m_open_connections < m_options.max_connections) return true;
+  const auto idle = std::ranges::find_if(
+      m_idle, [](const auto& entry) { return !entry.second.empty(); });
+  if (idle == m_idle.end()) return false;
+  // The least recently used connection to that server.
+  RemoveIdle(idle->second.front().get());
+  return true;
+}
+
 void BeastHttpClient::DestroyLater(std::unique_ptr<Connection> connection) {
   if (!connection) return;
   connection->Close();
--- a/src/adapters/beast_http_client.h
+++ b/src/adapters/beast_http_client.h
@@ -10,6 +10,7 @@
 
 #include "adapters/fd_poller.h"
 #include "base/counters.h"
+#include "base/memory_account.h"
 #include "ports/http_client.h"
 #include "ports/scheduler.h"
 
@@ -66,6 +67,13 @@
   /// Limit on the received bytes of all responses that are not complete. Beyond
   /// it, the call whose response holds most of them fails.
   std::size_t max_buffered_bytes = std::size_t{32} << 20;
+  /// Account that also holds these bytes and those of requests that wait to be
+  /// sent. May be null.
+  MemoryAccount* account = nullptr;
+  /// Limit on open connections. At the limit, an idle one is closed for a new
+  /// one; without an idle one, a call that needs a new connection fails as not
+  /// sent.
+  std::size_t max_connections = 1'000'000;
   /// Idle connections are closed after this time, or earlier if the server's
   /// Keep-Alive header states a shorter one.
   Duration idle_timeout = seconds(30);
@@ -105,10 +113,17 @@
   void FailLargestResponse();
   void AddIdle(std::unique_ptr<Connection> connection, Duration idle_timeout);
   void RemoveIdle(Connection* connection);
+  /// Returns whether a new connection may be opened. Closes an idle one if that
+  /// is necessary.
+  bool MakeRoomForConnection();
   /// Closes `connection` now and destroys it in a later loop iteration.
   void DestroyLater(std::unique_ptr<Connection> connection);
 
   BeastHttpClientOptions m_options;
+  /// Used if the options name no account.
+  MemoryAccount m_own_account{SIZE_MAX};
+  MemoryAccount* m_account;
+  std::size_t m_open_connections = 0;
   HttpCallId m_last_id = 0;
   std::unordered_map<HttpCallId, std::unique_ptr<OpenCall>> m_calls;
   std::unordered_map<std::string, std::vector<std::unique_ptr<Connection>>>
--- a/src/adapters/beast_http_server.cc
+++ b/src/adapters/beast_http_server.cc
@@ -16,6 +16,7 @@
 #include "adapters/received_body.h"
 #include "adapters/socket_address.h"
 #include "adapters/stream_socket.h"
+#include "base/spare_capacity.h"
 
 namespace chicoryvale {
 namespace {
@@ -35,6 +36,13 @@
 /// Limit on the bytes that are discarded meanwhile.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{4} << 20;
 
+/// Limit on the bytes of a response that the caller has not read when the next
+/// request of the connection is processed.
+constexpr std::size_t kMaxUnreadBytes = std::size_t{64} * 1024;
+
+/// Requests of at most this size are read on while the account is tight.
+constexpr std::size_t kSmallRequestBytes = std::size_t{16} * 1024;
+
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusTooLarge = 413;
 constexpr int kStatusHeadersTooLarge = 431;
@@ -57,7 +65,10 @@
 class BeastHttpServer::Connection : public StreamListener {
  public:
   Connection(BeastHttpServer* server, std::uint64_t number)
-      : m_server(server), m_number(number) {}
+      : m_server(server),
+        m_number(number),
+        m_received(server->m_account),
+        m_unread(server->m_account) {}
 
   ~Connection() override { CancelTimer(); }
 
@@ -83,19 +94,28 @@
 
   void CloseNow() { m_server->DestroyLater(m_number); }
 
-  /// Returns the bytes received of the request that is being read.
-  [[nodiscard]] std::size_t UnreadBytes() const {
-    return m_awaiting_response ? 0 : m_held_bytes;
+  /// Returns whether no byte has arrived on the connection.
+  [[nodiscard]] bool IsUnused() const { return !m_has_received; }
+
+  /// Returns the bytes that DropLargest would free.
+  [[nodiscard]] std::size_t DroppableBytes() const {
+    return std::max(BytesBeingRead(), m_unread.Get());
   }
 
-  /// Refuses the request that is being read and ends the connection.
-  void RefuseOverloaded() {
+  /// Refuses the request that is being read, or closes the connection if the
+  /// caller leaves more bytes unread.
+  void DropLargest() {
+    if (m_lingering || m_unread.Get() > BytesBeingRead()) {
+      m_server->m_counters.Add(BeastHttpServerCounter::kUnreadAnswers);
+      return CloseNow();
+    }
     m_server->m_counters.Add(BeastHttpServerCounter::kOverTotal);
     RefuseForNow(R"({"kind":"overloaded","ran":"no"})");
   }
 
   void Close() {
-    ReleaseHeldBytes(0);
+    m_received.Set(0);
+    m_unread.Set(0);
     CancelTimer();
     if (m_awaiting_response) {
       m_awaiting_response = false;
@@ -106,14 +126,25 @@
 
   void OnBytes(std::string_view bytes) override {
     if (m_lingering || m_exceeded_status != 0) return Discard(bytes.size());
-    AddHeldBytes(bytes.size());
+    m_has_received = true;
+    m_last_received = m_server->m_options.scheduler->Now();
+    m_received.Set(m_received.Get() + bytes.size());
     m_unparsed.append(bytes);
-    if (m_server->m_held_bytes > m_server->m_options.max_held_bytes) {
-      m_server->RefuseLargestRequest();
-      if (m_lingering) return;
+    m_server->EnforceMemoryLimits();
+    if (m_lingering || !m_socket) return;
+    if (!m_awaiting_response && !m_draining) return Parse();
+    if (m_unparsed.size() > kMaxPipelinedBytes ||
+        m_server->m_account->IsTight()) {
+      m_socket->SetReading(false);
     }
-    if (!m_awaiting_response) return Parse();
-    if (m_unparsed.size() > kMaxPipelinedBytes) m_socket->SetReading(false);
+  }
+
+  void OnFlushed() override {
+    m_unread.Set(m_socket->UnsentBytes());
+    if (!m_draining || m_unread.Get() > kMaxUnreadBytes) return;
+    m_draining = false;
+    m_socket->SetReading(true);
+    Parse();
   }
 
   void OnEnd(StreamEnd /*end*/) override {
@@ -131,15 +162,23 @@
     if (!m_awaiting_response || request_serial != m_request_serial) return;
     m_awaiting_response = false;
     --m_server->m_in_flight;
-    ReleaseHeldBytes(m_unparsed.size());
+    m_received.Set(m_unparsed.size());
+    SendResponse(response);
+    // May close this connection.
+    m_server->EnforceMemoryLimits();
+  }
+
+ private:
+  void SendResponse(const HttpResponse& response) {
     if (response.abort_connection) return CloseNow();
     const bool close =
         m_close_after_response || m_server->m_closing_connections;
-    m_socket->Write(FormatResponse(response, close, m_is_head));
+    Write(FormatResponse(response, close, m_is_head));
     if (close) return FinishAndLinger();
-    m_socket->SetReading(true);
     ArmIdleTimer();
-    if (m_unparsed.empty()) return;
+    m_draining = m_unread.Get() > kMaxUnreadBytes;
+    m_socket->SetReading(!m_draining);
+    if (m_unparsed.empty() || m_draining) return;
     // Parses pipelined requests from a timer, because the handler may call
     // Respond synchronously and would be reentered.
     m_server->m_options.scheduler->Schedule(
@@ -152,7 +191,6 @@
         });
   }
 
- private:
   void Discard(std::size_t bytes) {
     m_discarded_bytes += bytes;
     if (m_discarded_bytes > kMaxDiscardedBytes) CloseNow();
@@ -162,7 +200,7 @@
   // last request of the connection.
   void BeginRequest() {
     m_reading_request = true;
-    m_continue_sent = false;
+    m_head_read = false;
     m_parser.emplace();
     m_parser->eager(true);
     m_parser->header_limit(m_server->m_options.limits.max_header_bytes);
@@ -170,15 +208,14 @@
     ArmHeaderTimer();
   }
 
-  void AddHeldBytes(std::size_t bytes) {
-    m_held_bytes += bytes;
-    m_server->m_held_bytes += bytes;
+  // Returns the bytes received of the request that is being read.
+  [[nodiscard]] std::size_t BytesBeingRead() const {
+    return m_awaiting_response || m_draining ? 0 : m_received.Get();
   }
 
-  // Releases all held bytes but `rest`.
-  void ReleaseHeldBytes(std::size_t rest) {
-    m_server->m_held_bytes -= m_held_bytes - rest;
-    m_held_bytes = rest;
+  void Write(std::string_view bytes) {
+    m_socket->Write(bytes);
+    m_unread.Set(m_socket->UnsentBytes());
   }
 
   void CancelTimer() {
@@ -204,14 +241,40 @@
         });
   }
 
+  // Closes the connection once no byte of the body has arrived for the idle
+  // timeout. The timer is not moved on each read, but checks the last one.
+  void ArmBodyTimer(Duration delay) {
+    CancelTimer();
+    m_timer = m_server->m_options.scheduler->Schedule(delay, [this] {
+      m_timer = 0;
+      const Duration silence =
+          m_server->m_options.scheduler->Now() - m_last_received;
+      const Duration limit = m_server->m_options.limits.idle_timeout;
+      if (silence < limit) return ArmBodyTimer(limit - silence);
+      m_server->m_counters.Add(BeastHttpServerCounter::kBodyTimeouts);
+      CloseNow();
+    });
+  }
+
+  void OnHeadRead() {
+    if (m_head_read) return;
+    m_head_read = true;
+    ArmBodyTimer(m_server->m_options.limits.idle_timeout);
+    SendContinueIfExpected();
+  }
+
   void Parse() {
-    if (m_awaiting_response || m_lingering || m_exceeded_status != 0) return;
+    if (m_awaiting_response || m_draining || m_lingering ||
+        m_exceeded_status != 0) {
+      return;
+    }
     while (!m_unparsed.empty()) {
       if (!m_reading_request) BeginRequest();
       boost::system::error_code code;
       const std::size_t parsed_bytes = m_parser->put(
           boost::asio::buffer(m_unparsed.data(), m_unparsed.size()), code);
       m_unparsed.erase(0, parsed_bytes);
+      ReleaseSpareCapacity(&m_unparsed);
       if (code == http::error::need_more) {
         // The parser itself has no limit on the lines between chunks.
         if (m_unparsed.size() <= kMaxPipelinedBytes) return;
@@ -222,19 +285,16 @@
                             m_server->m_options.limits.max_body_bytes)) {
         return RejectUnlessLimitIsOld(kStatusTooLarge);
       }
-      if (m_parser->is_header_done()) CancelTimer();
       if (m_parser->is_done()) return HandleRequest();
-      SendContinueIfExpected();
+      if (m_parser->is_header_done()) OnHeadRead();
       if (parsed_bytes == 0) return;
     }
   }
 
   void SendContinueIfExpected() {
-    if (m_continue_sent || !m_parser->is_header_done()) return;
-    m_continue_sent = true;
     const auto expect = m_parser->get()[http::field::expect];
     if (HeaderNamesEqual({expect.data(), expect.size()}, "100-continue")) {
-      m_socket->Write("HTTP/1.1 100 Continue\r\n\r\n");
+      Write("HTTP/1.1 100 Continue\r\n\r\n");
     }
   }
 
@@ -246,8 +306,7 @@
       return Reject(status);
     }
     m_exceeded_status = status;
-    m_unparsed.clear();
-    ReleaseHeldBytes(0);
+    DropRequest();
     CancelTimer();
     freshness->Confirm([server = m_server,
                         alive = std::weak_ptr<int>(m_server->m_alive),
@@ -277,7 +336,7 @@
     response.status = kStatusUnavailable;
     response.headers = {{"Retry-After", kRetryAfterS}};
     response.body = body;
-    m_socket->Write(FormatResponse(response, true));
+    Write(FormatResponse(response, true));
     FinishAndLinger();
   }
 
@@ -290,7 +349,7 @@
     HttpResponse response;
     response.status = status;
     response.body = R"({"kind":"malformed_request"})";
-    m_socket->Write(FormatResponse(response, true));
+    Write(FormatResponse(response, true));
     FinishAndLinger();
   }
 
@@ -317,6 +376,7 @@
                                  std::string(value.data(), value.size())});
     }
     request.body = std::move(message.body());
+    m_parser.reset();
     m_server->m_handler(
         std::move(request),
         [server = m_server, alive = std::weak_ptr<int>(m_server->m_alive),
@@ -338,9 +398,7 @@
   // would reset the connection.
   void FinishAndLinger() {
     m_lingering = true;
-    m_unparsed.clear();
-    m_parser.reset();
-    ReleaseHeldBytes(0);
+    DropRequest();
     m_socket->SetReading(true);
     m_socket->FinishSending();
     CancelTimer();
@@ -350,6 +408,13 @@
     });
   }
 
+  // Frees the memory of the request that is being read.
+  void DropRequest() {
+    std::string().swap(m_unparsed);
+    m_parser.reset();
+    m_received.Set(0);
+  }
+
   BeastHttpServer* m_server;
   /// Number of this connection within the server.
   std::uint64_t m_number;
@@ -357,12 +422,19 @@
   std::optional<http::request_parser<ReceivedBody>> m_parser;
   std::string m_unparsed;
   /// Received bytes of the requests that have no response yet.
-  std::size_t m_held_bytes = 0;
+  AccountedBytes m_received;
+  /// Bytes of responses that the kernel has not accepted, because the caller
+  /// does not read.
+  AccountedBytes m_unread;
   /// Bytes received after the last response.
   std::size_t m_discarded_bytes = 0;
   std::uint64_t m_request_serial = 0;
   bool m_reading_request = false;
-  bool m_continue_sent = false;
+  bool m_head_read = false;
+  bool m_has_received = false;
+  /// Whether further requests wait until the caller has read the response.
+  bool m_draining = false;
+  TimePoint m_last_received{};
   bool m_awaiting_response = false;
   bool m_close_after_response = false;
   /// Whether the current request has the method HEAD.
@@ -381,7 +453,10 @@
 }
 
 BeastHttpServer::BeastHttpServer(const BeastHttpServerOptions& options)
-    : m_options(options) {}
+    : m_options(options),
+      m_own_account(options.max_held_bytes),
+      m_account(options.account != nullptr ? options.account : &m_own_account) {
+}
 
 BeastHttpServer::~BeastHttpServer() {
   OnStopAccepting();
@@ -422,7 +497,8 @@
     const int fd =
         accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) return;
-    if (m_connections.size() >= m_options.max_connections) {
+    if (m_connections.size() >= m_options.max_connections &&
+        !EvictUnusedConnection()) {
       m_counters.Add(BeastHttpServerCounter::kConnectionsRefused);
       close(fd);
       continue;
@@ -435,11 +511,30 @@
   }
 }
 
-void BeastHttpServer::RefuseLargestRequest() {
-  const auto largest = std::ranges::max_element(
-      m_connections, {},
-      [](const auto& entry) { return entry.second->UnreadBytes(); });
-  if (largest->second->UnreadBytes() > 0) largest->second->RefuseOverloaded();
+void BeastHttpServer::EnforceMemoryLimits() {
+  while (m_account->IsTight()) {
+    const auto largest = std::ranges::max_element(
+        m_connections, {},
+        [](const auto& entry) { return entry.second->DroppableBytes(); });
+    if (largest == m_connections.end()) return;
+    const std::size_t bytes = largest->second->DroppableBytes();
+    const std::size_t min_bytes =
+        m_account->IsOver() ? 1 : kSmallRequestBytes + 1;
+    if (bytes < min_bytes) return;
+    largest->second->DropLargest();
+  }
+}
+
+bool BeastHttpServer::EvictUnusedConnection() {
+  std::uint64_t oldest = 0;
+  for (const auto& [number, connection] : m_connections) {
+    if (!connection->IsUnused()) continue;
+    if (oldest == 0 || number < oldest) oldest = number;
+  }
+  if (oldest == 0) return false;
+  m_counters.Add(BeastHttpServerCounter::kUnusedEvicted);
+  DestroyLater(oldest);
+  return true;
 }
 
 void BeastHttpServer::CloseConnectionsWhenIdle() {
--- a/src/adapters/beast_http_server.h
+++ b/src/adapters/beast_http_server.h
@@ -10,6 +10,7 @@
 
 #include "adapters/fd_poller.h"
 #include "base/counters.h"
+#include "base/memory_account.h"
 #include "base/time.h"
 #include "chicoryvale/error.h"
 #include "ports/config_freshness.h"
@@ -29,6 +30,14 @@
   /// Requests that were refused because those of all callers together were too
   /// large.
   kOverTotal,
+  /// Connections that were closed because all callers together left too many
+  /// bytes of responses unread.
+  kUnreadAnswers,
+  /// Connections that were closed because no byte of a started body arrived
+  /// within the idle timeout.
+  kBodyTimeouts,
+  /// Connections without a request that were closed to accept another one.
+  kUnusedEvicted,
   /// Requests beyond a limit that was not confirmed to be current.
   kLimitNotConfirmed,
   /// Connections that the caller closed before the response to its request.
@@ -39,12 +48,20 @@
 
 template <>
 struct CounterNames<BeastHttpServerCounter> {
-  static constexpr std::array<std::string_view, 10> kNames = {
-      "connections",  "connections_refused",
-      "requests",     "malformed",
-      "too_large",    "header_timeouts",
-      "over_total",   "limit_not_confirmed",
-      "callers_gone", "answers_undeliverable"};
+  static constexpr std::array<std::string_view, 13> kNames = {
+      "connections",
+      "connections_refused",
+      "requests",
+      "malformed",
+      "too_large",
+      "header_timeouts",
+      "over_total",
+      "unread_answers",
+      "body_timeouts",
+      "unused_evicted",
+      "limit_not_confirmed",
+      "callers_gone",
+      "answers_undeliverable"};
 };
 
 /// Limits on the size and duration of requests.
@@ -54,7 +71,8 @@
   /// Limit on the time from the first byte of a request to the end of its
   /// headers.
   Duration header_timeout = seconds(10);
-  /// Limit on the time between two requests of a connection.
+  /// Limit on the time between two requests of a connection, and between two
+  /// reads of a body.
   Duration idle_timeout = seconds(60);
 };
 
@@ -65,8 +83,11 @@
   Address bind;
   std::size_t max_connections = 10'000;
   HttpServerLimits limits;
-  /// Limit on the received bytes of all requests that have no response yet.
-  /// Beyond it, the largest of those that are being read is refused.
+  /// Account of the bytes that the process holds for callers. Beyond its limit,
+  /// the largest of the requests that are being read is refused, or the
+  /// connection closed whose caller leaves more bytes unread. May be null: the
+  /// server then has an account of its own with the limit `max_held_bytes`.
+  MemoryAccount* account = nullptr;
   std::size_t max_held_bytes = std::size_t{32} << 20;
   /// Tells whether the limits are current. A request beyond them is refused for
   /// good only then, and otherwise with 503. May be null: they always are.
@@ -127,7 +148,12 @@
   explicit BeastHttpServer(const BeastHttpServerOptions& options);
   Result<void> Listen();
   void Accept();
-  void RefuseLargestRequest();
+  /// Frees bytes while the account is beyond its limits, as far as connections
+  /// hold bytes that they may drop.
+  void EnforceMemoryLimits();
+  /// Closes the oldest connection that has carried no byte. Returns false if
+  /// there is none.
+  bool EvictUnusedConnection();
   /// Closes the connection now and destroys it in a later loop iteration.
   void DestroyLater(std::uint64_t number);
 
@@ -139,8 +165,8 @@
   bool m_closing_connections = false;
   std::uint32_t m_in_flight = 0;
   std::uint64_t m_last_number = 0;
-  /// Received bytes of all requests that have no response yet.
-  std::size_t m_held_bytes = 0;
+  MemoryAccount m_own_account;
+  MemoryAccount* m_account;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> m_connections;
   /// Closed connections; a timer destroys them, because a connection must not
   /// be destroyed within its own callback.
--- a/src/adapters/received_body.h
+++ b/src/adapters/received_body.h
@@ -1,6 +1,7 @@
 #ifndef CHICORYVALE_SRC_ADAPTERS_RECEIVED_BODY_H_
 #define CHICORYVALE_SRC_ADAPTERS_RECEIVED_BODY_H_
 
+#include <algorithm>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/message.hpp>
@@ -27,9 +28,10 @@
            value_type& body)
         : m_body(&body) {}
 
-    void init(const boost::optional<std::uint64_t>& /*length*/,
+    void init(const boost::optional<std::uint64_t>& length,
               boost::system::error_code& code) {
       code = {};
+      m_announced_bytes = length.value_or(0);
     }
 
     template <class ConstBufferSequence>
@@ -38,6 +40,7 @@
       code = {};
       std::size_t bytes = 0;
       for (const auto buffer : boost::beast::buffers_range_ref(buffers)) {
+        Reserve(m_body->size() + buffer.size());
         m_body->append(static_cast<const char*>(buffer.data()), buffer.size());
         bytes += buffer.size();
       }
@@ -47,7 +50,19 @@
     void finish(boost::system::error_code& code) { code = {}; }
 
    private:
+    // Doubles the memory for the body, but not beyond the announced length.
+    void Reserve(std::size_t bytes) {
+      if (bytes <= m_body->capacity()) return;
+      std::uint64_t capacity = std::uint64_t{2} * m_body->capacity();
+      if (m_announced_bytes > 0) {
+        capacity = std::min(capacity, m_announced_bytes);
+      }
+      m_body->reserve(std::max<std::size_t>(bytes, capacity));
+    }
+
     value_type* m_body;
+    /// 0 if the head announces no length.
+    std::uint64_t m_announced_bytes = 0;
   };
   // NOLINTEND(readability-identifier-naming)
 };
--- a/src/adapters/stream_socket.cc
+++ b/src/adapters/stream_socket.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "adapters/socket_address.h"
+#include "base/spare_capacity.h"
 
 namespace chicoryvale {
 namespace {
@@ -93,12 +94,11 @@
 
 void StreamSocket::Write(std::string_view bytes) {
   if (m_ended) return;
-  m_unsent.append(bytes);
-  if (m_connecting) return;
   // A broken connection is reported through the poller and never from within
   // Write, so the result is ignored.
-  FlushUnsent();
-  UpdateEvents();
+  if (!m_connecting && m_unsent.empty()) SendSome(&bytes);
+  m_unsent.append(bytes);
+  if (!m_connecting) UpdateEvents();
 }
 
 void StreamSocket::SetReading(bool reading) {
@@ -123,6 +123,9 @@
   if ((events & EPOLLOUT) != 0) {
     if (!FlushUnsent()) return NotifyEnd(StreamEnd::kBroken);
     UpdateEvents();
+    const std::weak_ptr<int> alive = m_alive;
+    m_listener->OnFlushed();
+    if (alive.expired()) return;
   }
   if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0) ReadAvailable();
 }
@@ -138,6 +141,7 @@
   if (alive.expired()) return;
   if (!FlushUnsent()) return NotifyEnd(StreamEnd::kBroken);
   UpdateEvents();
+  m_listener->OnFlushed();
 }
 
 void StreamSocket::ReadAvailable() {
@@ -158,16 +162,24 @@
   }
 }
 
-bool StreamSocket::FlushUnsent() {
-  while (!m_unsent.empty()) {
+bool StreamSocket::SendSome(std::string_view* bytes) {
+  while (!bytes->empty()) {
     const ssize_t count =
-        send(m_fd, m_unsent.data(), m_unsent.size(), MSG_NOSIGNAL);
+        send(m_fd, bytes->data(), bytes->size(), MSG_NOSIGNAL);
     if (count < 0 && errno == EINTR) continue;
-    if (count < 0 && WouldBlock(errno)) return true;
-    if (count < 0) return false;
+    if (count < 0) return WouldBlock(errno);
     m_has_sent = true;
-    m_unsent.erase(0, static_cast<std::size_t>(count));
+    bytes->remove_prefix(static_cast<std::size_t>(count));
   }
+  return true;
+}
+
+bool StreamSocket::FlushUnsent() {
+  std::string_view rest = m_unsent;
+  if (!SendSome(&rest)) return false;
+  m_unsent.erase(0, m_unsent.size() - rest.size());
+  if (!m_unsent.empty()) return true;
+  ReleaseSpareCapacity(&m_unsent);
   if (m_finish_sending) shutdown(m_fd, SHUT_WR);
   return true;
 }
--- a/src/adapters/stream_socket.h
+++ b/src/adapters/stream_socket.h
@@ -28,6 +28,8 @@
   /// Called when a socket made by StreamSocket::Connect is connected.
   virtual void OnConnected() {}
   virtual void OnBytes(std::string_view bytes) = 0;
+  /// Called after the kernel has accepted buffered bytes outside of Write.
+  virtual void OnFlushed() {}
   /// Called at most once, as the last call.
   virtual void OnEnd(StreamEnd end) = 0;
 };
@@ -75,6 +77,9 @@
   void FinishConnect();
   void ReadAvailable();
   bool FlushUnsent();
+  /// Sends from `bytes` and removes what the kernel has accepted. Returns false
+  /// if the connection is broken.
+  bool SendSome(std::string_view* bytes);
   void UpdateEvents();
   void NotifyEnd(StreamEnd end);
 
--- a/tests/adapters/beast_http_server_test.cc
+++ b/tests/adapters/beast_http_server_test.cc
@@ -198,6 +198,140 @@
   EXPECT_EQ(server->Counters().Get(BeastHttpServerCounter::kOverTotal), 1U);
 }
 
+/// A server with a small account, and with few connections.
+class LimitedServerTest : public testing::Test {
+ protected:
+  static constexpr std::size_t kAccountBytes = std::size_t{1} << 20;
+
+  LimitedServerTest() {
+    m_options.poller = &m_poller;
+    m_options.scheduler = &m_scheduler;
+    m_options.bind = {"127.0.0.1:0"};
+    m_options.account = &m_account;
+    m_options.max_connections = 3;
+    m_options.limits.max_body_bytes = 2 * kAccountBytes;
+  }
+
+  void StartServer(const HttpServer::Handler& handler) {
+    m_server = std::move(*BeastHttpServer::Make(m_options));
+    m_server->SetHandler(handler);
+  }
+
+  [[nodiscard]] std::uint64_t Count(BeastHttpServerCounter counter) const {
+    return m_server->Counters().Get(counter);
+  }
+
+  GlibScheduler m_scheduler;
+  FdPoller m_poller;
+  MemoryAccount m_account{kAccountBytes};
+  BeastHttpServerOptions m_options;
+  std::unique_ptr<BeastHttpServer> m_server;
+};
+
+// A caller that stopped within a body kept its connection and the bytes for
+// ever.
+TEST_F(LimitedServerTest, EndsAConnectionThatIsSilentWithinABody) {
+  m_options.limits.idle_timeout = milliseconds(100);
+  int handled = 0;
+  StartServer([&](const HttpRequest&, const HttpResponder&) { ++handled; });
+  RunBeside([&] {
+    RawSocket caller(m_server->LocalAddress());
+    caller.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n123");
+    EXPECT_EQ(caller.ReceiveAll(), "");
+  });
+  EXPECT_EQ(handled, 0);
+  EXPECT_EQ(Count(BeastHttpServerCounter::kBodyTimeouts), 1U);
+  EXPECT_EQ(m_account.HeldBytes(), 0U);
+}
+
+// Silent connections up to the limit would keep all other callers out.
+TEST_F(LimitedServerTest, AnUnusedConnectionMakesRoomForAnother) {
+  StartServer(
+      [](const HttpRequest&, const HttpResponder& respond) { respond({}); });
+  RunBeside([&] {
+    std::vector<RawSocket> silent;
+    for (std::size_t i = 0; i < m_options.max_connections; ++i) {
+      silent.emplace_back(m_server->LocalAddress());
+    }
+    RawSocket caller(m_server->LocalAddress());
+    caller.Send(kGetAndClose);
+    EXPECT_TRUE(caller.ReceiveAll().starts_with("HTTP/1.1 200"));
+    // The oldest is the one that was closed.
+    EXPECT_EQ(silent.front().ReceiveAll(), "");
+  });
+  EXPECT_EQ(Count(BeastHttpServerCounter::kUnusedEvicted), 1U);
+}
+
+// A connection in use must not end for another one.
+TEST_F(LimitedServerTest, AConnectionInUseMakesNoRoom) {
+  StartServer(
+      [](const HttpRequest&, const HttpResponder& respond) { respond({}); });
+  RunBeside([&] {
+    std::vector<RawSocket> used;
+    for (std::size_t i = 0; i < m_options.max_connections; ++i) {
+      used.emplace_back(m_server->LocalAddress());
+      used.back().Send(kGet);
+      used.back().ReceiveUntil("\r\n\r\n");
+    }
+    RawSocket late(m_server->LocalAddress());
+    EXPECT_EQ(late.ReceiveAll(), "");
+    for (RawSocket& caller : used) {
+      caller.Send(kGetAndClose);
+      EXPECT_TRUE(caller.ReceiveAll().starts_with("HTTP/1.1 200"));
+    }
+  });
+  EXPECT_EQ(Count(BeastHttpServerCounter::kConnectionsRefused), 1U);
+}
+
+// The responses to pipelined requests of a caller that does not read filled the
+// memory.
+TEST_F(LimitedServerTest, RequestsWaitUntilTheCallerHasReadTheLastResponse) {
+  constexpr std::size_t kAnswerBytes = std::size_t{8} << 20;
+  constexpr int kRequests = 4;
+  MemoryAccount large_account(std::size_t{64} << 20);
+  m_options.account = &large_account;
+  int handled = 0;
+  StartServer([&](const HttpRequest&, const HttpResponder& respond) {
+    ++handled;
+    HttpResponse response;
+    response.body.assign(kAnswerBytes, 'x');
+    respond(response);
+  });
+  RunBeside([&] {
+    RawSocket caller(m_server->LocalAddress());
+    std::string requests;
+    for (int i = 1; i < kRequests; ++i) requests += kGet;
+    caller.Send(requests + kGetAndClose);
+    EXPECT_GT(caller.ReceiveAll().size(), kRequests * kAnswerBytes);
+  });
+  EXPECT_EQ(handled, kRequests);
+  EXPECT_LT(large_account.PeakBytes(), 2 * kAnswerBytes);
+  EXPECT_EQ(large_account.HeldBytes(), 0U);
+}
+
+// Unread responses count, and the connection that holds most of them ends
+// before small requests of others are refused.
+TEST_F(LimitedServerTest, AnUnreadResponseEndsBeforeSmallRequestsAreRefused) {
+  constexpr std::size_t kAnswerBytes = std::size_t{16} << 20;
+  StartServer([](const HttpRequest& request, const HttpResponder& respond) {
+    HttpResponse response;
+    if (request.path == "/large") response.body.assign(kAnswerBytes, 'x');
+    respond(response);
+  });
+  RunBeside([&] {
+    RawSocket greedy(m_server->LocalAddress());
+    greedy.Send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+    // The first byte tells that the response is being written.
+    EXPECT_FALSE(greedy.ReceiveUntil("HTTP").empty());
+    RawSocket caller(m_server->LocalAddress());
+    caller.Send(kGetAndClose);
+    EXPECT_TRUE(caller.ReceiveAll().starts_with("HTTP/1.1 200"));
+    EXPECT_LT(greedy.ReceiveAll().size(), kAnswerBytes);
+  });
+  EXPECT_EQ(Count(BeastHttpServerCounter::kUnreadAnswers), 1U);
+  EXPECT_EQ(Count(BeastHttpServerCounter::kOverTotal), 0U);
+}
+
 TEST_F(BeastHttpServerTest, ReportsACallerThatDisconnectsBeforeItsResponse) {
   m_defer_responses = true;
   std::vector<std::uint64_t> disconnected;
