Tests: a response without an HTTP status breaks the call at once

The tests fail: 000, 001 and 099 are skipped as interim responses until the timeout, and 600 and 999 are passed on. libsoup itself rejects those below 100.

--- a/tests/adapters/beast_http_client_test.cc
+++ b/tests/adapters/beast_http_client_test.cc
@@ -111,6 +111,41 @@
   }
 }
 
+// Status 000 and 099 were taken for interim responses, so that the call waited
+// for its timeout, and 600 and above were passed on.
+TEST_F(BeastHttpClientTest, BreaksACallAtAStatusThatIsNoHttpStatus) {
+  for (const std::string& line : StartLinesWithoutStatus()) {
+    for (const char* rest : {"Content-Length: 2\r\n\r\nhi", "\r\n", ""}) {
+      SCOPED_TRACE(line + rest);
+      RawUpstream upstream([&](RawSocket& connection, int) {
+        connection.ReceiveUntil("\r\n\r\n");
+        connection.Send(line + rest);
+        connection.ReceiveAll();
+      });
+      HttpCall call = MakeCall(upstream.LocalAddress());
+      call.timeout = seconds(3);
+      const HttpCallResult result = SendAndWait(call);
+      EXPECT_EQ(result.end, HttpCallEnd::kBroken);
+      EXPECT_EQ(result.answer.status, 0);
+      EXPECT_TRUE(result.answer.headers.empty());
+      EXPECT_EQ(result.answer.body, "");
+    }
+  }
+}
+
+// Interim responses are skipped as before.
+TEST_F(BeastHttpClientTest, SkipsInterimResponsesOfEachStatus) {
+  RawUpstream upstream([&](RawSocket& connection, int) {
+    connection.ReceiveUntil("\r\n\r\n");
+    connection.Send(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n"
+        "HTTP/1.1 199 Odd\r\n\r\n");
+    connection.Send(kOk);
+    connection.ReceiveAll();
+  });
+  EXPECT_EQ(SendAndWait(MakeCall(upstream.LocalAddress())).answer.status, 200);
+}
+
 // A server in trouble sends bytes that are no answer until its client closes
 // the connection. The call fails at a bounded number of bytes, long before its
 // timeout.
--- a/tests/adapters/soup_upstream_transport_test.cc
+++ b/tests/adapters/soup_upstream_transport_test.cc
@@ -274,6 +274,24 @@
   EXPECT_EQ(Send(request).kind, SubOutcomeKind::kNotConnected);
 }
 
+// Such a response has no status, so the attempt ends at once and not at its
+// timeout.
+TEST_F(SoupUpstreamTransportTest, EndsACallAtAStatusThatIsNoHttpStatus) {
+  for (const std::string& line : StartLinesWithoutStatus()) {
+    for (const char* rest : {"Content-Length: 2\r\n\r\nhi", "\r\n"}) {
+      SCOPED_TRACE(line + rest);
+      RawUpstream upstream([&](RawSocket& connection, int) {
+        connection.ReceiveUntil(kEndOfRequest);
+        connection.Send(line + rest);
+        connection.ReceiveAll();
+      });
+      SubRequest request = Request(upstream);
+      request.timeout = seconds(3);
+      EXPECT_EQ(Send(request).kind, SubOutcomeKind::kMalformed);
+    }
+  }
+}
+
 // An upstream in trouble sends bytes that are no response until it is cut off.
 TEST_F(SoupUpstreamTransportTest, EndsACallWhoseUpstreamSendsBytesWithoutEnd) {
   /// Bytes that may be in flight when the connection is closed.
--- a/tests/fakes/endless_bytes.h
+++ b/tests/fakes/endless_bytes.h
@@ -16,6 +16,15 @@
   std::string repeated;
 };
 
+/// Returns the start lines of responses whose status is no HTTP status.
+inline std::vector<std::string> StartLinesWithoutStatus() {
+  std::vector<std::string> lines;
+  for (const char* status : {"000", "001", "099", "600", "999", "abc", "2x0"}) {
+    lines.push_back("HTTP/1.1 " + std::string(status) + " Odd\r\n");
+  }
+  return lines;
+}
+
 /// Sends `bytes` until the peer closes the connection, or until `max_bytes` are
 /// sent. Returns how many were.
 inline std::size_t SendEndlessly(RawSocket* connection,
