Upstreams: a response whose status is not from 100 to 599 breaks the call at once

The status is checked in the first bytes of a response, since Boost.Beast takes any three digits for a status and reads it only with a whole line. Such a response is counted as invalid_status, and none of it is passed on. Interim responses (1xx) are skipped as before. SoupUpstreamTransport reports statuses above 599 as malformed.

--- a/src/adapters/beast_http_client.cc
+++ b/src/adapters/beast_http_client.cc
@@ -41,6 +41,19 @@
 
 constexpr int kFirstErrorStatus = 400;
 
+/// Returns whether `text`, the first bytes of a response, is the beginning of a
+/// status line with a status from 100 to 599, as far as it has been received.
+/// The parser reads no status before the head is complete, and takes any three
+/// digits for one.
+bool MayBeginResponse(std::string_view text) {
+  constexpr std::size_t kStatusPosition = std::string_view("HTTP/1.1 ").size();
+  constexpr std::size_t kStatusBytes = 3;
+  if (text.size() < kStatusPosition + kStatusBytes) return true;
+  const std::string_view status = text.substr(kStatusPosition, kStatusBytes);
+  return status[0] >= '1' && status[0] <= '5' &&
+         status.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
 /// Returns the usable part of the "timeout=SECONDS" parameter of the Keep-Alive
 /// header, at most `fallback`; `fallback` if there is no valid parameter.
 Duration ParseIdleTimeout(const HttpClientAnswer& answer, Duration fallback) {
@@ -187,6 +200,7 @@
 
  private:
   void ResetParser() {
+    m_is_at_start = true;
     m_parser.emplace();
     m_parser->eager(true);
     m_parser->body_limit(m_client->m_options.max_response_bytes);
@@ -196,9 +210,14 @@
   void Parse(std::string_view bytes) {
     m_unparsed.append(bytes);
     while (m_call_id != 0 && !m_unparsed.empty()) {
+      if (m_is_at_start && !MayBeginResponse(m_unparsed)) {
+        m_client->m_counters.Add(BeastHttpClientCounter::kInvalidStatus);
+        return Fail("the status of the response is invalid");
+      }
       boost::system::error_code code;
       const std::size_t parsed_bytes = m_parser->put(
           boost::asio::buffer(m_unparsed.data(), m_unparsed.size()), code);
+      if (parsed_bytes > 0) m_is_at_start = false;
       m_unparsed.erase(0, parsed_bytes);
       ReleaseSpareCapacity(&m_unparsed);
       if (code == http::error::need_more) {
@@ -323,6 +342,8 @@
   std::uint32_t m_skipped_responses = 0;
   std::function<bool(const HttpClientAnswer&)> m_is_own_response;
   std::optional<http::response_parser<ReceivedBody>> m_parser;
+  /// Whether the parser has read no byte of the response.
+  bool m_is_at_start = true;
   std::string m_unparsed;
   TimerId m_idle_timer = 0;
   AccountedBytes m_accounted;
--- a/src/adapters/beast_http_client.h
+++ b/src/adapters/beast_http_client.h
@@ -36,6 +36,9 @@
   /// Calls that failed because all incomplete responses together were too
   /// large.
   kResponsesOverTotal,
+  /// Calls that failed because the status of the response was not from 100 to
+  /// 599.
+  kInvalidStatus,
   kTimedOut,
   kBytesSent,
   kBytesReceived,
@@ -43,7 +46,7 @@
 
 template <>
 struct CounterNames<BeastHttpClientCounter> {
-  static constexpr std::array<std::string_view, 12> kNames = {
+  static constexpr std::array<std::string_view, 13> kNames = {
       "calls",
       "connections_opened",
       "connections_reused",
@@ -53,6 +56,7 @@
       "unasked_bytes",
       "broken",
       "responses_over_total",
+      "invalid_status",
       "timed_out",
       "bytes_sent",
       "bytes_received"};
--- a/src/adapters/soup_upstream_transport.cc
+++ b/src/adapters/soup_upstream_transport.cc
@@ -13,6 +13,9 @@
 /// Limit on the interim (1xx) responses to one request.
 constexpr std::uint32_t kMaxInterimResponses = 16;
 
+/// libsoup rejects statuses below 100 and those that are not numbers.
+constexpr guint kMaxStatus = 599;
+
 }  // namespace
 
 struct SoupUpstreamTransport::Exchange {
@@ -138,11 +141,13 @@
       transport->m_options.scheduler->Now() - exchange->sent_at;
   SoupMessageHeaders* headers = soup_message_get_response_headers(message);
   const goffset length = soup_message_headers_get_content_length(headers);
+  const bool is_status = soup_message_get_status(message) <= kMaxStatus;
   const bool is_bounded =
       soup_message_headers_get_encoding(headers) ==
           SOUP_ENCODING_CONTENT_LENGTH &&
       length <= static_cast<goffset>(transport->m_options.max_response_bytes);
-  if (!is_bounded) transport->Fail(exchange, SubOutcomeKind::kMalformed);
+  if (!is_status || !is_bounded)
+    transport->Fail(exchange, SubOutcomeKind::kMalformed);
 }
 
 void SoupUpstreamTransport::OnNetworkEvent(SoupMessage* /*message*/,
