--- a/src/adapters/soup_upstream_transport.cc
+++ b/src/adapters/soup_upstream_transport.cc
@@ -141,13 +141,14 @@
       transport->m_options.scheduler->Now() - exchange->sent_at;
   SoupMessageHeaders* headers = soup_message_get_response_headers(message);
   const goffset length = soup_message_headers_get_content_length(headers);
-  const bool is_status = soup_message_get_status(message) <= kMaxStatus;
+  const bool is_status =
+      static_cast<guint>(soup_message_get_status(message)) <= kMaxStatus;
   const bool is_bounded =
       soup_message_headers_get_encoding(headers) ==
           SOUP_ENCODING_CONTENT_LENGTH &&
       length <= static_cast<goffset>(transport->m_options.max_response_bytes);
-  if (!is_status || !is_bounded)
-    transport->Fail(exchange, SubOutcomeKind::kMalformed);
+  if (is_status && is_bounded) return;
+  transport->Fail(exchange, SubOutcomeKind::kMalformed);
 }
 
 void SoupUpstreamTransport::OnNetworkEvent(SoupMessage* /*message*/,
