--- a/src/adapters/beast_http_client.cc
+++ b/src/adapters/beast_http_client.cc
@@ -12,6 +12,7 @@
 #include "adapters/http_message_text.h"
 #include "adapters/received_body.h"
 #include "adapters/stream_socket.h"
+#include "base/spare_capacity.h"
 
 namespace chicoryvale {
 namespace {
@@ -35,8 +36,24 @@
 /// it has carried so many.
 constexpr std::size_t kMaxFailedRequests = 64;
 
+/// Larger bodies are written apart from the head, which saves a copy.
+constexpr std::size_t kMaxJoinedBodyBytes = std::size_t{16} << 10;
+
 constexpr int kFirstErrorStatus = 400;
 
+/// Returns whether `text`, the first bytes of a response, is the beginning of a
+/// status line with a status from 100 to 599, as far as it has been received.
+/// The parser reads no status before the head is complete, and takes any three
+/// digits for one.
+bool MayBeginResponse(std::string_view text) {
+  constexpr std::size_t kStatusPosition = std::string_view("HTTP/1.1 ").size();
+  constexpr std::size_t kStatusBytes = 3;
+  if (text.size() < kStatusPosition + kStatusBytes) return true;
+  const std::string_view status = text.substr(kStatusPosition, kStatusBytes);
+  return status[0] >= '1' && status[0] <= '5' &&
+         status.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
 /// Returns the usable part of the "timeout=SECONDS" parameter of the Keep-Alive
 /// header, at most `fallback`; `fallback` if there is no valid parameter.
 Duration ParseIdleTimeout(const HttpClientAnswer& answer, Duration fallback) {
@@ -67,11 +84,14 @@
 class BeastHttpClient::Connection : public StreamListener {
  public:
   Connection(BeastHttpClient* client, Address to)
-      : m_client(client), m_server_address(std::move(to)) {}
+      : m_client(client),
+        m_server_address(std::move(to)),
+        m_accounted(client->m_account) {}
 
   bool Open() {
     m_socket = StreamSocket::Connect(m_client->m_options.poller,
                                      m_server_address, this);
+    if (m_socket) ++m_client->m_open_connections;
     return m_socket != nullptr;
   }
 
@@ -86,11 +106,17 @@
     const std::size_t body_bytes = call.body ? call.body->size() : 0;
     std::string text =
         FormatRequestHead(call.method, call.target, call.headers, body_bytes);
-    if (call.body) text += *call.body;
-    m_client->m_counters.Add(BeastHttpClientCounter::kBytesSent, text.size());
+    m_client->m_counters.Add(BeastHttpClientCounter::kBytesSent,
+                             text.size() + body_bytes);
+    const bool is_joined = body_bytes > 0 && body_bytes <= kMaxJoinedBodyBytes;
+    if (is_joined) text += *call.body;
     m_socket->Write(text);
+    if (body_bytes > 0 && !is_joined) m_socket->Write(*call.body);
+    UpdateAccount();
   }
 
+  void OnFlushed() override { UpdateAccount(); }
+
   /// Returns whether the server has answered a request with the id `request_id`
   /// on this connection with an error status.
   [[nodiscard]] bool HasFailed(const std::string& request_id) const {
@@ -107,7 +133,9 @@
   void Close() {
     ReleaseBufferedBytes();
     m_client->m_options.scheduler->Cancel(std::exchange(m_idle_timer, 0));
+    if (m_socket) --m_client->m_open_connections;
     m_socket.reset();
+    m_accounted.Set(0);
   }
 
   /// Returns the status and the headers of the response that is being received
@@ -134,6 +162,7 @@
     }
     m_buffered_bytes += bytes.size();
     m_client->m_buffered_bytes += bytes.size();
+    UpdateAccount();
     while (m_client->m_buffered_bytes >
            m_client->m_options.max_buffered_bytes) {
       m_client->FailLargestResponse();
@@ -171,6 +200,7 @@
 
  private:
   void ResetParser() {
+    m_is_at_start = true;
     m_parser.emplace();
     m_parser->eager(true);
     m_parser->body_limit(m_client->m_options.max_response_bytes);
@@ -180,10 +210,16 @@
   void Parse(std::string_view bytes) {
     m_unparsed.append(bytes);
     while (m_call_id != 0 && !m_unparsed.empty()) {
+      if (m_is_at_start && !MayBeginResponse(m_unparsed)) {
+        m_client->m_counters.Add(BeastHttpClientCounter::kInvalidStatus);
+        return Fail("the status of the response is invalid");
+      }
       boost::system::error_code code;
       const std::size_t parsed_bytes = m_parser->put(
           boost::asio::buffer(m_unparsed.data(), m_unparsed.size()), code);
+      if (parsed_bytes > 0) m_is_at_start = false;
       m_unparsed.erase(0, parsed_bytes);
+      ReleaseSpareCapacity(&m_unparsed);
       if (code == http::error::need_more) {
         if (m_unparsed.size() <= kMaxIncompleteLineBytes) return;
         return Fail("malformed response: a line is too long");
@@ -224,6 +260,12 @@
 
   void ReleaseBufferedBytes() {
     m_client->m_buffered_bytes -= std::exchange(m_buffered_bytes, 0);
+    if (m_socket) UpdateAccount();
+  }
+
+  // Accounts for the unsent bytes of the request and the incomplete response.
+  void UpdateAccount() {
+    m_accounted.Set(m_socket->UnsentBytes() + m_buffered_bytes);
   }
 
   // Returns the status and the headers of the response that is being parsed.
@@ -300,12 +342,17 @@
   std::uint32_t m_skipped_responses = 0;
   std::function<bool(const HttpClientAnswer&)> m_is_own_response;
   std::optional<http::response_parser<ReceivedBody>> m_parser;
+  /// Whether the parser has read no byte of the response.
+  bool m_is_at_start = true;
   std::string m_unparsed;
   TimerId m_idle_timer = 0;
+  AccountedBytes m_accounted;
 };
 
 BeastHttpClient::BeastHttpClient(const BeastHttpClientOptions& options)
-    : m_options(options) {}
+    : m_options(options),
+      m_account(options.account != nullptr ? options.account : &m_own_account) {
+}
 
 BeastHttpClient::~BeastHttpClient() {
   for (auto& [id, call] : m_calls) {
@@ -350,7 +397,7 @@
     m_counters.Add(BeastHttpClientCounter::kConnectionsReused);
   } else {
     auto new_connection = std::make_unique<Connection>(this, open_call.call.to);
-    if (!new_connection->Open()) {
+    if (!MakeRoomForConnection() || !new_connection->Open()) {
       m_counters.Add(BeastHttpClientCounter::kConnectionsRefusedHere);
       m_options.scheduler->Schedule(Duration::zero(), [this, id] {
         if (!m_calls.contains(id)) return;
@@ -420,6 +467,16 @@
   DestroyLater(std::move(removed));
 }
 
+bool BeastHttpClient::MakeRoomForConnection() {
+  if (m_open_connections < m_options.max_connections) return true;
+  const auto idle = std::ranges::find_if(
+      m_idle, [](const auto& entry) { return !entry.second.empty(); });
+  if (idle == m_idle.end()) return false;
+  // The least recently used connection to that server.
+  RemoveIdle(idle->second.front().get());
+  return true;
+}
+
 void BeastHttpClient::DestroyLater(std::unique_ptr<Connection> connection) {
   if (!connection) return;
   connection->Close();
