Callers: a connection whose request runs is not closed by the memory limits

Closing it would not stop the request and would lose its response. At most 16 KiB (was 64 KiB) of an earlier response may be unread when the next request starts, so that such connections hold little.

--- a/src/adapters/beast_http_server.cc
+++ b/src/adapters/beast_http_server.cc
@@ -38,7 +38,7 @@
 
 /// Limit on the bytes of a response that the caller has not read when the next
 /// request of the connection is processed.
-constexpr std::size_t kMaxUnreadBytes = std::size_t{64} * 1024;
+constexpr std::size_t kMaxUnreadBytes = std::size_t{16} * 1024;
 
 /// Requests of at most this size are read on while the account is tight.
 constexpr std::size_t kSmallRequestBytes = std::size_t{16} * 1024;
@@ -97,8 +97,10 @@
   /// Returns whether no byte has arrived on the connection.
   [[nodiscard]] bool IsUnused() const { return !m_has_received; }
 
-  /// Returns the bytes that DropLargest would free.
+  /// Returns the bytes that DropLargest would free; 0 while a request waits for
+  /// its response, because closing the connection would not stop that request.
   [[nodiscard]] std::size_t DroppableBytes() const {
+    if (m_awaiting_response) return 0;
     return std::max(BytesBeingRead(), m_unread.Get());
   }
 
--- a/src/adapters/beast_http_server.h
+++ b/src/adapters/beast_http_server.h
@@ -85,7 +85,8 @@
   HttpServerLimits limits;
   /// Account of the bytes that the process holds for callers. Beyond its limit,
   /// the largest of the requests that are being read is refused, or the
-  /// connection closed whose caller leaves more bytes unread. May be null: the
+  /// connection closed whose caller leaves more bytes unread, unless one of its
+  /// requests waits for a response. May be null: the
   /// server then has an account of its own with the limit `max_held_bytes`.
   MemoryAccount* account = nullptr;
   std::size_t max_held_bytes = std::size_t{32} << 20;
--- a/tests/adapters/beast_http_server_test.cc
+++ b/tests/adapters/beast_http_server_test.cc
@@ -309,6 +309,41 @@
   EXPECT_EQ(large_account.HeldBytes(), 0U);
 }
 
+// A request that runs must not lose its connection to the memory limits, which
+// would leave its caller without the response.
+TEST_F(LimitedServerTest, AConnectionWhoseRequestRunsIsNotClosed) {
+  constexpr std::size_t kBodyBytes = 700'000;
+  HttpResponder respond_to_slow;
+  std::atomic<bool> runs = false;
+  StartServer([&](const HttpRequest& request, const HttpResponder& respond) {
+    if (request.path == "/slow") {
+      respond_to_slow = respond;
+      runs = true;
+      return;
+    }
+    // The last request ends the slow one.
+    respond_to_slow({});
+    respond({});
+  });
+  const std::string headers =
+      " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+      "Content-Length: " +
+      std::to_string(kBodyBytes) + "\r\n\r\n";
+  RunBeside([&] {
+    RawSocket slow(m_server->LocalAddress());
+    slow.Send("POST /slow" + headers + std::string(kBodyBytes, 'x'));
+    while (!runs) std::this_thread::yield();
+    RawSocket greedy(m_server->LocalAddress());
+    greedy.Send("POST /" + headers + std::string(kBodyBytes - 1, 'x'));
+    EXPECT_TRUE(greedy.ReceiveAll().starts_with("HTTP/1.1 503"));
+    RawSocket caller(m_server->LocalAddress());
+    caller.Send(kGetAndClose);
+    EXPECT_TRUE(caller.ReceiveAll().starts_with("HTTP/1.1 200"));
+    EXPECT_TRUE(slow.ReceiveAll().starts_with("HTTP/1.1 200"));
+  });
+  EXPECT_EQ(m_account.HeldBytes(), 0U);
+}
+
 // Unread responses count, and the connection that holds most of them ends
 // before small requests of others are refused.
 TEST_F(LimitedServerTest, AnUnreadResponseEndsBeforeSmallRequestsAreRefused) {
