Replicas: the fourth value of the load header is how slow the machine is

Cause: a load header with four values was dropped whole, so that the queue of the replica was unknown too, and a machine that became slow showed only in the mean latency, after many answers.

Change: the expected latency of a replica is multiplied by the slowness that it reported, weighted with a half-life of 0.1 s. A measured latency is divided by the slowness of the same answer before it enters the means. A replica that warms up counts with the larger of both factors, and one that reports to be slow is taken for paused only after a correspondingly longer silence.

--- a/src/ports/replica_transport.h
+++ b/src/ports/replica_transport.h
@@ -49,6 +49,9 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;
+  /// How long work takes on the machine at present, relative to what is usual
+  /// there; positive. Absent if not reported.
+  std::optional<double> slowness = std::nullopt;
 };
 
 /// What a replica says of itself in an answer, whatever the answer is.
--- a/src/routing/replica_pool.cc
+++ b/src/routing/replica_pool.cc
@@ -21,6 +21,10 @@
 /// processed within the time of a few requests.
 constexpr double kReportedQueueHalfLifeSeconds = 0.1;
 
+/// Half-life of the weight of a reported slowness: it changes many times a
+/// second.
+constexpr double kReportedSlownessHalfLifeSeconds = 0.1;
+
 /// Cost of a failed send: the time until the failure is noticed and the request
 /// is sent again. Also added to the cost of a replica that closes its
 /// connections.
@@ -312,6 +316,15 @@
              : share->second;
 }
 
+double ReplicaPool::Slowness(const Replica& replica, TimePoint now) {
+  // Replicas that report no slowness need no decay to be computed.
+  if (replica.reported_slowness == 1) return 1;
+  const Duration age =
+      std::max(now - replica.slowness_reported_at, Duration::zero());
+  return 1 + (replica.reported_slowness - 1) *
+                 DecayFactor(age, kReportedSlownessHalfLifeSeconds);
+}
+
 // A replica without an answer is assumed to have the latency of its service.
 // Otherwise, with many entries and many replicas, most sends would go to
 // replicas that have not been tried.
@@ -331,8 +344,11 @@
 
 double ReplicaPool::ExpectedCostUs(const Replica& replica,
                                    TimePoint now) const {
-  double latency = ExpectedLatencyUs(replica, now);
-  if (now < replica.warm_at) latency *= kWarmupLatencyFactor;
+  // A replica that warms up reports a slowness that includes the warmup.
+  const double slowness =
+      std::max(Slowness(replica, now),
+               now < replica.warm_at ? kWarmupLatencyFactor : 0.0);
+  const double latency = ExpectedLatencyUs(replica, now) * slowness;
   const double recent_queue =
       replica.reported_queue * DecayFactor(now - replica.queue_reported_at,
                                            kReportedQueueHalfLifeSeconds);
@@ -362,8 +378,9 @@
       })->second;
   if (replica.last_answer_at && *replica.last_answer_at > oldest) return false;
   const auto silence_us = static_cast<double>((now - oldest).count());
-  return silence_us > std::max(kMinPauseSilenceUs,
-                               kPauseLatencyFactor * replica.mean_latency_us);
+  const double latency_us = replica.mean_latency_us * Slowness(replica, oldest);
+  return silence_us >
+         std::max(kMinPauseSilenceUs, kPauseLatencyFactor * latency_us);
 }
 
 double ReplicaPool::FailureRatio(const Replica& replica, TimePoint now) const {
@@ -416,30 +433,41 @@
   if (answer.end == SendEnd::kWrongReplica) {
     replica.wrong_replica_until = now + kWrongReplicaAvoidTime;
   }
-  if (answer.load) {
-    const double other_requests =
-        static_cast<double>(answer.load->running + answer.load->waiting) -
-        static_cast<double>(replica.open_sends.size());
-    replica.reported_queue = std::max(other_requests, 0.0);
-    replica.queue_reported_at = now;
-  }
+  if (answer.load) RecordLoad(&replica, *answer.load, now);
   if (answer.end != SendEnd::kAnswered) return;
   replica.last_answer_at = now;
-  const auto latency_us = static_cast<double>(latency.count());
-  if (answer.IsSuccess()) {
+  const double slowness = answer.load ? answer.load->slowness.value_or(1) : 1.0;
+  RecordLatency(&replica, static_cast<double>(latency.count()) / slowness,
+                answer.IsSuccess());
+}
+
+void ReplicaPool::RecordLoad(Replica* replica, const ReplicaLoad& load,
+                             TimePoint now) {
+  const double other_requests =
+      static_cast<double>(load.running + load.waiting) -
+      static_cast<double>(replica->open_sends.size());
+  replica->reported_queue = std::max(other_requests, 0.0);
+  replica->queue_reported_at = now;
+  replica->reported_slowness = load.slowness.value_or(1);
+  replica->slowness_reported_at = now;
+}
+
+void ReplicaPool::RecordLatency(Replica* replica, double latency_us,
+                                bool is_success) {
+  if (is_success) {
     const auto [service, first] =
-        m_service_latency_us.try_emplace(replica.listed.service, latency_us);
+        m_service_latency_us.try_emplace(replica->listed.service, latency_us);
     if (!first) service->second += kEwmaWeight * (latency_us - service->second);
   }
-  if (!replica.has_latency) {
-    replica.mean_latency_us = latency_us;
-    replica.has_latency = true;
-  } else {
-    const double bounded_latency_us =
-        std::min(latency_us, kMaxSampleLatencyFactor * replica.mean_latency_us);
-    replica.mean_latency_us +=
-        kEwmaWeight * (bounded_latency_us - replica.mean_latency_us);
+  if (!replica->has_latency) {
+    replica->mean_latency_us = latency_us;
+    replica->has_latency = true;
+    return;
   }
+  const double bounded_latency_us =
+      std::min(latency_us, kMaxSampleLatencyFactor * replica->mean_latency_us);
+  replica->mean_latency_us +=
+      kEwmaWeight * (bounded_latency_us - replica->mean_latency_us);
 }
 
 void ReplicaPool::CancelSend(const std::string& id, std::uint64_t send) {
--- a/src/routing/replica_pool.h
+++ b/src/routing/replica_pool.h
@@ -210,7 +210,8 @@
     /// Start times of the sends that have not ended, by number.
     std::map<std::uint64_t, TimePoint> open_sends;
     std::optional<TimePoint> last_answer_at;
-    /// Recency-weighted mean time to an answer.
+    /// Recency-weighted mean time to an answer, as if the replica had been as
+    /// slow as usual.
     double mean_latency_us = 0;
     bool has_latency = false;
     /// Recency-weighted ratio of failures, from 0 to 1. Refusals count as
@@ -225,6 +226,9 @@
     /// when it last reported its load.
     double reported_queue = 0;
     TimePoint queue_reported_at{};
+    /// Slowness that the replica last reported, relative to what is usual.
+    double reported_slowness = 1;
+    TimePoint slowness_reported_at{};
     TimePoint warm_at{};
     /// Until this time the replica is cold because its availability zone was
     /// evacuated.
@@ -246,6 +250,13 @@
                                     TimePoint now) const;
   [[nodiscard]] double ExpectedLatencyUs(const Replica& replica,
                                          TimePoint now) const;
+  // Returns the slowness that `replica` reported, weighted by its age; 1 if it
+  // reported none.
+  static double Slowness(const Replica& replica, TimePoint now);
+  static void RecordLoad(Replica* replica, const ReplicaLoad& load,
+                         TimePoint now);
+  // Records the time to an answer as if the replica had been as slow as usual.
+  void RecordLatency(Replica* replica, double latency_us, bool is_success);
   static void RecordOutcome(Replica* replica, bool failed, double weight,
                             TimePoint now);
 
@@ -285,7 +296,7 @@
   std::unordered_map<std::string, ReplicaWarmup> m_warmups;
   std::vector<std::string> m_evacuated_zones;
   /// Recency-weighted mean time to an answer over all replicas of a service, by
-  /// service.
+  /// service, as if the replicas had been as slow as usual.
   std::unordered_map<std::string, double> m_service_latency_us;
 };
 
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -295,14 +295,42 @@
   }
 }
 
-TEST(ReplicaLoadTest, AcceptsExactlyThreeNumbers) {
+TEST(ReplicaLoadTest, AcceptsThreeNumbers) {
   EXPECT_EQ(DecodeLoad("3,0,8")->slots, 8U);
+  EXPECT_FALSE(DecodeLoad("3,0,8")->slowness);
   for (const char* invalid_text :
-       {"", "3", "3,0", "3,0,", "3,0,8,", "a,0,8", "3;0;8"}) {
+       {"", "3", "3,0", "3,0,", "3,0,8,", "a,0,8", "3;0;8", "3,0,8;",
+        "3,0,x,100", "3,0,8,x", "3,0,8,-5", "3,0,8,,5", "3,0,8, 100"}) {
     EXPECT_FALSE(DecodeLoad(invalid_text)) << invalid_text;
   }
 }
 
+// A load with a fourth value was dropped whole, so that the queue of the
+// replica was unknown too.
+TEST(ReplicaLoadTest, ReadsTheFourthValueAndIgnoresFurtherOnes) {
+  for (const char* text : {"3,1,8,250", "3,1,8,250.0", "3,1,8,250,7,x"}) {
+    const auto load = DecodeLoad(text);
+    ASSERT_TRUE(load) << text;
+    EXPECT_EQ(load->running, 3U);
+    EXPECT_EQ(load->waiting, 1U);
+    EXPECT_EQ(load->slots, 8U);
+    ASSERT_TRUE(load->slowness) << text;
+    EXPECT_DOUBLE_EQ(*load->slowness, 2.5);
+  }
+  EXPECT_DOUBLE_EQ(*DecodeLoad("3,1,8,10000")->slowness, 100);
+}
+
+// A replica with such a value would be chosen always or never.
+TEST(ReplicaLoadTest, IgnoresAnImpossibleFourthValue) {
+  for (const char* text :
+       {"3,1,8,0", "3,1,8,0.0", "3,1,8,10001", "3,1,8,9999999999999999999"}) {
+    const auto load = DecodeLoad(text);
+    ASSERT_TRUE(load) << text;
+    EXPECT_EQ(load->slots, 8U);
+    EXPECT_FALSE(load->slowness) << text;
+  }
+}
+
 HttpRequest MakeRequest() {
   HttpRequest request;
   request.method = "GET";
--- a/tests/routing/replica_pool_test.cc
+++ b/tests/routing/replica_pool_test.cc
@@ -183,6 +183,61 @@
   EXPECT_GT(CountChoices(100, kStart + seconds(3))["1"], 20);
 }
 
+ReplicaAnswer GoodWithSlowness(std::optional<double> slowness) {
+  ReplicaAnswer answer = Good();
+  answer.load = ReplicaLoad{0, 0, 2, slowness};
+  return answer;
+}
+
+// A replica whose machine had become slow was chosen until its mean latency
+// showed it, which takes many answers.
+TEST_F(ReplicaPoolTest, AReportedSlownessCountsOnlyWhileItIsRecent) {
+  m_pool.SetReplicas({Listed("1"), Listed("2")}, kStart);
+  Exchange("1", kStart, milliseconds(5), GoodWithSlowness(1));
+  Exchange("2", kStart, milliseconds(5), GoodWithSlowness(1));
+  Exchange("1", kStart + milliseconds(5), milliseconds(20),
+           GoodWithSlowness(4));
+  EXPECT_EQ(CountChoices(100, kStart + milliseconds(26))["1"], 0);
+  EXPECT_GT(CountChoices(100, kStart + seconds(2))["1"], 20);
+}
+
+// Guards against counting the slowness twice: in the mean latency, and as
+// reported.
+TEST_F(ReplicaPoolTest, TheMeanLatencyIsThatOfAReplicaAsSlowAsUsual) {
+  m_pool.SetReplicas({Listed("1"), Listed("2")}, kStart);
+  for (int i = 0; i < 20; ++i) {
+    Exchange("1", kStart, milliseconds(40), GoodWithSlowness(4));
+    Exchange("2", kStart, milliseconds(10), GoodWithSlowness(1));
+  }
+  const TimePoint reported = kStart + milliseconds(40);
+  const Duration slow = m_pool.Choose("s", {"2"}, reported)->cost;
+  EXPECT_GE(slow, milliseconds(36));
+  EXPECT_LE(slow, milliseconds(44));
+  // An answer shows that the machine is as usual again.
+  Exchange("1", reported, milliseconds(10), GoodWithSlowness(1));
+  EXPECT_GT(CountChoices(100, reported + milliseconds(10))["1"], 20);
+}
+
+// A slow machine was taken for a paused one, which has a cost of its own.
+TEST_F(ReplicaPoolTest, AReplicaThatReportsToBeSlowIsNotTakenForPaused) {
+  m_pool.SetReplicas({Listed("1", "b")}, kStart);
+  Exchange("1", kStart, milliseconds(40), GoodWithSlowness(4));
+  const TimePoint sent = kStart + milliseconds(40);
+  m_pool.BeginSend("1", sent);
+  EXPECT_FALSE(m_pool.RemoteZones("s", sent + milliseconds(100)).empty());
+  EXPECT_TRUE(m_pool.RemoteZones("s", sent + milliseconds(130)).empty());
+}
+
+// A value that is left out means as usual, also after another one.
+TEST_F(ReplicaPoolTest, ALoadWithoutSlownessEndsTheReportedOne) {
+  m_pool.SetReplicas({Listed("1")}, kStart);
+  Exchange("1", kStart, milliseconds(10), GoodWithSlowness(1));
+  Exchange("1", kStart, milliseconds(40), GoodWithSlowness(4));
+  Exchange("1", kStart, milliseconds(10), GoodWithSlowness(std::nullopt));
+  EXPECT_LE(m_pool.Choose("s", {}, kStart + milliseconds(10))->cost,
+            milliseconds(11));
+}
+
 ReplicaNotice Draining() { return {.draining = true, .back_off = {}}; }
 ReplicaNotice BackOff(Duration time) {
   return {.draining = false, .back_off = time};
