Zone overflow: each entry decides which share of its requests leaves the zone

Cause: sending to another availability zone had a constant cost, whether or not that zone had room. With both zones together beyond their capacity, the callers of the zone that had room for its own were late too.

Change: src/placement decides for each service, from the load that replicas report, which share of an entry's requests may go to which other zone. A request draws one number for all its sends; if it may leave, the cost of each replica decides. Relays keep their sub-requests in their zone. The settings are placement.zone_overflow (default false) and placement.cross_zone_price_us.

A process with the setting on was not run under load.

--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -19,6 +19,7 @@
 /// allows for slow timers and the exit of the process.
 constexpr int kShutdownGracePercent = 92;
 constexpr int kPercent = 100;
+constexpr double kPermille = 1000;
 
 std::unordered_map<std::string, ReplicaWarmup> WarmupsOf(
     const RoutingConfig& config) {
@@ -99,6 +100,7 @@
       m_http_client.get(), &m_log, Address{m_settings.replica_list_address});
   m_replica_pool = std::make_unique<ReplicaPool>(
       m_settings.peers.availability_zone, RandomSeed());
+  m_replica_pool->SetZoneOverflow(m_settings.zone_overflow);
   m_send_tracker = std::make_unique<SendTracker>(
       &m_scheduler, m_replica_transport.get(), m_replica_pool.get(), &m_log);
   m_retry_budget =
@@ -321,6 +323,11 @@
   m_latencies.Visit([&page](const std::string& name, std::uint64_t count) {
     page.AddValue("gateway", "request_latency_" + name, count);
   });
+  m_replica_pool->VisitZoneShares(
+      [&page](const std::string& zone, double share) {
+        page.AddValue("replica_pool", "overflow_share_permille_" + zone,
+                      static_cast<std::uint64_t>(share * kPermille));
+      });
   m_peers->AddMetrics(&page);
   return page.Response();
 }
--- a/programs/chicory-gatewayd/gateway_settings.cc
+++ b/programs/chicory-gatewayd/gateway_settings.cc
@@ -17,6 +17,8 @@
 constexpr IntegerRange kRetryBudgetWindowRangeMs = {100, 600'000};
 constexpr IntegerRange kFixedRetriesRange = {0, 1'000'000};
 constexpr double kMaxQuotaSlack = 1'000'000;
+constexpr std::int64_t kDefaultCrossZonePriceUs = 5'000;
+constexpr IntegerRange kCrossZonePriceRangeUs = {0, 10'000'000};
 constexpr std::int64_t kDefaultMaxConnections = 2000;
 constexpr IntegerRange kMaxConnectionsRange = {1, 1'000'000};
 
@@ -31,6 +33,15 @@
   return budget;
 }
 
+ZoneOverflowOptions ReadZoneOverflow(SettingsReader& reader) {
+  ZoneOverflowOptions overflow;
+  overflow.enabled = reader.Bool("placement.zone_overflow", false);
+  overflow.cross_zone_price = microseconds(
+      reader.Integer("placement.cross_zone_price_us", kDefaultCrossZonePriceUs,
+                     kCrossZonePriceRangeUs));
+  return overflow;
+}
+
 }  // namespace
 
 GatewaySettings ReadGatewaySettings(SettingsReader& reader) {
@@ -53,6 +64,7 @@
   settings.retry_budget.first_start = settings.replica_list.first_start;
   settings.quota.slack = reader.Number("quota.slack", 0, 0, kMaxQuotaSlack);
   settings.quota.first_start = settings.replica_list.first_start;
+  settings.zone_overflow = ReadZoneOverflow(reader);
   settings.max_connections = static_cast<std::uint32_t>(reader.Integer(
       "callers.max_connections", kDefaultMaxConnections, kMaxConnectionsRange));
   settings.linger = ReadLinger(reader);
--- a/programs/chicory-gatewayd/gateway_settings.h
+++ b/programs/chicory-gatewayd/gateway_settings.h
@@ -6,6 +6,7 @@
 #include "adapters/log.h"
 #include "adapters/peer_stack.h"
 #include "base/time.h"
+#include "placement/zone_overflow.h"
 #include "quota/quota_owner.h"
 #include "routing/replica_list_sync.h"
 #include "routing/retry_budget.h"
@@ -29,6 +30,7 @@
   ReplicaListOptions replica_list;
   RetryBudgetOptions retry_budget;
   QuotaOptions quota;
+  ZoneOverflowOptions zone_overflow;
   /// Maximum number of open connections at each of the HTTP servers for
   /// callers, readiness and metrics.
   std::uint32_t max_connections = 0;
--- a/src/routing/replica_pool.cc
+++ b/src/routing/replica_pool.cc
@@ -61,6 +61,20 @@
 constexpr double kMinRemoteZoneCostUs = 20'000;
 constexpr double kRemoteZoneLatencyRatio = 0.2;
 
+/// Cost of a replica in a zone that ZoneOverflow did not choose, or of one that
+/// is paused: more than any expected latency, so that a queue alone does not
+/// overrule the decision. A replica that fails or closes its connections has
+/// twice that cost, and so has one in a zone without room, because replicas of
+/// an overloaded zone seem to be paused too.
+constexpr double kMisplacedCostUs = 10'000'000;
+
+/// Failure ratio from which a replica does not count as in service.
+constexpr double kDownFailureRatio = 0.5;
+
+/// Half-life of a report in the mean load of a replica: the load at a single
+/// moment is mostly chance with few slots.
+constexpr double kMeanBusyHalfLifeSeconds = 0.5;
+
 /// Upper bound of a latency sample, as a factor of the mean so far: a single
 /// pause does not make a replica count as slow, while a slow replica shows in
 /// further answers.
@@ -253,13 +267,14 @@
 
 std::optional<ChosenReplica> ReplicaPool::Choose(
     const std::string& service, const std::vector<std::string>& excluded,
-    TimePoint now) {
-  return ChooseReachable(service, excluded, Reach::kDirect, now);
+    TimePoint now, double draw) {
+  return ChooseReachable(service, excluded, Reach::kDirect,
+                         PlaceRequest(service, draw, now), now);
 }
 
 std::optional<ChosenReplica> ReplicaPool::ChooseReachable(
     const std::string& service, const std::vector<std::string>& excluded,
-    Reach reach, TimePoint now) {
+    Reach reach, const RequestPlacement& placement, TimePoint now) {
   const auto usable = m_usable.find(service);
   if (usable == m_usable.end()) return std::nullopt;
   // Jitter keeps entries with the same information from choosing the same
@@ -268,6 +283,7 @@
   const std::size_t share = ConnectionShare(service);
   const Replica* best = nullptr;
   double best_cost = 0;
+  double best_rank = 0;
   for (const std::string& id : usable->second) {
     if (std::ranges::find(excluded, id) != excluded.end()) continue;
     const Replica& replica = m_replicas.at(id);
@@ -281,21 +297,31 @@
       m_counters.Add(ReplicaPoolCounter::kChoicesWithoutRate);
       continue;
     }
-    const double cost = ExpectedCostUs(replica, now) * jitter(m_random);
-    if (best != nullptr && cost >= best_cost) continue;
+    const double cost =
+        ExpectedCostUs(replica, placement, now) * jitter(m_random);
+    const double rank = cost + PlacementCostUs(replica, placement, now);
+    if (best != nullptr && rank >= best_rank) continue;
     best = &replica;
     best_cost = cost;
+    best_rank = rank;
   }
   if (best == nullptr) return std::nullopt;
+  CountOverflow(placement, *best);
   return ChosenReplica{best->listed.id, best->listed.address,
                        Duration(static_cast<Duration::rep>(best_cost)),
                        best->listed.availability_zone};
 }
 
 std::vector<std::string> ReplicaPool::RemoteZones(const std::string& service,
-                                                  TimePoint now) {
-  const auto choice = ChooseReachable(service, {}, Reach::kByRelay, now);
+                                                  TimePoint now, double draw) {
+  const RequestPlacement placement = PlaceRequest(service, draw, now);
+  const auto choice =
+      ChooseReachable(service, {}, Reach::kByRelay, placement, now);
   if (!choice || choice->availability_zone == m_own_zone) return {};
+  if (placement.zone != nullptr &&
+      choice->availability_zone == *placement.zone) {
+    return {*placement.zone};
+  }
   std::vector<std::string> zones;
   for (const std::string& id : m_usable.at(service)) {
     const Replica& replica = m_replicas.at(id);
@@ -343,6 +369,7 @@
 }
 
 double ReplicaPool::ExpectedCostUs(const Replica& replica,
+                                   const RequestPlacement& placement,
                                    TimePoint now) const {
   // A replica that warms up reports a slowness that includes the warmup.
   const double slowness =
@@ -363,12 +390,160 @@
   cost += FailureRatio(replica, now) * kFailureCostUs;
   if (IsLikelyPaused(replica, now)) cost += kPauseCostUs;
   if (replica.listed.availability_zone != m_own_zone) {
-    cost += std::max(kMinRemoteZoneCostUs, kRemoteZoneLatencyRatio * latency);
+    cost += ZoneCostUs(replica, latency, placement);
   }
   if (now < replica.closing_until) cost += kFailureCostUs;
   return cost;
 }
 
+void ReplicaPool::SetZoneOverflow(const ZoneOverflowOptions& options) {
+  m_overflow_options = options;
+  m_overflows.clear();
+}
+
+double ReplicaPool::DrawPlacement() {
+  if (!m_overflow_options.enabled) return kOwnZoneDraw;
+  return std::uniform_real_distribution<double>(0, 1)(m_random);
+}
+
+void ReplicaPool::VisitZoneShares(
+    const std::function<void(const std::string& zone, double share)>& visitor)
+    const {
+  std::map<std::string, double> sums;
+  for (const auto& [service, state] : m_overflows) {
+    for (const auto& share : state.overflow.Shares()) {
+      sums[share.zone] += share.share;
+    }
+  }
+  for (const auto& [zone, sum] : sums) {
+    visitor(zone, sum / static_cast<double>(m_overflows.size()));
+  }
+}
+
+ReplicaPool::RequestPlacement ReplicaPool::PlaceRequest(
+    const std::string& service, double draw, TimePoint now) {
+  if (!m_overflow_options.enabled) return {};
+  ServiceOverflow& state =
+      m_overflows.try_emplace(service, m_overflow_options).first->second;
+  const bool is_due =
+      !state.decided_at || now - *state.decided_at >= ZoneOverflow::kInterval;
+  if (is_due) DecideOverflow(service, &state, now);
+  const ZoneOverflow& overflow = state.overflow;
+  switch (overflow.Place(draw)) {
+    case ZoneOverflow::Placement::kUndecided:
+      return {};
+    case ZoneOverflow::Placement::kOwnZone:
+      return {&overflow, &m_own_zone};
+    case ZoneOverflow::Placement::kOtherZone:
+      break;
+  }
+  // Without a replica in the own zone, the cost of each replica decides among
+  // the other zones.
+  const bool by_cost = overflow.Reason() == OverflowReason::kNoReplica;
+  return {&overflow, by_cost ? nullptr : overflow.ZoneOf(draw)};
+}
+
+void ReplicaPool::DecideOverflow(const std::string& service,
+                                 ServiceOverflow* state, TimePoint now) const {
+  state->decided_at = now;
+  state->own = {};
+  for (ZoneLoad& other : state->others) {
+    other.usable_slots = other.known_slots = other.known_busy = 0;
+    other.latency_us.reset();
+  }
+  const auto usable = m_usable.find(service);
+  if (usable == m_usable.end()) return;
+  for (const std::string& id : usable->second) {
+    const Replica& replica = m_replicas.at(id);
+    if (IsInService(replica, now)) AddLoad(replica, state, now);
+  }
+  state->overflow.Decide(state->own, state->others);
+}
+
+bool ReplicaPool::IsInService(const Replica& replica, TimePoint now) const {
+  return WantsRequests(replica, now) && now >= replica.wrong_replica_until &&
+         FailureRatio(replica, now) < kDownFailureRatio;
+}
+
+void ReplicaPool::AddLoad(const Replica& replica, ServiceOverflow* state,
+                          TimePoint now) const {
+  const std::string& zone = replica.listed.availability_zone;
+  ZoneLoad* load = &state->own;
+  if (zone != m_own_zone) {
+    auto known = std::ranges::find(state->others, zone, &ZoneLoad::zone);
+    if (known == state->others.end()) {
+      state->others.push_back({.zone = zone, .latency_us = std::nullopt});
+      known = std::prev(state->others.end());
+    }
+    load = &*known;
+  }
+  const std::uint32_t slots = std::max<std::uint32_t>(
+      replica.reported_slots == 0 ? replica.listed.slots
+                                  : replica.reported_slots,
+      1);
+  load->usable_slots += slots;
+  if (replica.has_latency) {
+    // The mean by slots, without a sum of its own.
+    const double latency_us =
+        ExpectedLatencyUs(replica, now) * Slowness(replica, now);
+    const double mean_us = load->latency_us.value_or(latency_us);
+    load->latency_us =
+        mean_us + (latency_us - mean_us) * slots / load->usable_slots;
+  }
+  const bool is_known =
+      replica.busy_reported_at &&
+      now - *replica.busy_reported_at <= ZoneOverflow::kMaxReportAge;
+  if (!is_known) return;
+  load->known_slots += slots;
+  load->known_busy += replica.mean_busy;
+}
+
+double ReplicaPool::PlacementCostUs(const Replica& replica,
+                                    const RequestPlacement& placement,
+                                    TimePoint now) const {
+  if (placement.zone == nullptr) return 0;
+  // A request that may leave does so only if it costs less.
+  const std::string& zone = replica.listed.availability_zone;
+  const bool is_placed = zone == *placement.zone || zone == m_own_zone;
+  if (!is_placed) {
+    return placement.overflow->HasRoom(zone) ? kMisplacedCostUs
+                                             : 2 * kMisplacedCostUs;
+  }
+  const bool is_down = now < replica.closing_until ||
+                       FailureRatio(replica, now) >= kDownFailureRatio;
+  if (is_down) return 2 * kMisplacedCostUs;
+  return IsLikelyPaused(replica, now) ? kMisplacedCostUs : 0;
+}
+
+double ReplicaPool::ZoneCostUs(const Replica& replica, double latency_us,
+                               const RequestPlacement& placement) const {
+  if (placement.overflow == nullptr) {
+    return std::max(kMinRemoteZoneCostUs, kRemoteZoneLatencyRatio * latency_us);
+  }
+  // The latency of a replica that has answered includes the round trip.
+  return replica.has_latency
+             ? static_cast<double>(m_overflow_options.cross_zone_price.count())
+             : placement.overflow->ExtraCostUs(
+                   replica.listed.availability_zone);
+}
+
+void ReplicaPool::CountOverflow(const RequestPlacement& placement,
+                                const Replica& chosen) {
+  const std::string& zone = chosen.listed.availability_zone;
+  const bool is_overflow =
+      placement.overflow != nullptr && zone != m_own_zone &&
+      (placement.zone == nullptr || zone == *placement.zone);
+  if (!is_overflow) return;
+  switch (placement.overflow->Reason()) {
+    case OverflowReason::kBusy:
+      return m_counters.Add(ReplicaPoolCounter::kOverflowsBusy);
+    case OverflowReason::kSlow:
+      return m_counters.Add(ReplicaPoolCounter::kOverflowsSlow);
+    case OverflowReason::kNoReplica:
+      return m_counters.Add(ReplicaPoolCounter::kOverflowsWithoutReplica);
+  }
+}
+
 bool ReplicaPool::IsLikelyPaused(const Replica& replica, TimePoint now) const {
   if (replica.last_send_timed_out && now < replica.paused_until) return true;
   if (replica.open_sends.empty()) return false;
@@ -442,7 +617,7 @@
 }
 
 void ReplicaPool::RecordLoad(Replica* replica, const ReplicaLoad& load,
-                             TimePoint now) {
+                             TimePoint now) const {
   const double other_requests =
       static_cast<double>(load.running + load.waiting) -
       static_cast<double>(replica->open_sends.size());
@@ -450,10 +625,29 @@
   replica->queue_reported_at = now;
   replica->reported_slowness = load.slowness.value_or(1);
   replica->slowness_reported_at = now;
+  if (m_overflow_options.enabled) RecordBusy(replica, load, now);
+}
+
+void ReplicaPool::RecordBusy(Replica* replica, const ReplicaLoad& load,
+                             TimePoint now) {
+  const double busy = static_cast<double>(load.running + load.waiting);
+  const double kept = replica->busy_reported_at
+                          ? DecayFactor(now - *replica->busy_reported_at,
+                                        kMeanBusyHalfLifeSeconds)
+                          : 0;
+  replica->mean_busy = busy + kept * (replica->mean_busy - busy);
+  replica->reported_slots = load.slots;
+  replica->busy_reported_at = now;
 }
 
 void ReplicaPool::RecordLatency(Replica* replica, double latency_us,
                                 bool is_success) {
+  const auto overflow = m_overflows.find(replica->listed.service);
+  if (is_success && overflow != m_overflows.end()) {
+    const std::string& zone = replica->listed.availability_zone;
+    overflow->second.overflow.RecordLatency(
+        zone == m_own_zone ? std::string_view{} : zone, latency_us);
+  }
   if (is_success) {
     const auto [service, first] =
         m_service_latency_us.try_emplace(replica->listed.service, latency_us);
--- a/src/routing/replica_pool.h
+++ b/src/routing/replica_pool.h
@@ -15,6 +15,7 @@
 #include "base/counters.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "placement/zone_overflow.h"
 #include "ports/event_log.h"
 #include "ports/replica_transport.h"
 #include "routing/limit_shares.h"
@@ -74,15 +75,27 @@
   /// Choices that left out a replica because its availability zone is
   /// evacuated.
   kChoicesWithoutEvacuated,
+  /// Choices that were placed in another availability zone by ZoneOverflow, by
+  /// reason. A sub-request for which a relay is looked for first may count
+  /// twice.
+  kOverflowsBusy,
+  kOverflowsSlow,
+  kOverflowsWithoutReplica,
 };
 
 template <>
 struct CounterNames<ReplicaPoolCounter> {
-  static constexpr std::array<std::string_view, 7> kNames = {
-      "draining_announced",       "back_offs_announced",
-      "choices_without_draining", "choices_without_backing_off",
-      "rate_limits_stated",       "choices_without_rate",
-      "choices_without_evacuated"};
+  static constexpr std::array<std::string_view, 10> kNames = {
+      "draining_announced",
+      "back_offs_announced",
+      "choices_without_draining",
+      "choices_without_backing_off",
+      "rate_limits_stated",
+      "choices_without_rate",
+      "choices_without_evacuated",
+      "overflows_busy",
+      "overflows_slow",
+      "overflows_without_replica"};
 };
 
 /// The replicas that this process knows: the list of the platform, and the
@@ -127,21 +140,41 @@
   /// for all entries together.
   void SetRateSharers(RateSharers sharers, TimePoint now);
 
+  /// Number of a request that stays in the own zone while this has a replica.
+  static constexpr double kOwnZoneDraw = 1;
+
+  /// Sets how requests are placed in other availability zones.
+  void SetZoneOverflow(const ZoneOverflowOptions& options);
+
+  /// Returns the random number that decides for all sends of a request whether
+  /// they go to another availability zone; kOwnZoneDraw, without use of the
+  /// random source, if ZoneOverflow is not enabled.
+  double DrawPlacement();
+
+  /// Calls `visitor` with each other availability zone and the mean share, over
+  /// the services, of the requests that are placed there.
+  void VisitZoneShares(const std::function<void(const std::string& zone,
+                                                double share)>& visitor) const;
+
   /// Chooses a replica of `service` that is not in `excluded`, is not draining
   /// or backing off, has an unused connection, has room in this entry's share
   /// of its stated limit, and is not avoided because another replica answered
-  /// at its address; returns nothing if there is none.
+  /// at its address; returns nothing if there is none. `draw` is the number of
+  /// the request from DrawPlacement.
   std::optional<ChosenReplica> Choose(const std::string& service,
                                       const std::vector<std::string>& excluded,
-                                      TimePoint now);
+                                      TimePoint now,
+                                      double draw = kOwnZoneDraw);
 
   /// Returns the other availability zones that have a replica of `service` that
   /// is not draining or backing off, is probably not paused, and is not avoided
   /// because another replica answered at its address, whether or not it has an
   /// unused connection, if the replica that Choose would return is in another
-  /// zone; otherwise nothing.
+  /// zone; otherwise nothing. If ZoneOverflow places the request in another
+  /// zone because of the load, only that one is returned.
   std::vector<std::string> RemoteZones(const std::string& service,
-                                       TimePoint now);
+                                       TimePoint now,
+                                       double draw = kOwnZoneDraw);
 
   /// Records a send to the replica `id`. Returns the number that identifies the
   /// send in EndSend and CancelSend.
@@ -226,6 +259,12 @@
     /// when it last reported its load.
     double reported_queue = 0;
     TimePoint queue_reported_at{};
+    /// Recency-weighted mean of the requests that run or wait at the replica,
+    /// from its reports, and the slots of the last one. Kept only for
+    /// ZoneOverflow.
+    double mean_busy = 0;
+    std::uint32_t reported_slots = 0;
+    std::optional<TimePoint> busy_reported_at;
     /// Slowness that the replica last reported, relative to what is usual.
     double reported_slowness = 1;
     TimePoint slowness_reported_at{};
@@ -242,7 +281,46 @@
   };
 
   [[nodiscard]] std::size_t ConnectionShare(const std::string& service) const;
+  /// Where ZoneOverflow places a request.
+  struct RequestPlacement {
+    /// Null if nothing is decided.
+    const ZoneOverflow* overflow = nullptr;
+    /// The zone that is to get the request; null if the cost of each replica
+    /// decides.
+    const std::string* zone = nullptr;
+  };
+
+  /// State of ZoneOverflow for one service.
+  struct ServiceOverflow {
+    explicit ServiceOverflow(const ZoneOverflowOptions& options)
+        : overflow(options) {}
+    ZoneOverflow overflow;
+    std::optional<TimePoint> decided_at;
+    /// What the last decision was made from; kept to avoid allocations.
+    ZoneLoad own;
+    std::vector<ZoneLoad> others;
+  };
+
+  // Decides anew if it is time, and returns where a request of `service` goes.
+  RequestPlacement PlaceRequest(const std::string& service, double draw,
+                                TimePoint now);
+  void DecideOverflow(const std::string& service, ServiceOverflow* state,
+                      TimePoint now) const;
+  // Adds what is known of `replica` to the load of its zone.
+  void AddLoad(const Replica& replica, ServiceOverflow* state,
+               TimePoint now) const;
+  // Returns whether `replica` can get requests and does not mostly fail.
+  [[nodiscard]] bool IsInService(const Replica& replica, TimePoint now) const;
+  // Returns the cost by which a choice keeps to `placement`.
+  [[nodiscard]] double PlacementCostUs(const Replica& replica,
+                                       const RequestPlacement& placement,
+                                       TimePoint now) const;
+  // Returns the cost of sending to the zone of `replica`.
+  [[nodiscard]] double ZoneCostUs(const Replica& replica, double latency_us,
+                                  const RequestPlacement& placement) const;
+  void CountOverflow(const RequestPlacement& placement, const Replica& chosen);
   [[nodiscard]] double ExpectedCostUs(const Replica& replica,
+                                      const RequestPlacement& placement,
                                       TimePoint now) const;
   [[nodiscard]] bool IsLikelyPaused(const Replica& replica,
                                     TimePoint now) const;
@@ -253,7 +331,9 @@
   // Returns the slowness that `replica` reported, weighted by its age; 1 if it
   // reported none.
   static double Slowness(const Replica& replica, TimePoint now);
-  static void RecordLoad(Replica* replica, const ReplicaLoad& load,
+  void RecordLoad(Replica* replica, const ReplicaLoad& load,
+                  TimePoint now) const;
+  static void RecordBusy(Replica* replica, const ReplicaLoad& load,
                          TimePoint now);
   // Records the time to an answer as if the replica had been as slow as usual.
   void RecordLatency(Replica* replica, double latency_us, bool is_success);
@@ -278,7 +358,7 @@
                              TimePoint now) const;
   std::optional<ChosenReplica> ChooseReachable(
       const std::string& service, const std::vector<std::string>& excluded,
-      Reach reach, TimePoint now);
+      Reach reach, const RequestPlacement& placement, TimePoint now);
   // Counts a choice without `replica` because of what it said.
   void CountAvoided(const Replica& replica);
 
@@ -295,6 +375,8 @@
   std::unordered_map<std::string, std::uint32_t> m_connection_shares;
   std::unordered_map<std::string, ReplicaWarmup> m_warmups;
   std::vector<std::string> m_evacuated_zones;
+  ZoneOverflowOptions m_overflow_options;
+  std::unordered_map<std::string, ServiceOverflow> m_overflows;
   /// Recency-weighted mean time to an answer over all replicas of a service, by
   /// service, as if the replicas had been as slow as usual.
   std::unordered_map<std::string, double> m_service_latency_us;
--- a/src/routing/routed_query.cc
+++ b/src/routing/routed_query.cc
@@ -43,6 +43,7 @@
     m_sub_requests.emplace_back().service = service;
   }
   if (!IsForRelay() && !CanBeServed()) return FinishWithoutAnswer(false);
+  if (!IsForRelay()) m_zone_draw = m_context.pool->DrawPlacement();
   m_deadline_timer =
       m_context.scheduler->Schedule(TimeLeft(), [this] { OnDeadline(); });
   if (m_input.route->idempotent) {
@@ -112,8 +113,8 @@
   const TimePoint now = m_context.scheduler->Now();
   const Duration attempt_time_limit = AttemptTimeLimit();
   if (attempt_time_limit < kMinAttemptTimeLimit) return false;
-  auto choice =
-      m_context.pool->Choose(sub_request.service, sub_request.tried, now);
+  auto choice = m_context.pool->Choose(sub_request.service, sub_request.tried,
+                                       now, m_zone_draw);
   if (!choice) return false;
   sub_request.tried.push_back(choice->id);
   ++sub_request.total_attempts;
@@ -140,8 +141,8 @@
     return false;
   }
   const TimePoint now = m_context.scheduler->Now();
-  const auto choice =
-      m_context.pool->Choose(sub_request.service, sub_request.tried, now);
+  const auto choice = m_context.pool->Choose(
+      sub_request.service, sub_request.tried, now, m_zone_draw);
   if (!choice) return false;
   // After the target latency, an unanswered attempt counts as lost, and a
   // further one as a retry rather than a hedge.
--- a/src/routing/routed_query.h
+++ b/src/routing/routed_query.h
@@ -346,6 +346,10 @@
   AnswerTiming m_timing;
   /// When the request arrived.
   TimePoint m_started{};
+  /// Decides for all sends of the request whether they go to another
+  /// availability zone (see ReplicaPool::DrawPlacement). Those of a relay stay
+  /// in its zone, which the sender has chosen.
+  double m_zone_draw = ReplicaPool::kOwnZoneDraw;
   std::vector<SubRequest> m_sub_requests;
   std::vector<RelayCall> m_relay_calls;
   /// Merged records of the sub-requests that relays answered.
--- a/src/routing/routed_query_relay.cc
+++ b/src/routing/routed_query_relay.cc
@@ -18,8 +18,8 @@
   std::vector<RemoteSubRequest> remote;
   for (std::size_t i = 0; i < m_sub_requests.size(); ++i) {
     if (m_sub_requests[i].IsSent()) continue;
-    std::vector<std::string> zones =
-        m_context.pool->RemoteZones(m_sub_requests[i].service, now);
+    std::vector<std::string> zones = m_context.pool->RemoteZones(
+        m_sub_requests[i].service, now, m_zone_draw);
     if (!zones.empty()) remote.push_back({i, std::move(zones)});
   }
   // A request with too many sub-requests to send directly uses relays even if
