--- a/src/config/config_delta.cc
+++ b/src/config/config_delta.cc
@@ -64,7 +64,10 @@
   template <class Archive>
   void load(Archive& archive) {
     archive(schema_text, removed_services, services, routing);
-    if (archive.Remaining() > 0) archive(evacuated_zones.emplace());
+    if (archive.Remaining() == 0) return;
+    std::vector<std::string> zones;
+    archive(zones);
+    evacuated_zones = std::move(zones);
   }
   // NOLINTEND(readability-identifier-naming)
 };
--- a/src/control/routing_service.h
+++ b/src/control/routing_service.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "base/codec.h"
 #include "base/time.h"
@@ -88,7 +89,10 @@
     template <class Archive>
     void load(Archive& archive) {
       archive(is_accept, document);
-      if (archive.Remaining() > 0) archive(evacuation.emplace());
+      if (archive.Remaining() == 0) return;
+      EvacuationOrder order;
+      archive(order);
+      evacuation = std::move(order);
     }
     // NOLINTEND(readability-identifier-naming)
   };
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -178,14 +178,14 @@
   m_awaiting_quota.emplace(number,
                            RequestAwaitingQuota{request, std::move(callback),
                                                 m_context.scheduler->Now()});
-  const std::weak_ptr<int> alive = m_alive;
-  m_context.quota->Acquire({workspace.name, workspace.max_requests_per_s,
-                            workspace.burst, ConfigVersion()},
-                           [this, alive, number, name = workspace.name](
-                               const QuotaDecision& decision) {
-                             if (!alive.expired())
-                               OnQuotaDecision(number, name, decision);
-                           });
+  const WorkspaceQuota quota{workspace.name, workspace.max_requests_per_s,
+                             workspace.burst, ConfigVersion()};
+  m_context.quota->Acquire(
+      quota, [this, alive = std::weak_ptr<int>(m_alive), number,
+              name = quota.workspace](const QuotaDecision& decision) {
+        if (alive.expired()) return;
+        OnQuotaDecision(number, name, decision);
+      });
 }
 
 void Router::OnQuotaDecision(std::uint64_t number, const std::string& workspace,
