--- a/tests/quota/quota_test.cc
+++ b/tests/quota/quota_test.cc
@@ -82,6 +82,7 @@
 
   void Start(const QuotaOptions& options) {
     std::vector<Member> members;
+    members.reserve(kEntries);
     for (int i = 0; i < kEntries; ++i) {
       members.push_back({Info(i), MemberState::kAlive, 1});
     }
--- a/tests/routing/evacuation_pool_test.cc
+++ b/tests/routing/evacuation_pool_test.cc
@@ -76,12 +76,14 @@
   constexpr int kEntries = 10;
   constexpr double kMaxPerSecond = 20;
   std::vector<LimitSharer> entries;
+  entries.reserve(kEntries);
   for (int i = 0; i < kEntries; ++i) {
     entries.push_back({{"10.0.0." + std::to_string(i) + ":1"}, "a"});
   }
   ListedReplica cold = Listed("cold", "a");
   cold.warmup_left = seconds(4);
   std::vector<std::unique_ptr<ReplicaPool>> pools;
+  pools.reserve(kEntries);
   for (int i = 0; i < kEntries; ++i) {
     pools.push_back(std::make_unique<ReplicaPool>("a", i));
     RateSharers sharers{entries[static_cast<std::size_t>(i)], entries};
