Tests: the account of a server test lives as long as its server

Cause: the test's own account was a local of its body, while the server of the fixture is destroyed after the body. If the last connection was still waiting to be destroyed, its destructor released bytes of an account that no longer existed. The account is now a member of the fixture, declared before the server.

--- a/tests/adapters/beast_http_server_test.cc
+++ b/tests/adapters/beast_http_server_test.cc
@@ -224,6 +224,7 @@
   GlibScheduler m_scheduler;
   FdPoller m_poller;
   MemoryAccount m_account{kAccountBytes};
+  MemoryAccount m_large_account{64 * kAccountBytes};
   BeastHttpServerOptions m_options;
   std::unique_ptr<BeastHttpServer> m_server;
 };
@@ -288,8 +289,7 @@
 TEST_F(LimitedServerTest, RequestsWaitUntilTheCallerHasReadTheLastResponse) {
   constexpr std::size_t kAnswerBytes = std::size_t{8} << 20;
   constexpr int kRequests = 4;
-  MemoryAccount large_account(std::size_t{64} << 20);
-  m_options.account = &large_account;
+  m_options.account = &m_large_account;
   int handled = 0;
   StartServer([&](const HttpRequest&, const HttpResponder& respond) {
     ++handled;
@@ -305,8 +305,8 @@
     EXPECT_GT(caller.ReceiveAll().size(), kRequests * kAnswerBytes);
   });
   EXPECT_EQ(handled, kRequests);
-  EXPECT_LT(large_account.PeakBytes(), 2 * kAnswerBytes);
-  EXPECT_EQ(large_account.HeldBytes(), 0U);
+  EXPECT_LT(m_large_account.PeakBytes(), 2 * kAnswerBytes);
+  EXPECT_EQ(m_large_account.HeldBytes(), 0U);
 }
 
 // A request that runs must not lose its connection to the memory limits, which
