Admission: the outcome limit and the live entries have folders of their own

OutcomeLimit will limit the requests of a whole zone beside those of one entry, so it moves from src/routing to src/admission and takes its first and lowest limit. QuotaMembers becomes EntryMembers in src/membership and can be confined to one availability zone. Behaviour is unchanged.

--- a/src/routing/outcome_limit.cc
+++ b/src/admission/outcome_limit.cc
@@ -1,4 +1,4 @@
-#include "routing/outcome_limit.h"
+#include "admission/outcome_limit.h"
 
 #include <algorithm>
 
@@ -24,7 +24,7 @@
 void OutcomeLimit::OnNotServedInTime(TimePoint started_at, TimePoint now) {
   // A request of the round before a reduction says nothing about the new limit.
   if (started_at < m_reduced_at) return;
-  m_limit = std::max(m_limit * kReductionFactor, kMinLimit);
+  m_limit = std::max(m_limit * kReductionFactor, m_min_limit);
   m_reduced_at = now;
 }
 
--- a/src/routing/outcome_limit.h
+++ b/src/admission/outcome_limit.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYVALE_SRC_ROUTING_OUTCOME_LIMIT_H_
-#define CHICORYVALE_SRC_ROUTING_OUTCOME_LIMIT_H_
+#ifndef CHICORYVALE_SRC_ADMISSION_OUTCOME_LIMIT_H_
+#define CHICORYVALE_SRC_ADMISSION_OUTCOME_LIMIT_H_
 
 #include <cstdint>
 
@@ -7,16 +7,27 @@
 
 namespace chicoryvale {
 
-/// Adaptive limit of the requests that this entry has in flight to one set of
-/// shards. A request that too few shards answer in time has wasted the work of
-/// all of them, so beyond saturation more requests in flight mean fewer that
-/// are served. The limit grows by a constant number per round of requests that
-/// are served in time while it is used, and is reduced by a constant factor, at
+/// Adaptive limit of the requests that are in flight to one set of shards. A
+/// request that too few shards answer in time has wasted the work of all of
+/// them, so beyond saturation more requests in flight mean fewer that are
+/// served. The limit grows by a constant number per round of requests that are
+/// served in time while it is used, and is reduced by a constant factor, at
 /// most once per round, when one is not. Source: Chiu and Jain, "Analysis of
 /// the increase and decrease algorithms for congestion avoidance", 1989. Not
 /// thread safe.
 class OutcomeLimit {
  public:
+  /// The first and the lowest limit. The default is for the requests of one
+  /// entry of many.
+  struct Range {
+    double initial = 4;
+    double min = 0.1;
+  };
+
+  OutcomeLimit() = default;
+  explicit OutcomeLimit(const Range& range)
+      : m_min_limit(range.min), m_limit(range.initial) {}
+
   /// Returns the maximum number of requests in flight. Below 1, it is the ratio
   /// of the time in which one request may be in flight: even one request of
   /// each entry can be too many.
@@ -30,15 +41,14 @@
   /// its target latency.
   void OnNotServedInTime(TimePoint started_at, TimePoint now);
 
-  static constexpr double kInitialLimit = 4;
-  static constexpr double kMinLimit = 0.1;
   static constexpr double kMaxLimit = 1024;
 
  private:
-  double m_limit = kInitialLimit;
+  double m_min_limit = Range().min;
+  double m_limit = Range().initial;
   TimePoint m_reduced_at{};
 };
 
 }  // namespace chicoryvale
 
-#endif  // CHICORYVALE_SRC_ROUTING_OUTCOME_LIMIT_H_
+#endif  // CHICORYVALE_SRC_ADMISSION_OUTCOME_LIMIT_H_
--- a/src/quota/quota_members.cc
+++ b/src/membership/entry_members.cc
@@ -1,4 +1,4 @@
-#include "quota/quota_members.h"
+#include "membership/entry_members.h"
 
 #include <algorithm>
 #include <functional>
@@ -8,7 +8,8 @@
 
 namespace chicoryvale {
 
-QuotaMembers::QuotaMembers(const MemberView& members)
+EntryMembers::EntryMembers(const MemberView& members,
+                           const std::optional<std::string>& zone)
     : m_self(members.Self().address) {
   m_live.push_back(m_self);
   m_possibly_running = 1;
@@ -18,10 +19,11 @@
       m_own_incarnation = member.incarnation;
       continue;
     }
+    if (zone && member.info.availability_zone != *zone) continue;
     if (!OwnsConnectionShare(member.state)) continue;
     ++m_possibly_running;
-    // A suspected entry may only be slow. If it lost its quotas, two entries
-    // would grant them as soon as it refutes the suspicion.
+    // A suspected entry may only be slow. If it lost what it owns, two entries
+    // would own it as soon as it refutes the suspicion.
     const bool is_live = member.state == MemberState::kAlive ||
                          member.state == MemberState::kSuspect;
     if (is_live) m_live.push_back(member.info.address);
@@ -29,14 +31,14 @@
   std::ranges::sort(m_live, {}, &Address::host_port);
 }
 
-bool QuotaMembers::LacksEntryOf(const QuotaMembers& earlier) const {
+bool EntryMembers::LacksEntryOf(const EntryMembers& earlier) const {
   return !std::ranges::includes(m_live, earlier.m_live, {}, &Address::host_port,
                                 &Address::host_port);
 }
 
-std::vector<Address> QuotaMembers::OwnersOf(const std::string& workspace,
+std::vector<Address> EntryMembers::OwnersOf(const std::string& name,
                                             std::size_t count) const {
-  const std::uint64_t key = HashBytes(workspace);
+  const std::uint64_t key = HashBytes(name);
   std::vector<Address> owners(std::min(count, m_live.size()));
   std::ranges::partial_sort_copy(
       m_live, owners, std::ranges::greater{},
@@ -49,11 +51,11 @@
   return owners;
 }
 
-bool QuotaMembers::IsOwner(const std::string& workspace) const {
-  return OwnersOf(workspace, 1).front() == m_self;
+bool EntryMembers::IsOwner(const std::string& name) const {
+  return OwnersOf(name, 1).front() == m_self;
 }
 
-double QuotaMembers::LiveShare() const {
+double EntryMembers::LiveShare() const {
   return static_cast<double>(m_live.size()) /
          static_cast<double>(m_possibly_running);
 }
--- a/src/quota/quota_members.h
+++ b/src/membership/entry_members.h
@@ -1,8 +1,9 @@
-#ifndef CHICORYVALE_SRC_QUOTA_QUOTA_MEMBERS_H_
-#define CHICORYVALE_SRC_QUOTA_QUOTA_MEMBERS_H_
+#ifndef CHICORYVALE_SRC_MEMBERSHIP_ENTRY_MEMBERS_H_
+#define CHICORYVALE_SRC_MEMBERSHIP_ENTRY_MEMBERS_H_
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,25 +12,28 @@
 
 namespace chicoryvale {
 
-/// The entries that may own quotas, as this entry knows them. Not thread safe.
-class QuotaMembers {
+/// The entries among which work is divided without agreement, by rendezvous
+/// hashing, as this entry knows them. Not thread safe.
+class EntryMembers {
  public:
-  /// Reads the entries of `members`.
-  explicit QuotaMembers(const MemberView& members);
+  /// Reads the entries of `members`, this one included: all of them, or those
+  /// of one availability zone.
+  explicit EntryMembers(const MemberView& members,
+                        const std::optional<std::string>& zone = std::nullopt);
 
   [[nodiscard]] const Address& Self() const { return m_self; }
 
-  /// Returns the entries that are alive, those that should be asked for tokens
-  /// of `workspace` first, by rendezvous hashing, at most `count` of them.
-  [[nodiscard]] std::vector<Address> OwnersOf(const std::string& workspace,
+  /// Returns the entries that are alive in the order in which they own `name`,
+  /// the owner first, at most `count` of them.
+  [[nodiscard]] std::vector<Address> OwnersOf(const std::string& name,
                                               std::size_t count) const;
 
-  /// Returns whether this entry owns the quota of `workspace`.
-  [[nodiscard]] bool IsOwner(const std::string& workspace) const;
+  /// Returns whether this entry owns `name`.
+  [[nodiscard]] bool IsOwner(const std::string& name) const;
 
   /// Returns whether an entry that is alive in `earlier` no longer is, so that
-  /// another one has become the owner of its quotas.
-  [[nodiscard]] bool LacksEntryOf(const QuotaMembers& earlier) const;
+  /// another one owns what it owned.
+  [[nodiscard]] bool LacksEntryOf(const EntryMembers& earlier) const;
 
   /// Returns the number of entries that are alive divided by the number of
   /// those that may be running, from 0 to 1. Entries that are cut off from each
@@ -52,4 +56,4 @@
 
 }  // namespace chicoryvale
 
-#endif  // CHICORYVALE_SRC_QUOTA_QUOTA_MEMBERS_H_
+#endif  // CHICORYVALE_SRC_MEMBERSHIP_ENTRY_MEMBERS_H_
--- a/src/quota/quota_client.cc
+++ b/src/quota/quota_client.cc
@@ -55,7 +55,7 @@
 
 QuotaClient::QuotaClient(const Ports& ports, const QuotaOptions& options)
     : m_ports(ports),
-      m_owner(options, QuotaMembers(*ports.members), ports.scheduler->Now()) {
+      m_owner(options, EntryMembers(*ports.members), ports.scheduler->Now()) {
   m_ports.peers->SetHandler(
       PeerChannel::kQuota,
       [this](const Address& /*from*/, const std::string& bytes,
@@ -79,7 +79,7 @@
 }
 
 void QuotaClient::OnMembersChanged() {
-  m_owner.SetMembers(QuotaMembers(*m_ports.members), m_ports.scheduler->Now());
+  m_owner.SetMembers(EntryMembers(*m_ports.members), m_ports.scheduler->Now());
   for (auto& [workspace, holding] : m_holdings) holding.owners.clear();
 }
 
@@ -142,7 +142,7 @@
 const std::vector<Address>& QuotaClient::OwnersOf(const WorkspaceQuota& quota) {
   Holding& holding = m_holdings[quota.workspace];
   if (holding.owners.empty()) {
-    holding.owners = QuotaMembers(*m_ports.members)
+    holding.owners = EntryMembers(*m_ports.members)
                          .OwnersOf(quota.workspace, kMaxOwnersAsked);
   }
   return holding.owners;
--- a/src/quota/quota_owner.cc
+++ b/src/quota/quota_owner.cc
@@ -22,7 +22,7 @@
 
 }  // namespace
 
-QuotaOwner::QuotaOwner(const QuotaOptions& options, QuotaMembers members,
+QuotaOwner::QuotaOwner(const QuotaOptions& options, EntryMembers members,
                        TimePoint now)
     : m_options(options),
       m_members(std::move(members)),
@@ -41,7 +41,7 @@
   return is_owner ? rate : rate * m_options.overshoot;
 }
 
-void QuotaOwner::SetMembers(QuotaMembers members, TimePoint now) {
+void QuotaOwner::SetMembers(EntryMembers members, TimePoint now) {
   const bool was_taken_for_failed =
       members.OwnIncarnation() != m_members.OwnIncarnation();
   if (was_taken_for_failed || members.LacksEntryOf(m_members)) {
--- a/src/quota/quota_owner.h
+++ b/src/quota/quota_owner.h
@@ -6,9 +6,9 @@
 #include <unordered_map>
 
 #include "base/time.h"
+#include "membership/entry_members.h"
 #include "ports/request_quota.h"
 #include "quota/quota_bucket.h"
-#include "quota/quota_members.h"
 
 namespace chicoryvale {
 
@@ -35,10 +35,10 @@
 /// only. Not thread safe.
 class QuotaOwner {
  public:
-  QuotaOwner(const QuotaOptions& options, QuotaMembers members, TimePoint now);
+  QuotaOwner(const QuotaOptions& options, EntryMembers members, TimePoint now);
 
   /// Adopts a change of the members.
-  void SetMembers(QuotaMembers members, TimePoint now);
+  void SetMembers(EntryMembers members, TimePoint now);
 
   /// Tokens granted to an entry, or the time until there is one.
   struct Grant {
@@ -81,7 +81,7 @@
   void ForgetUnused(TimePoint now);
 
   QuotaOptions m_options;
-  QuotaMembers m_members;
+  EntryMembers m_members;
   /// Whether an entry has failed or left, this one included, so that another
   /// one has become the owner of its quotas.
   bool m_has_seen_owner_change = false;
--- a/src/routing/request_admission.h
+++ b/src/routing/request_admission.h
@@ -9,7 +9,7 @@
 #include <unordered_map>
 
 #include "ports/scheduler.h"
-#include "routing/outcome_limit.h"
+#include "admission/outcome_limit.h"
 
 namespace chicoryvale {
 
--- a/tests/quota/quota_test.cc
+++ b/tests/quota/quota_test.cc
@@ -103,7 +103,7 @@
   Entry& At(int index) { return m_entries[static_cast<std::size_t>(index)]; }
 
   int OwnerIndex() {
-    const Address owner = QuotaMembers(*At(0).members).OwnersOf("w", 1).front();
+    const Address owner = EntryMembers(*At(0).members).OwnersOf("w", 1).front();
     int index = 0;
     while (Info(index).address != owner) ++index;
     return index;
@@ -285,7 +285,7 @@
 }
 
 TEST_F(QuotaTest, WithoutAnyOwnerTheUseIsUnknown) {
-  const auto owners = QuotaMembers(*At(0).members).OwnersOf("w", 2);
+  const auto owners = EntryMembers(*At(0).members).OwnersOf("w", 2);
   int asking = 0;
   while (std::ranges::find(owners, Info(asking).address) != owners.end()) {
     ++asking;
