--- a/tests/routing/workspace_key_test.cc
+++ b/tests/routing/workspace_key_test.cc
@@ -9,31 +9,17 @@
 #include <utility>
 #include <vector>
 
-#include "fakes/open_freshness.h"
-#include "routing/test_entry.h"
+#include "routing/one_replica_entry.h"
 
 namespace chicoryvale {
 namespace {
 
 constexpr char kKey[] = "key-of-a";
 
-class WorkspaceKeyTest : public testing::Test {
+class WorkspaceKeyTest : public OneReplicaEntryTest {
  protected:
   WorkspaceKeyTest() {
-    m_entry.guarded_router =
-        std::make_unique<Router>(m_entry.context, 5, &m_freshness);
     SetWorkspaces({{Named("a", {kKey}), Named("b", {"key-of-b"})}});
-    ListedReplica replica;
-    replica.id = "one-a";
-    replica.service = "one";
-    replica.address = {"10.0.0.1:80"};
-    replica.availability_zone = "z";
-    replica.slots = 2;
-    m_entry.pool.SetReplicas({replica}, m_scheduler.Now());
-    m_entry.transport.SetBehaviour([](const ReplicaSend& send) {
-      return ReplicaBehaviour{milliseconds(10), SignedAnswer(send.replica_id),
-                              false};
-    });
   }
 
   static Workspace Named(const std::string& name,
@@ -45,42 +31,15 @@
   }
 
   void SetWorkspaces(std::optional<std::vector<Workspace>> workspaces) {
-    auto config = std::make_shared<RoutingConfig>();
-    config->version = ++m_version;
-    Route route = ScatteredRoute();
-    route.path_prefix = "/one/";
-    route.scatter = {};
-    route.services = {{"one", 1}};
-    config->routes.push_back(route);
-    route.path_prefix = "/open/";
-    route.is_public = true;
-    config->routes.push_back(route);
+    RoutingConfig config;
+    config.routes = {RouteToOne("/one/"), RouteToOne("/open/")};
+    config.routes.back().is_public = true;
     Route scattered = ScatteredRoute();
     scattered.path_prefix = "/all/";
     scattered.scatter.shards = {"one"};
-    config->routes.push_back(scattered);
-    config->workspaces = std::move(workspaces);
-    GuardedRouter().SetConfig(config);
-  }
-
-  Router& GuardedRouter() { return *m_entry.guarded_router; }
-
-  void Send(const std::string& path, const std::string& key) {
-    auto request = std::make_shared<OpaqueRequest>();
-    request->id = "id";
-    request->method = "GET";
-    request->target = path;
-    RoutedRequest routed{request, "h", path, milliseconds(400), key, {}};
-    if (!key.empty()) routed.identity_headers = {{"Key", key}};
-    m_answer.reset();
-    GuardedRouter().Handle(
-        routed, [this](RoutedAnswer answer) { m_answer = std::move(answer); });
-  }
-
-  void Confirm(bool is_current) {
-    for (auto& callback : std::exchange(m_freshness.pending, {})) {
-      callback(is_current);
-    }
+    config.routes.push_back(scattered);
+    config.workspaces = std::move(workspaces);
+    SetConfig(config);
   }
 
   void ExpectServedFor(const std::optional<std::string>& workspace) {
@@ -94,20 +53,9 @@
   }
 
   void ExpectRefused(ErrorKind kind) const {
-    ASSERT_TRUE(m_answer && m_answer->error);
-    EXPECT_EQ(m_answer->error->kind, kind);
-    EXPECT_EQ(m_answer->error->ran, Ran::kNo);
+    ExpectRefusedUnsent(kind);
     EXPECT_EQ(m_answer->error->message.find(kKey), std::string::npos);
-    EXPECT_TRUE(m_entry.transport.Sends().empty());
   }
-
-  FakeScheduler m_scheduler;
-  FakeNetwork m_network{&m_scheduler, 1};
-  MemberInfo m_self{"self", {"10.0.0.9:1"}, "z", MemberRole::kEntry};
-  TestEntry m_entry{&m_scheduler, &m_network, m_self, {{m_self}}};
-  OpenFreshness m_freshness;
-  std::uint64_t m_version = 0;
-  std::optional<RoutedAnswer> m_answer;
 };
 
 // Replicas ran requests without a workspace, and with the key of the caller.
--- a/tests/routing/workspace_quota_test.cc
+++ b/tests/routing/workspace_quota_test.cc
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "routing/test_entry.h"
+#include "routing/one_replica_entry.h"
 
 namespace chicoryvale {
 namespace {
@@ -35,68 +35,35 @@
   }
 };
 
-class WorkspaceQuotaTest : public testing::Test {
+class WorkspaceQuotaTest : public OneReplicaEntryTest {
  protected:
   WorkspaceQuotaTest() {
     m_entry.context.quota = &m_quota;
-    m_entry.guarded_router = std::make_unique<Router>(m_entry.context, 5);
-    SetConfig("a");
-    ListedReplica replica;
-    replica.id = "one-a";
-    replica.service = "one";
-    replica.address = {"10.0.0.1:80"};
-    replica.availability_zone = "z";
-    replica.slots = 2;
-    m_entry.pool.SetReplicas({replica}, m_scheduler.Now());
-    m_entry.transport.SetBehaviour([](const ReplicaSend& send) {
-      return ReplicaBehaviour{milliseconds(10), SignedAnswer(send.replica_id),
-                              false};
-    });
+    MakeRouter();
+    SetWorkspaces("a");
   }
 
-  void SetConfig(const std::string& workspace_name) {
-    auto config = std::make_shared<RoutingConfig>();
-    config->version = ++m_version;
-    Route route = ScatteredRoute();
-    route.scatter = {};
-    route.services = {{"one", 1}};
-    config->routes.push_back(route);
+  void SetWorkspaces(const std::string& limited_name) {
+    RoutingConfig config;
+    config.routes = {RouteToOne("/")};
     Workspace limited;
-    limited.name = workspace_name;
+    limited.name = limited_name;
     limited.keys = {"k"};
     limited.max_requests_per_s = 5;
     Workspace unlimited;
     unlimited.name = "unlimited";
     unlimited.keys = {"u"};
-    config->workspaces = {limited, unlimited};
-    m_entry.guarded_router->SetConfig(config);
+    config.workspaces = {limited, unlimited};
+    SetConfig(config);
   }
 
   std::uint64_t Send(const std::string& key) {
-    auto request = std::make_shared<OpaqueRequest>();
-    request->id = "id";
-    request->method = "GET";
-    request->target = "/";
-    m_answer.reset();
-    return m_entry.guarded_router->Handle(
-        {request, "h", "/", milliseconds(400), key},
-        [this](RoutedAnswer answer) { m_answer = std::move(answer); });
+    return OneReplicaEntryTest::Send("/", key);
   }
 
-  void ExpectRefused(ErrorKind kind) const {
-    ASSERT_TRUE(m_answer && m_answer->error);
-    EXPECT_EQ(m_answer->error->kind, kind);
-    EXPECT_EQ(m_answer->error->ran, Ran::kNo);
-    EXPECT_TRUE(m_entry.transport.Sends().empty());
-  }
+  void ExpectRefused(ErrorKind kind) const { ExpectRefusedUnsent(kind); }
 
-  FakeScheduler m_scheduler;
-  FakeNetwork m_network{&m_scheduler, 1};
-  MemberInfo m_self{"self", {"10.0.0.9:1"}, "z", MemberRole::kEntry};
-  TestEntry m_entry{&m_scheduler, &m_network, m_self, {{m_self}}};
   OpenQuota m_quota;
-  std::uint64_t m_version = 0;
-  std::optional<RoutedAnswer> m_answer;
 };
 
 TEST_F(WorkspaceQuotaTest, ARequestIsSentOnceItHasAToken) {
@@ -153,7 +120,7 @@
 
 TEST_F(WorkspaceQuotaTest, AKeyThatChangesItsWorkspaceMeanwhileIsNotServed) {
   Send("k");
-  SetConfig("b");
+  SetWorkspaces("b");
   m_quota.Decide({QuotaVerdict::kWithinQuota, {}});
   ExpectRefused(ErrorKind::kNoConfiguration);
   EXPECT_EQ(m_quota.given_back, 1);
