Admission by zone: entries share a limit and a fair queue for each group of replicas

Cause: each entry limited its scattered requests by its own outcomes. With tens of entries in a zone it sees a request every few seconds, too few to learn from, and it knows nothing of the workspaces that compete at the same replicas.

Change: if the configuration has workspaces, the entry that owns a group in a zone learns one limit from the outcomes of all entries. While the group is not saturated, requests are sent at once and reported; afterwards the owner is asked. It admits by priority, then by fair shares of workspaces, and refuses at once what would come too late. Without an answer of the owner, an entry decides alone, as before.

--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -129,16 +129,24 @@
                          .members = m_peers->membership(),
                          .gossip = m_peers->membership()},
       m_settings.quota);
-  const RoutingContext routing_context{.scheduler = &m_scheduler,
-                                       .sends = m_send_tracker.get(),
-                                       .pool = m_replica_pool.get(),
-                                       .budget = m_retry_budget.get(),
-                                       .log = &m_log,
-                                       .counters = &m_counters,
-                                       .latencies = &m_latencies,
-                                       .relay = m_relay_client.get(),
-                                       .crash_guard = m_crash_guard.get(),
-                                       .quota = m_quota_client.get()};
+  m_zone_admission = std::make_unique<ZoneAdmissionClient>(
+      ZoneAdmissionClient::Ports{.scheduler = &m_scheduler,
+                                 .peers = m_peers->TcpTransport(),
+                                 .members = m_peers->membership(),
+                                 .gossip = m_peers->membership()},
+      RandomSeed());
+  const RoutingContext routing_context{
+      .scheduler = &m_scheduler,
+      .sends = m_send_tracker.get(),
+      .pool = m_replica_pool.get(),
+      .budget = m_retry_budget.get(),
+      .log = &m_log,
+      .counters = &m_counters,
+      .latencies = &m_latencies,
+      .relay = m_relay_client.get(),
+      .crash_guard = m_crash_guard.get(),
+      .quota = m_quota_client.get(),
+      .zone_admission = m_zone_admission.get()};
   m_router = std::make_unique<Router>(routing_context, RandomSeed(),
                                       m_peers->Freshness());
   m_relay_service =
@@ -330,6 +338,10 @@
       .Add("replica_pool", m_replica_pool->Counters())
       .Add("crash_guard", m_crash_guard->Counters())
       .Add("quota", m_quota_client->Counters())
+      .Add("zone_admission", m_zone_admission->Counters())
+      .Add("zone_admission_owner", m_zone_admission->Owner().Counters())
+      .AddValue("zone_admission_owner", "groups",
+                m_zone_admission->Owner().GroupCount())
       .AddValue("quota", "granted_workspaces",
                 m_quota_client->GrantedWorkspaces());
   m_latencies.Visit([&page](const std::string& name, std::uint64_t count) {
--- a/programs/chicory-gatewayd/gateway_daemon.h
+++ b/programs/chicory-gatewayd/gateway_daemon.h
@@ -31,6 +31,7 @@
 #include "routing/retry_budget.h"
 #include "routing/router.h"
 #include "routing/send_tracker.h"
+#include "zone_admission/zone_admission_client.h"
 
 namespace chicoryvale {
 
@@ -84,6 +85,7 @@
   std::unique_ptr<RetryBudget> m_retry_budget;
   std::unique_ptr<CrashGuard> m_crash_guard;
   std::unique_ptr<QuotaClient> m_quota_client;
+  std::unique_ptr<ZoneAdmissionClient> m_zone_admission;
   std::unique_ptr<RelayClient> m_relay_client;
   std::unique_ptr<RelayService> m_relay_service;
   std::unique_ptr<Router> m_router;
--- a/src/admission/fair_queue.cc
+++ b/src/admission/fair_queue.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <iterator>
+#include <numeric>
 
 namespace chicoryvale {
 
@@ -78,6 +79,15 @@
   return found == m_workspaces.end() ? 0 : found->second.waiting.size();
 }
 
+std::size_t FairQueue::CountAheadOfNew(const std::string& workspace) const {
+  const std::size_t own = Size(workspace);
+  return std::accumulate(
+      m_workspaces.begin(), m_workspaces.end(), std::size_t{0},
+      [own](std::size_t sum, const auto& entry) {
+        return sum + std::min(entry.second.waiting.size(), own);
+      });
+}
+
 TimePoint FairQueue::EarliestDeadline() const {
   TimePoint earliest = TimePoint::max();
   for (const auto& [name, workspace] : m_workspaces) {
--- a/src/admission/fair_queue.h
+++ b/src/admission/fair_queue.h
@@ -68,6 +68,10 @@
   /// weight. Precondition: the queue is not empty.
   [[nodiscard]] std::string LongestByWeight() const;
 
+  /// Returns how many of the waiting queries would be removed before a new one
+  /// of `workspace`, if the weights are equal.
+  [[nodiscard]] std::size_t CountAheadOfNew(const std::string& workspace) const;
+
   [[nodiscard]] std::size_t Size() const { return m_size; }
   [[nodiscard]] std::size_t Size(const std::string& workspace) const;
 
--- a/src/admission/outcome_limit.h
+++ b/src/admission/outcome_limit.h
@@ -17,16 +17,18 @@
 /// thread safe.
 class OutcomeLimit {
  public:
-  /// The first and the lowest limit. The default is for the requests of one
-  /// entry of many.
-  struct Range {
+  /// The first and the lowest limit, and the increase per round of requests
+  /// that are served in time. The default is for the requests of one entry of
+  /// many, which learns from few of them.
+  struct Options {
     double initial = 4;
     double min = 0.1;
+    double increase_per_round = 0.5;
   };
 
   OutcomeLimit() = default;
-  explicit OutcomeLimit(const Range& range)
-      : m_min_limit(range.min), m_limit(range.initial) {}
+  explicit OutcomeLimit(const Options& options)
+      : m_options(options), m_limit(options.initial) {}
 
   /// Returns the maximum number of requests in flight. Below 1, it is the ratio
   /// of the time in which one request may be in flight: even one request of
@@ -44,8 +46,8 @@
   static constexpr double kMaxLimit = 1024;
 
  private:
-  double m_min_limit = Range().min;
-  double m_limit = Range().initial;
+  Options m_options;
+  double m_limit = Options().initial;
   TimePoint m_reduced_at{};
 };
 
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -116,8 +116,7 @@
 
 void Membership::OnPublish(const GossipItem& item) {
   ApplyItem(item);
-  const bool is_urgent = item.kind == GossipKind::kCrashMark ||
-                         item.kind == GossipKind::kScarceQuota;
+  const bool is_urgent = item.kind != GossipKind::kAvailabilitySignal;
   if (is_urgent) SendUrgently(item);
 }
 
--- a/src/membership/packet.cc
+++ b/src/membership/packet.cc
@@ -26,7 +26,7 @@
 }
 
 bool IsValidItem(const GossipItem& item) {
-  return item.kind <= GossipKind::kScarceQuota &&
+  return item.kind <= GossipKind::kSaturatedGroup &&
          item.key.size() <= kMaxGossipKeyBytes &&
          item.payload.size() <= kMaxGossipPayloadBytes;
 }
--- a/src/ports/peer_gossip.h
+++ b/src/ports/peer_gossip.h
@@ -29,6 +29,9 @@
   kCrashMark,
   /// Little of a workspace's quota is left. The key contains its name.
   kScarceQuota,
+  /// A group of replicas has no room for all requests of an availability zone.
+  /// The key contains both names.
+  kSaturatedGroup,
 };
 
 /// A small item of information that is spread to all members. Of two items with
--- a/src/ports/peer_transport.h
+++ b/src/ports/peer_transport.h
@@ -43,6 +43,7 @@
   kRelay,
   kReplicaList,
   kQuota,
+  kAdmission,
 };
 
 /// Interface to requests and answers between the system's own processes over a
--- a/src/routing/request_admission.h
+++ b/src/routing/request_admission.h
@@ -8,23 +8,12 @@
 #include <random>
 #include <unordered_map>
 
-#include "ports/scheduler.h"
 #include "admission/outcome_limit.h"
+#include "ports/scheduler.h"
+#include "ports/zone_admission.h"
 
 namespace chicoryvale {
 
-/// Number of a request in a RequestAdmission.
-using AdmissionId = std::uint64_t;
-
-/// How an admitted request ended.
-enum class AdmittedOutcome : std::uint8_t {
-  kServedInTime,
-  kNotServedInTime,
-  /// The request says nothing about the load, for example because its caller
-  /// disconnected.
-  kUnknown,
-};
-
 /// Admits the scattered requests of this entry to one set of shards while the
 /// shards are saturated. At most OutcomeLimit::Limit() requests are in flight.
 /// Others wait for a short time, the most urgent ones first, because requests
--- a/src/routing/routed_query.h
+++ b/src/routing/routed_query.h
@@ -17,6 +17,7 @@
 #include "ports/replica_transport.h"
 #include "ports/request_quota.h"
 #include "ports/scheduler.h"
+#include "ports/zone_admission.h"
 #include "routing/answer_timing.h"
 #include "routing/crash_guard.h"
 #include "routing/rank_merger.h"
@@ -156,6 +157,9 @@
   CrashGuard* crash_guard = nullptr;
   /// Limits the requests of workspaces. If null, they have no quota.
   RequestQuota* quota = nullptr;
+  /// Admits the requests of configurations with workspaces. If null, each entry
+  /// admits its own.
+  ZoneAdmission* zone_admission = nullptr;
 };
 
 /// One routed request: sends its sub-requests to replicas, retries those that
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -28,6 +28,15 @@
 constexpr int kStopMarginIdempotent = 1;
 constexpr int kStopMarginOnce = 4;
 
+AdmittedOutcome OutcomeOf(const RoutedAnswer& answer, bool in_time) {
+  // Without any replica to send to, the request put no load on the replicas.
+  if (answer.error && answer.error->ran == Ran::kNo) {
+    return AdmittedOutcome::kUnknown;
+  }
+  return in_time && !answer.error ? AdmittedOutcome::kServedInTime
+                                  : AdmittedOutcome::kNotServedInTime;
+}
+
 }  // namespace
 
 bool Router::SetConfig(std::shared_ptr<const RoutingConfig> config) {
@@ -248,13 +257,19 @@
   if (m_end) {
     input.time_limit = std::min(input.time_limit, *m_end - received_at);
   }
-  if (route.IsScattered()) {
-    const std::uint32_t priority =
-        match.workspace == nullptr
-            ? route.priority
-            : match.workspace->priority.value_or(route.priority);
-    SubmitScattered(number, {request, std::move(input), std::move(callback),
-                             received_at, priority});
+  const std::uint32_t priority =
+      match.workspace == nullptr
+          ? route.priority
+          : match.workspace->priority.value_or(route.priority);
+  WaitingRequest waiting{request, {}, {}, received_at, priority};
+  if (SharesAdmission()) {
+    waiting.input = std::move(input);
+    waiting.callback = std::move(callback);
+    SubmitToZone(number, std::move(waiting));
+  } else if (route.IsScattered()) {
+    waiting.input = std::move(input);
+    waiting.callback = std::move(callback);
+    SubmitScattered(number, std::move(waiting));
   } else {
     input.waited = m_context.scheduler->Now() - received_at;
     StartQuery(number, std::move(input), std::move(callback));
@@ -285,9 +300,7 @@
   std::ranges::transform(m_waiting, std::back_inserter(waiting),
                          [](const auto& entry) { return entry.first; });
   for (const std::uint64_t number : waiting) {
-    for (const auto& [shards, admission] : m_admissions) {
-      admission->Cancel(number);
-    }
+    CancelAdmission(number);
     if (m_waiting.contains(number)) RefuseWaiting(number, Duration::zero());
   }
   std::vector<std::uint64_t> running;
@@ -315,6 +328,27 @@
   return *admission;
 }
 
+bool Router::SharesAdmission() const {
+  return m_context.zone_admission != nullptr &&
+         m_table->Config()->workspaces.has_value();
+}
+
+void Router::SubmitToZone(std::uint64_t number, WaitingRequest waiting) {
+  const ZoneAdmissionRequest request{
+      waiting.input.services.front(),
+      waiting.input.request->workspace.value_or(""), waiting.priority,
+      waiting.input.route->target_latency, waiting.input.time_limit};
+  m_waiting.emplace(number, std::move(waiting));
+  m_context.zone_admission->Submit(
+      number, request,
+      [this, alive = std::weak_ptr<int>(m_alive),
+       number](const ZoneAdmissionDecision& decision) {
+        if (alive.expired()) return;
+        if (decision.is_admitted) return StartAdmitted(number);
+        RefuseWaiting(number, decision.retry_after);
+      });
+}
+
 void Router::SubmitScattered(std::uint64_t number, WaitingRequest waiting) {
   const Route& route = *waiting.input.route;
   RequestAdmission& admission = AdmissionOf(route);
@@ -345,19 +379,20 @@
   input.waited = m_context.scheduler->Now() - received_at;
   const ShardSet shards = input.services.front();
   if (!IsStillAuthorized(waiting)) {
-    m_admissions.at(shards)->Finish(number, AdmittedOutcome::kUnknown);
+    FinishAdmitted(shards, number, AdmittedOutcome::kUnknown);
     GiveBackToken(*input.request);
     return RefuseUnconfirmed(waiting.request, waiting.callback);
   }
   const Duration target_latency = input.route->target_latency;
-  StartQuery(
-      number, std::move(input),
-      [this, shards, number, received_at, target_latency,
-       callback = std::move(waiting.callback)](RoutedAnswer answer) {
-        const Duration latency = m_context.scheduler->Now() - received_at;
-        FinishAdmitted(shards, number, answer, latency <= target_latency);
-        callback(std::move(answer));
-      });
+  StartQuery(number, std::move(input),
+             [this, shards, number, received_at, target_latency,
+              callback = std::move(waiting.callback)](RoutedAnswer answer) {
+               const Duration latency =
+                   m_context.scheduler->Now() - received_at;
+               FinishAdmitted(shards, number,
+                              OutcomeOf(answer, latency <= target_latency));
+               callback(std::move(answer));
+             });
 }
 
 void Router::RefuseWaiting(std::uint64_t number, Duration retry_after) {
@@ -370,17 +405,23 @@
 }
 
 void Router::FinishAdmitted(const ShardSet& shards, std::uint64_t number,
-                            const RoutedAnswer& answer, bool in_time) {
+                            AdmittedOutcome outcome) {
   const auto admission = m_admissions.find(shards);
-  if (admission == m_admissions.end()) return;
-  AdmittedOutcome outcome = in_time && !answer.error
-                                ? AdmittedOutcome::kServedInTime
-                                : AdmittedOutcome::kNotServedInTime;
-  // Without any replica to send to, the request put no load on the shards.
-  if (answer.error && answer.error->ran == Ran::kNo) {
-    outcome = AdmittedOutcome::kUnknown;
+  if (admission != m_admissions.end()) {
+    admission->second->Finish(number, outcome);
+  }
+  if (m_context.zone_admission != nullptr) {
+    m_context.zone_admission->Finish(number, outcome);
+  }
+}
+
+void Router::CancelAdmission(std::uint64_t number) {
+  for (const auto& [shards, admission] : m_admissions) {
+    admission->Cancel(number);
+  }
+  if (m_context.zone_admission != nullptr) {
+    m_context.zone_admission->Cancel(number);
   }
-  admission->second->Finish(number, outcome);
 }
 
 void Router::StartQuery(std::uint64_t number, RoutedQuery::Input input,
@@ -409,9 +450,7 @@
 }
 
 void Router::CancelOnDisconnect(std::uint64_t query) {
-  for (const auto& [shards, admission] : m_admissions) {
-    admission->Cancel(query);
-  }
+  CancelAdmission(query);
   const auto waiting = m_waiting.find(query);
   if (waiting != m_waiting.end()) GiveBackToken(*waiting->second.input.request);
   if (m_waiting.erase(query) + m_unmatched.erase(query) +
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -35,9 +35,9 @@
 };
 
 /// Handles the requests of callers: finds the route and the workspace, takes a
-/// token of its quota, picks the service, and runs a query. Scattered requests
-/// are first admitted, see RequestAdmission.
-/// Not thread safe.
+/// token of its quota, picks the service, and runs a query. If the
+/// configuration has workspaces, requests are first admitted by ZoneAdmission;
+/// otherwise scattered ones are by RequestAdmission. Not thread safe.
 class Router {
  public:
   using Callback = std::function<void(RoutedAnswer answer)>;
@@ -86,7 +86,7 @@
   /// begin with the same one share the limit of requests in flight.
   using ShardSet = std::string;
 
-  /// A scattered request that waits for its admission.
+  /// A request that waits for its admission.
   struct WaitingRequest {
     RoutedRequest request;
     RoutedQuery::Input input;
@@ -155,11 +155,17 @@
   [[nodiscard]] bool MayEndInTime(const Route& route) const;
   Duration SpreadRetryAfter(Duration retry_after);
   RequestAdmission& AdmissionOf(const Route& route);
+  /// Returns whether all entries of the zone share the admission of requests.
+  [[nodiscard]] bool SharesAdmission() const;
+  void SubmitToZone(std::uint64_t number, WaitingRequest waiting);
   void SubmitScattered(std::uint64_t number, WaitingRequest waiting);
   void StartAdmitted(std::uint64_t number);
   void RefuseWaiting(std::uint64_t number, Duration retry_after);
   void FinishAdmitted(const ShardSet& shards, std::uint64_t number,
-                      const RoutedAnswer& answer, bool in_time);
+                      AdmittedOutcome outcome);
+  /// Ends the admission of a request without an outcome, or removes a request
+  /// that waits for it.
+  void CancelAdmission(std::uint64_t number);
   void StartQuery(std::uint64_t number, RoutedQuery::Input input,
                   Callback callback);
   /// Returns the name of the caller's workspace; empty if it has none.
--- a/tests/routing/request_admission_test.cc
+++ b/tests/routing/request_admission_test.cc
@@ -152,7 +152,7 @@
   for (int i = 1; i <= 100; ++i) {
     limit.OnNotServedInTime(TimePoint{} + seconds(i), TimePoint{} + seconds(i));
   }
-  EXPECT_EQ(limit.Limit(), OutcomeLimit::Range().min);
+  EXPECT_EQ(limit.Limit(), OutcomeLimit::Options().min);
   for (int i = 0; i < 20; ++i) limit.OnServedInTime(4);
   EXPECT_GE(limit.Limit(), 2);
 }
