Cross-zone overflow: requests that wait in the other zone count less than used slots

Cause: the free slots of another zone were its slots less the requests that run or wait there. With few slots requests wait long before all slots are used, so the other zone was left at about 0.7 of its capacity while own callers queued.

Change: used slots count in full and waiting requests a tenth; the share falls twice as fast as it rises.

--- a/src/placement/zone_overflow.cc
+++ b/src/placement/zone_overflow.cc
@@ -12,7 +12,16 @@
 /// Part of the difference to the wanted share by which a decision changes it:
 /// the reported loads lag by about two decisions.
 constexpr double kGain = 0.5;
+
+/// Parts of the free slots, and of the slots that are used beyond the reserve,
+/// by which a decision raises and lowers the share of another zone. It falls
+/// faster than it rises, because queues of the zone's own callers last.
 constexpr double kFreeSlotsGain = 0.25;
+constexpr double kUsedSlotsGain = 0.5;
+
+/// Weight of a request that waits in another zone, relative to a used slot. It
+/// is low, because with few slots some requests wait long before all are used.
+constexpr double kWaitingWeight = 0.1;
 
 /// Mean part of the own slots in use from which requests leave. With few slots,
 /// there is often no free one at this mean.
@@ -140,7 +149,9 @@
 }
 
 double ZoneOverflow::FreeSlots(const ZoneLoad& other) {
-  return other.known_slots * (1 - kReserveRatio) - other.known_busy;
+  const double waiting = other.known_busy - other.known_used;
+  return other.known_slots * (1 - kReserveRatio) - other.known_used -
+         kWaitingWeight * waiting;
 }
 
 double ZoneOverflow::MaxShare(const ZoneLoad& other, double share,
@@ -148,8 +159,9 @@
   if (other.known_slots <= 0) {
     return std::min(share + kMaxUnknownRise, kMaxUnknownShare);
   }
-  return std::max(share + kFreeSlotsGain * FreeSlots(other) / demand_slots,
-                  0.0);
+  const double free_slots = FreeSlots(other);
+  const double gain = free_slots < 0 ? kUsedSlotsGain : kFreeSlotsGain;
+  return std::max(share + gain * free_slots / demand_slots, 0.0);
 }
 
 void ZoneOverflow::RecordLatency(std::string_view zone, double latency_us) {
--- a/src/placement/zone_overflow.h
+++ b/src/placement/zone_overflow.h
@@ -24,8 +24,10 @@
   std::string zone;
   /// Slots of the replicas that can get requests.
   double usable_slots = 0;
-  /// Slots of those whose load is known, and requests that run or wait there.
+  /// Slots of those whose load is known, how many of them are used, and
+  /// requests that run or wait there.
   double known_slots = 0;
+  double known_used = 0;
   double known_busy = 0;
   /// Expected time to an answer with the way to the zone; absent if the zone
   /// has not answered.
--- a/src/routing/replica_pool.cc
+++ b/src/routing/replica_pool.cc
@@ -449,6 +449,7 @@
   state->own = {};
   for (ZoneLoad& other : state->others) {
     other.usable_slots = other.known_slots = other.known_busy = 0;
+    other.known_used = 0;
     other.latency_us.reset();
   }
   const auto usable = m_usable.find(service);
@@ -496,6 +497,7 @@
   if (!is_known) return;
   load->known_slots += slots;
   load->known_busy += replica.mean_busy;
+  load->known_used += replica.mean_used;
 }
 
 double ReplicaPool::PlacementCostUs(const Replica& replica,
@@ -636,6 +638,8 @@
                                         kMeanBusyHalfLifeSeconds)
                           : 0;
   replica->mean_busy = busy + kept * (replica->mean_busy - busy);
+  const double used = std::min(busy, static_cast<double>(load.slots));
+  replica->mean_used = used + kept * (replica->mean_used - used);
   replica->reported_slots = load.slots;
   replica->busy_reported_at = now;
 }
--- a/src/routing/replica_pool.h
+++ b/src/routing/replica_pool.h
@@ -259,10 +259,11 @@
     /// when it last reported its load.
     double reported_queue = 0;
     TimePoint queue_reported_at{};
-    /// Recency-weighted mean of the requests that run or wait at the replica,
-    /// from its reports, and the slots of the last one. Kept only for
-    /// ZoneOverflow.
+    /// Recency-weighted means of the requests that run or wait at the replica
+    /// and of its used slots, from its reports, and the slots of the last one.
+    /// Kept only for ZoneOverflow.
     double mean_busy = 0;
+    double mean_used = 0;
     std::uint32_t reported_slots = 0;
     std::optional<TimePoint> busy_reported_at;
     /// Slowness that the replica last reported, relative to what is usual.
--- a/tests/placement/zone_overflow_test.cc
+++ b/tests/placement/zone_overflow_test.cc
@@ -15,6 +15,7 @@
   load.usable_slots = 8;
   load.known_slots = known_slots;
   load.known_busy = busy;
+  load.known_used = std::min(busy, load.known_slots);
   load.latency_us = latency_us;
   return load;
 }
