Settings: a malformed table header is an error of the file and not the end of the process

Cause: toml++ detects a table header without a name, as in "[ = 1", by an assertion only. A settings file is read again while the process runs, so a typing error in it ended the process.

Change: the assertions of the library are checked in all builds and reported as an error of the file.

--- a/src/adapters/settings_reader.cc
+++ b/src/adapters/settings_reader.cc
@@ -1,13 +1,31 @@
 #include "adapters/settings_reader.h"
 
 #include <gio/gio.h>
-#include <toml++/toml.h>
 
 #include <algorithm>
 #include <charconv>
 #include <set>
 #include <utility>
 
+namespace chicoryvale {
+namespace {
+
+/// Thrown for malformed text that the TOML library detects by an assertion
+/// only, for example a table header without a name.
+struct TomlAssertionFailed {};
+
+[[noreturn]] void FailTomlAssertion() { throw TomlAssertionFailed(); }
+
+}  // namespace
+}  // namespace chicoryvale
+
+// The assertions of the library are checked in all builds, and do not end the
+// process: a settings file is read again while the process runs.
+#undef NDEBUG
+#define TOML_ASSERT(condition) \
+  ((condition) ? void() : ::chicoryvale::FailTomlAssertion())
+#include <toml++/toml.h>
+
 namespace chicoryvale {
 
 namespace {
@@ -81,6 +99,9 @@
     m_state->has_syntax_error = true;
     m_state->errors.push_back(
         {error.source().begin.line, std::string(error.description())});
+  } catch (const TomlAssertionFailed&) {
+    m_state->has_syntax_error = true;
+    m_state->errors.push_back({0, "the file is not valid TOML"});
   }
 }
 
--- a/tests/adapters/settings_reader_test.cc
+++ b/tests/adapters/settings_reader_test.cc
@@ -39,6 +39,13 @@
   EXPECT_TRUE(ReadTestSettings(kValidSettings).empty());
 }
 
+// The TOML library detects these by assertions only, which ended the process.
+TEST(SettingsReaderTest, ReportsMalformedTableHeaders) {
+  for (const std::string text : {"[ = 1", "[.0]", "[= 1]", "[.a", "[[=", "["}) {
+    EXPECT_FALSE(ReadTestSettings(kValidSettings + text).empty()) << text;
+  }
+}
+
 TEST(SettingsReaderTest, ReportsEachErrorWithItsLine) {
   const std::vector<ErrorCase> cases = {
       {"[limits]\nconnections = 0", 5,
