Tests: clients that don't follow the protocol at all other addresses

Six crowds (bodies one byte short, chunks of one byte, heads and trailers without end, chunk extensions, silent connections) at the addresses of callers, readiness checks, metrics, operators and peers of each process, with the limits and bounds of the existing tests. The crowds connect to the host of the address: RawSocket always took 127.0.0.1, so a crowd at a peer address would have reached nothing.

--- a/tests/fakes/raw_socket.h
+++ b/tests/fakes/raw_socket.h
@@ -26,18 +26,19 @@
 /// Blocking TCP socket to 127.0.0.1 that sends and receives raw bytes.
 class RawSocket {
  public:
-  /// Connects from 127.0.0.`source` to the port of `server`. Using several
-  /// sources avoids running out of local ports, which closed connections still
-  /// occupy.
+  /// Connects from 127.0.0.`source` to `server`, an IPv4 address and port.
+  /// Using several sources avoids running out of local ports, which closed
+  /// connections still occupy.
   explicit RawSocket(const Address& server, std::uint8_t source = 1)
       : m_fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     const int on = 1;
     setsockopt(m_fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
     const sockaddr_in from = LoopbackAddress(source, 0);
     const std::string& text = server.host_port;
-    const sockaddr_in to =
-        LoopbackAddress(1, static_cast<std::uint16_t>(
-                               std::stoi(text.substr(text.rfind(':') + 1))));
+    const std::size_t colon = text.rfind(':');
+    sockaddr_in to = LoopbackAddress(
+        1, static_cast<std::uint16_t>(std::stoi(text.substr(colon + 1))));
+    inet_pton(AF_INET, text.substr(0, colon).c_str(), &to.sin_addr);
     m_connected =
         bind(m_fd, reinterpret_cast<const sockaddr*>(&from), sizeof from) ==
             0 &&
--- a/tests/hostile/untrusted_callers_test.cc
+++ b/tests/hostile/untrusted_callers_test.cc
@@ -3,136 +3,36 @@
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
 #include <chrono>
 #include <cstddef>
-#include <cstdio>
-#include <functional>
-#include <memory>
-#include <ostream>
 #include <string>
-#include <string_view>
 #include <thread>
 #include <vector>
 
-#include "fakes/raw_socket.h"
+#include "hostile/hostile_crowd.h"
 #include "process/cluster.h"
 #include "process/gateway_deployment.h"
 
 namespace chicoryvale {
 namespace {
 
-constexpr std::size_t kMemoryMb = 48;
-constexpr std::size_t kMaxFds = 256;
-constexpr std::size_t kBytesPerMb = std::size_t{1} << 20;
-
 /// Largest legal body at the gateway and at the control process.
 constexpr std::size_t kGatewayBodyBytes = 262'144;
 constexpr std::size_t kControlBodyBytes = std::size_t{1} << 20;
 
-/// Time after which a caller gives up sending to a process that does not read.
-constexpr int kSendTimeoutS = 3;
-
 /// Time for which replicas hold each request.
 constexpr Duration kReplicaDelay = seconds(2);
 
 /// Size of an answer to a request of the route /many/large.
 constexpr std::size_t kLargeAnswerBytes = 262'144;
 
-/// What each connection of a crowd sends.
-struct HostileCase {
-  const char* name;
-  std::size_t connections;
-  std::function<void(RawSocket& connection)> send;
-};
-
-void PrintTo(const HostileCase& hostile, std::ostream* out) {
-  *out << hostile.name;
-}
-
-std::string Head(const std::string& method, const std::string& path,
-                 const std::string& headers) {
-  return method + " " + path +
-         " HTTP/1.1\r\nHost: h\r\nChicoryvale-Request-Id: r\r\n"
-         "Chicoryvale-Deadline-Ms: 15000\r\n" +
-         headers + "\r\n";
-}
-
-std::string LengthHead(const std::string& method, const std::string& path,
-                       std::size_t bytes) {
-  return Head(method, path,
-              "Content-Length: " + std::to_string(bytes) + "\r\n");
-}
-
 std::string ChunkedHead() {
   return Head("POST", "/many/x", "Transfer-Encoding: chunked\r\n");
 }
 
-/// Sends `text` in writes of `piece` bytes.
-void SendInPieces(RawSocket& connection, std::string_view text,
-                  std::size_t piece) {
-  while (!text.empty()) {
-    if (!connection.Send(text.substr(0, piece))) return;
-    text.remove_prefix(std::min(piece, text.size()));
-  }
-}
-
-/// Sends `count` chunks of `bytes` bytes and then all but the last byte of the
-/// final, empty chunk.
-void SendChunks(RawSocket& connection, std::size_t count, std::size_t bytes) {
-  char size[16];
-  std::snprintf(size, sizeof size, "%zx\r\n", bytes);
-  const std::string chunk = size + std::string(bytes, 'x') + "\r\n";
-  std::string text = ChunkedHead();
-  for (std::size_t i = 0; i < count; ++i) text += chunk;
-  text += "0\r\n\r";
-  connection.Send(text);
-}
-
-/// Sends `text` until the process closes the connection or `max_bytes` bytes
-/// are sent.
-void SendRepeatedly(RawSocket& connection, const std::string& text,
-                    std::size_t max_bytes) {
-  for (std::size_t sent = 0; sent < max_bytes; sent += text.size()) {
-    if (!connection.Send(text)) return;
-  }
-}
-
-/// Runs `hostile` on that many connections to `address` at once, which all stay
-/// open until each has sent everything and `at_peak` has returned.
-void RunCrowd(const Address& address, const HostileCase& hostile,
-              const std::function<void()>& at_peak) {
-  std::vector<std::unique_ptr<RawSocket>> connections(hostile.connections);
-  std::vector<std::thread> threads;
-  threads.reserve(hostile.connections);
-  for (auto& connection : connections) {
-    threads.emplace_back([&connection, &address, &hostile] {
-      connection = std::make_unique<RawSocket>(address);
-      connection->SetSendTimeout(kSendTimeoutS);
-      if (connection->Connected()) hostile.send(*connection);
-    });
-  }
-  for (std::thread& thread : threads) thread.join();
-  at_peak();
-}
-
 class UntrustedCallersTest : public testing::TestWithParam<HostileCase> {
  protected:
-  UntrustedCallersTest() {
-    m_deployment.AddSettings("limits.memory_mb = " + std::to_string(kMemoryMb) +
-                             "\nlimits.max_fds = " + std::to_string(kMaxFds) +
-                             "\n");
-  }
-
-  void ExpectWithinLimits(const char* when, const Process& process) {
-    const std::size_t peak = process.PeakMemoryBytes();
-    const std::size_t descriptors = process.OpenDescriptorCount();
-    std::printf("%s: peak memory %zu KiB, open descriptors %zu\n", when,
-                peak >> 10U, descriptors);
-    EXPECT_GT(peak, 0U) << "the process has ended";
-    EXPECT_LT(peak, kMemoryMb * kBytesPerMb);
-    EXPECT_LT(descriptors, kMaxFds);
-  }
+  UntrustedCallersTest() { m_deployment.AddSettings(LimitSettings()); }
 
   void Answer(const HttpRequest& request, const HttpResponder& respond) {
     HttpResponse response = GatewayDeployment::SoundAnswer(request);
@@ -216,11 +116,12 @@
       {"LargeChunks", kCrowd,
        [](RawSocket& connection) {
          constexpr std::size_t kChunk = std::size_t{16} << 10U;
-         SendChunks(connection, kGatewayBodyBytes / kChunk, kChunk);
+         SendChunks(connection, ChunkedHead(), kGatewayBodyBytes / kChunk,
+                    kChunk);
        }},
       {"ChunksOfOneByte", kCrowd,
        [](RawSocket& connection) {
-         SendChunks(connection, kGatewayBodyBytes / 4, 1);
+         SendChunks(connection, ChunkedHead(), kGatewayBodyBytes / 4, 1);
        }},
       {"LengthBeyondLimit", kCrowd,
        [=](RawSocket& connection) {
--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -118,7 +118,8 @@
   const std::string name = ControlName(index);
   std::ostringstream settings;
   settings << "availability_zone = \"a\"\n"
-           << "data_folder = \"" << m_folder.Path() << "/" << name << "\"\n"
+           << m_added_settings << "data_folder = \"" << m_folder.Path() << "/"
+           << name << "\"\n"
            << "[listen]\noperators = \"127.0.0.1:0\"\npeers = \""
            << PeerAddress(name) << "\"\nmetrics = \"127.0.0.1:0\"\n"
            << "[keys]\noperator_token_file = \"" << m_folder.Path()
@@ -137,6 +138,7 @@
   const std::string name = EntryName(index);
   std::ostringstream settings;
   settings << "availability_zone = \"" << zone << "\"\n"
+           << m_added_settings
            << "[listen]\ncallers = \"127.0.0.1:0\"\npeers = \""
            << PeerAddress(name) << "\"\nmetrics = \"127.0.0.1:0\"\n"
            << "[keys]\npeer_key_file = \"" << m_folder.Path()
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -47,6 +47,10 @@
   /// Writes the keys; starts no process.
   Cluster();
 
+  /// Adds `lines` to the settings of all control and entry VMs that are started
+  /// from now on.
+  void AddSettings(const std::string& lines) { m_added_settings += lines; }
+
   /// Starts or restarts control VM `index` of `group_size`, with its former
   /// data if there is any. It exchanges no messages with `refused_peers`.
   void StartControl(int index, int group_size,
@@ -101,6 +105,7 @@
   [[nodiscard]] std::string GroupAddressArray(int group_size) const;
 
   ScratchFolder m_folder;
+  std::string m_added_settings;
   std::map<std::string, std::unique_ptr<Process>> m_processes;
 };
 
