Untrusted callers: all addresses within the limits of the process

Cause: SoupHttpServer let libsoup keep each received chunk for itself, a hundred bytes for a chunk of one byte, and had no bound on the sum of all bodies. Its connections, those for readiness checks and metrics, and those at the peer address before the peer has proved the key were limited by constants (10,000, 1,024), not by the descriptors of the process, and silent ones kept others out.

Change: bodies are collected in one buffer, which draws from the account of the process; the largest request that is being read is dropped first. Connections of each address follow from limits.max_fds; the oldest unused one gives way to a new one. chicory-entryd reads limits.memory_mb and limits.max_fds.

--- a/programs/chicory-controld/control_daemon.cc
+++ b/programs/chicory-controld/control_daemon.cc
@@ -102,6 +102,7 @@
 
 Result<void> ControlDaemon::StartPeers() {
   PeerStackOptions options = m_settings.peers;
+  options.max_unproved_connections = m_limits.unproved_peer_connections;
   options.scheduler = &m_scheduler;
   options.log = &m_log;
   auto peers = PeerStack::Make(options);
@@ -174,6 +175,9 @@
 Result<void> ControlDaemon::StartOperators() {
   SoupHttpServerOptions options;
   options.bind = {m_settings.listen_operators};
+  options.account = &m_account;
+  options.max_connections =
+      static_cast<std::uint32_t>(m_limits.operator_connections);
   auto server = SoupHttpServer::Make(options);
   if (!server) return tl::unexpected(server.error());
   m_operator_server = std::move(*server);
@@ -226,6 +230,9 @@
 Result<void> ControlDaemon::StartMetrics() {
   SoupHttpServerOptions options;
   options.bind = {m_settings.listen_metrics};
+  options.account = &m_account;
+  options.max_connections =
+      static_cast<std::uint32_t>(m_limits.monitoring_connections);
   auto server = SoupHttpServer::Make(options);
   if (!server) return tl::unexpected(server.error());
   m_metrics_server = std::move(*server);
--- a/programs/chicory-entryd/entry_daemon.cc
+++ b/programs/chicory-entryd/entry_daemon.cc
@@ -21,12 +21,15 @@
 }  // namespace
 
 EntryDaemon::EntryDaemon(EntrySettings settings)
-    : m_settings(std::move(settings)) {}
+    : m_settings(std::move(settings)),
+      m_limits(DivideResources(m_settings.resources)),
+      m_account(m_limits.caller_bytes) {}
 
 EntryDaemon::~EntryDaemon() = default;
 
 ExitCode EntryDaemon::Run() {
   InitLog("chicory-entryd", m_settings.log_level);
+  ReturnFreedBuffers();
   if (auto started = Start(); !started) {
     Log(LogLevel::kError, "start_failed",
         {{"reason", started.error().message}});
@@ -51,6 +54,7 @@
 
 Result<void> EntryDaemon::StartPeers() {
   PeerStackOptions options = m_settings.peers;
+  options.max_unproved_connections = m_limits.unproved_peer_connections;
   options.scheduler = &m_scheduler;
   options.log = &m_log;
   auto peers = PeerStack::Make(options);
@@ -135,7 +139,9 @@
   SoupHttpServerOptions options;
   options.bind = {m_settings.listen_callers};
   options.max_body_bytes = m_settings.max_body_bytes;
-  options.max_connections = m_settings.max_connections;
+  options.max_connections = static_cast<std::uint32_t>(std::min<std::size_t>(
+      m_settings.max_connections, m_limits.caller_connections));
+  options.account = &m_account;
   auto server = SoupHttpServer::Make(options);
   if (!server) return tl::unexpected(server.error());
   m_caller_server = std::move(*server);
@@ -149,6 +155,9 @@
 Result<void> EntryDaemon::StartMetrics() {
   SoupHttpServerOptions options;
   options.bind = {m_settings.listen_metrics};
+  options.account = &m_account;
+  options.max_connections =
+      static_cast<std::uint32_t>(m_limits.monitoring_connections);
   auto server = SoupHttpServer::Make(options);
   if (!server) return tl::unexpected(server.error());
   m_metrics_server = std::move(*server);
--- a/programs/chicory-entryd/entry_daemon.h
+++ b/programs/chicory-entryd/entry_daemon.h
@@ -10,9 +10,11 @@
 #include "adapters/log.h"
 #include "adapters/peer_stack.h"
 #include "adapters/platform_poller.h"
+#include "adapters/process_limits.h"
 #include "adapters/soup_http_server.h"
 #include "adapters/soup_upstream_transport.h"
 #include "admission/admission_runner.h"
+#include "base/memory_account.h"
 #include "chicory-entryd/entry_settings.h"
 #include "control/claim_client.h"
 #include "endpoint/caller_endpoint.h"
@@ -53,6 +55,8 @@
   ShutdownSteps Shutdown();
 
   EntrySettings m_settings;
+  ProcessLimits m_limits;
+  MemoryAccount m_account;
   GlibScheduler m_scheduler;
   DaemonLoop m_loop{&m_scheduler};
   ProcessLog m_log;
--- a/programs/chicory-entryd/entry_settings.cc
+++ b/programs/chicory-entryd/entry_settings.cc
@@ -32,6 +32,7 @@
       "callers.max_body_bytes", kDefaultMaxBodyBytes, kMaxBodyBytesRange));
   settings.max_connections = static_cast<std::uint32_t>(reader.Integer(
       "callers.max_connections", kDefaultMaxConnections, kMaxConnectionsRange));
+  settings.resources = ReadResourceLimits(reader);
   settings.linger = ReadLinger(reader);
   settings.log_level = ReadLogLevel(reader);
   return settings;
--- a/programs/chicory-entryd/entry_settings.h
+++ b/programs/chicory-entryd/entry_settings.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 
+#include "adapters/common_settings.h"
 #include "adapters/log.h"
 #include "adapters/peer_stack.h"
 #include "base/time.h"
@@ -27,6 +28,7 @@
   std::uint32_t max_body_bytes = 0;
   /// Maximum number of open connections of callers.
   std::uint32_t max_connections = 0;
+  ResourceLimits resources;
   Duration linger{};
   LogLevel log_level = LogLevel::kInfo;
 };
--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -79,6 +79,7 @@
 
 Result<void> GatewayDaemon::StartPeers() {
   PeerStackOptions options = m_settings.peers;
+  options.max_unproved_connections = m_limits.unproved_peer_connections;
   options.scheduler = &m_scheduler;
   options.log = &m_log;
   // Limits are divided among all entries that may be running, with or without a
@@ -186,6 +187,8 @@
 Result<void> GatewayDaemon::StartServers() {
   auto callers =
       MakeServer(m_settings.listen_callers,
+                 std::min<std::size_t>(m_settings.max_connections,
+                                       m_limits.caller_connections),
                  [this](HttpRequest request, const HttpResponder& respond) {
                    HandleCallerRequest(std::move(request), respond);
                  });
@@ -194,14 +197,14 @@
   m_caller_server->SetDisconnectHandler(
       [this](std::uint64_t connection) { OnCallerDisconnected(connection); });
   auto ready = MakeServer(
-      m_settings.listen_ready,
+      m_settings.listen_ready, m_limits.monitoring_connections,
       [this](const HttpRequest& /*request*/, const HttpResponder& respond) {
         respond(ReadinessResponse());
       });
   if (!ready) return tl::unexpected(ready.error());
   m_ready_server = std::move(*ready);
   auto metrics = MakeServer(
-      m_settings.listen_metrics,
+      m_settings.listen_metrics, m_limits.monitoring_connections,
       [this](const HttpRequest& /*request*/, const HttpResponder& respond) {
         respond(MetricsResponse());
       });
@@ -211,13 +214,13 @@
 }
 
 Result<std::unique_ptr<BeastHttpServer>> GatewayDaemon::MakeServer(
-    const std::string& address, HttpServer::Handler handler) {
+    const std::string& address, std::size_t max_connections,
+    HttpServer::Handler handler) {
   BeastHttpServerOptions options;
   options.poller = &m_poller;
   options.scheduler = &m_scheduler;
   options.bind = {address};
-  options.max_connections = std::min<std::size_t>(m_settings.max_connections,
-                                                  m_limits.caller_connections);
+  options.max_connections = max_connections;
   options.account = &m_account;
   options.freshness = m_peers->Freshness();
   auto server = BeastHttpServer::Make(options);
--- a/programs/chicory-gatewayd/gateway_daemon.h
+++ b/programs/chicory-gatewayd/gateway_daemon.h
@@ -56,7 +56,8 @@
   void StartRouting();
   Result<void> StartServers();
   Result<std::unique_ptr<BeastHttpServer>> MakeServer(
-      const std::string& address, HttpServer::Handler handler);
+      const std::string& address, std::size_t max_connections,
+      HttpServer::Handler handler);
   void AdoptSettings();
   void ApplyConfig(const ClusterConfig& config);
   void ApplyEvacuations(const std::vector<std::string>& zones);
--- a/src/adapters/peer_stack.h
+++ b/src/adapters/peer_stack.h
@@ -33,6 +33,10 @@
   /// Whether this process asks for a lease. Set it to false if the process does
   /// not divide limits by leases.
   bool keeps_lease = true;
+  /// Maximum number of accepted TCP connections whose peer has not proved yet
+  /// that it has the key.
+  std::size_t max_unproved_connections =
+      TcpPeerOptions().max_unproved_connections;
   /// Peers with which all communication is refused, so that tests can simulate
   /// network partitions.
   std::set<Address> refused_peers;
--- a/src/adapters/process_limits.cc
+++ b/src/adapters/process_limits.cc
@@ -70,6 +70,10 @@
   parts.caller_connections =
       std::max<std::size_t>(1, (max_fds - std::min(max_fds, reserved)) / 2);
   parts.replica_connections = parts.caller_connections;
+  // Together at most three quarters of the reserved descriptors.
+  parts.monitoring_connections = reserved / 8;
+  parts.operator_connections = reserved / 4;
+  parts.unproved_peer_connections = reserved / 4;
   return parts;
 }
 
--- a/src/adapters/soup_http_server.cc
+++ b/src/adapters/soup_http_server.cc
@@ -27,6 +27,9 @@
 constexpr auto kPeerClosedCondition = static_cast<GIOCondition>(0x2000);
 /// Limit on the bytes in which the end of a head is looked for.
 constexpr std::size_t kMaxPeekedBytes = std::size_t{64} * 1024;
+/// Requests up to this size are not refused as long as larger ones are not the
+/// only way to stay within the account.
+constexpr std::size_t kSmallRequestBytes = std::size_t{16} * 1024;
 constexpr char kExchangeKey[] = "chicoryvale-exchange";
 
 // Creates the listening socket here to set its backlog: GLib's default is 10.
@@ -61,17 +64,6 @@
   static_cast<std::vector<HttpHeader>*>(data)->push_back({name, value});
 }
 
-std::string ReadRequestBody(SoupServerMessage* message) {
-  SoupMessageBody* body = soup_server_message_get_request_body(message);
-  GBytes* bytes = soup_message_body_flatten(body);
-  gsize length = 0;
-  const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &length));
-  std::string text;
-  if (length > 0) text.assign(data, length);
-  g_bytes_unref(bytes);
-  return text;
-}
-
 bool HasValidContentLength(SoupMessageHeaders* headers) {
   const char* text = soup_message_headers_get_list(headers, "Content-Length");
   return text == nullptr ||
@@ -143,6 +135,9 @@
   bool head_cut_off = false;
   /// EndIdleConnection was called.
   bool end_requested = false;
+  /// The head of a request was read.
+  bool has_requested = false;
+  bool evicted = false;
 
   ~Connection() {
     StopWatching();
@@ -161,6 +156,11 @@
 
 /// One request of a connection, from its first byte to the end of its response.
 struct SoupHttpServer::Exchange {
+  Exchange(SoupHttpServer* new_server, Connection* new_connection)
+      : server(new_server),
+        connection(new_connection),
+        held_bytes(new_server->m_account) {}
+
   /// Null once the server is destroyed.
   SoupHttpServer* server = nullptr;
   Connection* connection = nullptr;
@@ -168,7 +168,13 @@
   /// The whole head had arrived when libsoup began to read the request.
   bool head_arrived = false;
   std::size_t body_bytes = 0;
+  /// The body as received. libsoup would keep each chunk for itself, which
+  /// takes a hundred bytes for a chunk of one byte.
+  std::string body;
+  AccountedBytes held_bytes;
   bool too_large = false;
+  /// The connection was closed to free the memory of the request.
+  bool dropped = false;
   /// The request was passed to the handler.
   bool handled = false;
   bool responded = false;
@@ -206,7 +212,10 @@
 };
 
 SoupHttpServer::SoupHttpServer(const SoupHttpServerOptions& options)
-    : m_options(options), m_alive(std::make_shared<SoupHttpServer*>(this)) {}
+    : m_options(options),
+      m_own_account(options.max_held_bytes),
+      m_account(options.account != nullptr ? options.account : &m_own_account),
+      m_alive(std::make_shared<SoupHttpServer*>(this)) {}
 
 Result<std::unique_ptr<SoupHttpServer>> SoupHttpServer::Make(
     const SoupHttpServerOptions& options) {
@@ -252,7 +261,10 @@
   // must not be able to reconnect to a server that is being destroyed.
   g_socket_close(m_listener.get(), nullptr);
   for (const auto& [socket, connection] : m_connections) {
-    if (connection->current != nullptr) connection->current->server = nullptr;
+    if (connection->current != nullptr) {
+      connection->current->server = nullptr;
+      connection->current->held_bytes.Set(0);
+    }
     connection->StopWatching();
     Connection::DestroySource(&connection->head_source);
     ShutDownSocket(socket);
@@ -281,7 +293,7 @@
   Connection* connection = found == server->m_connections.end()
                                ? server->AddConnection(socket)
                                : found->second.get();
-  auto* exchange = new Exchange{server, connection};
+  auto* exchange = new Exchange(server, connection);
   exchange->head_arrived = HasEndOfHead(socket);
   connection->current = exchange;
   if (!exchange->head_arrived) WatchForHead(connection);
@@ -301,7 +313,8 @@
   WatchForHangUp(connection);
   m_counters.Add(SoupHttpServerCounter::kConnections);
   connection->number = m_counters.Get(SoupHttpServerCounter::kConnections);
-  if (m_connections.size() > m_options.max_connections) {
+  if (m_connections.size() > m_options.max_connections &&
+      !EvictUnusedConnection(connection)) {
     m_counters.Add(SoupHttpServerCounter::kConnectionsRefused);
     ShutDownSocket(socket);
   }
@@ -317,6 +330,7 @@
       g_object_get_data(G_OBJECT(message), kExchangeKey));
   if (exchange == nullptr) return;
   exchange->headers_read = true;
+  exchange->connection->has_requested = true;
   exchange->connection->waiting_since = server->m_scheduler.Now();
   if (IsHeadCutOff(*exchange)) {
     server->m_counters.Add(SoupHttpServerCounter::kHeadsCutOff);
@@ -325,6 +339,8 @@
     return;
   }
   g_signal_connect(message, "got-chunk", G_CALLBACK(&OnBodyChunk), exchange);
+  soup_message_body_set_accumulate(
+      soup_server_message_get_request_body(message), FALSE);
   SoupMessageHeaders* headers =
       soup_server_message_get_request_headers(message);
   if (!HasValidContentLength(headers)) {
@@ -338,22 +354,23 @@
   }
   const goffset length = soup_message_headers_get_content_length(headers);
   if (length <= static_cast<goffset>(server->m_options.max_body_bytes)) return;
-  soup_message_body_set_accumulate(
-      soup_server_message_get_request_body(message), FALSE);
   server->MarkBodyTooLarge(exchange);
 }
 
-void SoupHttpServer::OnBodyChunk(SoupServerMessage* message, GBytes* chunk,
+void SoupHttpServer::OnBodyChunk(SoupServerMessage* /*message*/, GBytes* chunk,
                                  gpointer data) {
   auto* exchange = static_cast<Exchange*>(data);
   SoupHttpServer* server = exchange->server;
-  if (server == nullptr) return;
-  exchange->body_bytes += g_bytes_get_size(chunk);
+  if (server == nullptr || exchange->dropped) return;
+  gsize size = 0;
+  const auto* bytes = static_cast<const char*>(g_bytes_get_data(chunk, &size));
+  exchange->body_bytes += size;
   const std::size_t limit = server->m_options.max_body_bytes;
-  if (exchange->body_bytes <= limit) return;
-  SoupMessageBody* body = soup_server_message_get_request_body(message);
-  soup_message_body_set_accumulate(body, FALSE);
-  soup_message_body_truncate(body);
+  if (exchange->body_bytes <= limit && !exchange->too_large) {
+    exchange->body.append(bytes, size);
+    exchange->held_bytes.Set(exchange->body.capacity());
+    return server->EnforceMemoryLimit();
+  }
   server->MarkBodyTooLarge(exchange);
   if (exchange->body_bytes <= limit * kMaxDiscardedBodyFactor) return;
   server->m_counters.Add(SoupHttpServerCounter::kBodiesCutOff);
@@ -363,9 +380,48 @@
 void SoupHttpServer::MarkBodyTooLarge(Exchange* exchange) {
   if (exchange->too_large) return;
   exchange->too_large = true;
+  exchange->body = {};
+  exchange->held_bytes.Set(0);
   m_counters.Add(SoupHttpServerCounter::kBodiesTooLarge);
 }
 
+void SoupHttpServer::EnforceMemoryLimit() {
+  const auto size_of = [](const auto& entry) {
+    const Exchange* exchange = entry.second->current;
+    const bool is_read = exchange != nullptr && !exchange->handled;
+    return is_read ? exchange->held_bytes.Get() : 0;
+  };
+  while (m_account->IsTight()) {
+    const auto largest = std::ranges::max_element(m_connections, {}, size_of);
+    const std::size_t min_bytes =
+        m_account->IsOver() ? 1 : kSmallRequestBytes + 1;
+    if (largest == m_connections.end() || size_of(*largest) < min_bytes) return;
+    Exchange* exchange = largest->second->current;
+    exchange->dropped = true;
+    exchange->body = {};
+    exchange->held_bytes.Set(0);
+    m_counters.Add(SoupHttpServerCounter::kOverTotal);
+    ResetSocket(exchange->connection->socket.get());
+  }
+}
+
+bool SoupHttpServer::EvictUnusedConnection(const Connection* accepted) {
+  Connection* oldest = nullptr;
+  for (const auto& [socket, connection] : m_connections) {
+    const bool is_unused = connection.get() != accepted &&
+                           !connection->has_requested && !connection->evicted;
+    if (!is_unused) continue;
+    if (oldest == nullptr || connection->number < oldest->number) {
+      oldest = connection.get();
+    }
+  }
+  if (oldest == nullptr) return false;
+  oldest->evicted = true;
+  m_counters.Add(SoupHttpServerCounter::kUnusedEvicted);
+  ShutDownSocket(oldest->socket.get());
+  return true;
+}
+
 void SoupHttpServer::OnRequestRead(SoupServer* /*server*/,
                                    SoupServerMessage* message, const char* path,
                                    GHashTable* /*query*/, gpointer self) {
@@ -373,6 +429,12 @@
   auto* exchange = static_cast<Exchange*>(
       g_object_get_data(G_OBJECT(message), kExchangeKey));
   if (exchange == nullptr) return;
+  if (exchange->dropped) {
+    // The answer reaches nobody, but the request must not run.
+    soup_server_message_set_status(message, SOUP_STATUS_SERVICE_UNAVAILABLE,
+                                   nullptr);
+    return;
+  }
   HttpRequest request;
   request.method = soup_server_message_get_method(message);
   request.path = path;
@@ -380,7 +442,7 @@
   request.too_large = exchange->too_large;
   soup_message_headers_foreach(soup_server_message_get_request_headers(message),
                                AppendHeader, &request.headers);
-  if (!request.too_large) request.body = ReadRequestBody(message);
+  request.body = std::move(exchange->body);
   exchange->handled = true;
   ++server->m_in_flight;
   server->m_counters.Add(SoupHttpServerCounter::kRequests);
@@ -442,6 +504,7 @@
       g_object_get_data(G_OBJECT(message), kExchangeKey));
   if (exchange == nullptr || exchange->ended) return;
   exchange->ended = true;
+  exchange->held_bytes.Set(0);
   if (exchange->handled && !exchange->responded) --m_in_flight;
   if (exchange->handled) {
     m_counters.Add(finished ? SoupHttpServerCounter::kAnswered
--- a/src/adapters/soup_http_server.h
+++ b/src/adapters/soup_http_server.h
@@ -14,6 +14,7 @@
 #include "adapters/glib_scheduler.h"
 #include "adapters/socket_address.h"
 #include "base/counters.h"
+#include "base/memory_account.h"
 #include "base/time.h"
 #include "chicoryvale/error.h"
 #include "ports/http.h"
@@ -35,11 +36,16 @@
   kHeadsCutOff,
   kAbandonedByCaller,
   kAbortedByHandler,
+  /// Connections that were closed because the requests of all callers together
+  /// were too large.
+  kOverTotal,
+  /// Connections without a request that were closed to accept another one.
+  kUnusedEvicted,
 };
 
 template <>
 struct CounterNames<SoupHttpServerCounter> {
-  static constexpr std::array<std::string_view, 12> kNames = {
+  static constexpr std::array<std::string_view, 14> kNames = {
       "http_connections",
       "http_connections_refused",
       "http_hang_ups",
@@ -51,7 +57,9 @@
       "http_bodies_cut_off",
       "http_heads_cut_off",
       "http_abandoned_by_caller",
-      "http_aborted_by_handler"};
+      "http_aborted_by_handler",
+      "http_over_total",
+      "http_unused_evicted"};
 };
 
 /// Settings of a SoupHttpServer.
@@ -60,6 +68,10 @@
   Address bind;
   std::size_t max_body_bytes = std::size_t{1} << 20;
   std::uint32_t max_connections = 10'000;
+  /// Account of the bytes of requests. If null, the server has one of its own
+  /// with `max_held_bytes`. Must outlive the server.
+  MemoryAccount* account = nullptr;
+  std::size_t max_held_bytes = std::size_t{32} << 20;
   int listen_backlog = 1024;
   /// Limit on the time that a connection is idle, and on the time that a caller
   /// takes to send the headers or the body of a request.
@@ -135,10 +147,18 @@
   void ScheduleSweep();
   void SweepIdleConnections();
   void MarkBodyTooLarge(Exchange* exchange);
+  /// Closes the connection of the largest request that is being read while
+  /// little of the account is left.
+  void EnforceMemoryLimit();
+  /// Closes the oldest connection that has sent no request, other than
+  /// `accepted`. Returns false if there is none.
+  bool EvictUnusedConnection(const Connection* accepted);
   void EndExchange(SoupServerMessage* message, bool finished);
   void SendResponse(SoupServerMessage* message, const HttpResponse& response);
 
   SoupHttpServerOptions m_options;
+  MemoryAccount m_own_account;
+  MemoryAccount* m_account;
   GlibScheduler m_scheduler;
   Handler m_handler;
   SoupServer* m_server = nullptr;
--- a/src/adapters/tcp_peer_transport.cc
+++ b/src/adapters/tcp_peer_transport.cc
@@ -135,7 +135,26 @@
   return TRUE;
 }
 
+void TcpPeerTransport::LimitUnprovedConnections() {
+  const auto is_unproved = [](const auto& entry) {
+    return !entry.second->connection->IsReady();
+  };
+  const auto count = std::ranges::count_if(m_accepted, is_unproved);
+  if (static_cast<std::size_t>(count) < m_options.max_unproved_connections) {
+    return;
+  }
+  // Ids are given in ascending order.
+  const auto oldest = std::ranges::min_element(
+      m_accepted, {}, [&is_unproved](const auto& entry) {
+        return std::pair(!is_unproved(entry), entry.first);
+      });
+  m_counters.Add(PeerCounter::kTooManyConnections);
+  oldest->second->connection->Detach();
+  m_accepted.erase(oldest);
+}
+
 void TcpPeerTransport::AcceptConnection(GSocketConnection* connection) {
+  LimitUnprovedConnections();
   if (m_accepted.size() >= m_options.max_connections) {
     m_counters.Add(PeerCounter::kTooManyConnections);
     return;
