--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -147,7 +147,8 @@
       .relay = m_relay_client.get(),
       .crash_guard = m_crash_guard.get(),
       .quota = m_quota_client.get(),
-      .zone_admission = m_zone_admission.get()};
+      .zone_admission =
+          m_settings.admits_by_zone ? m_zone_admission.get() : nullptr};
   m_router = std::make_unique<Router>(routing_context, RandomSeed(),
                                       m_peers->Freshness());
   m_relay_service =
--- a/programs/chicory-gatewayd/gateway_settings.cc
+++ b/programs/chicory-gatewayd/gateway_settings.cc
@@ -66,6 +66,7 @@
   settings.quota.overshoot = reader.Number("quota.overshoot", 0, 0, 1);
   settings.quota.first_start = settings.replica_list.first_start;
   settings.zone_overflow = ReadZoneOverflow(reader);
+  settings.admits_by_zone = reader.Bool("admission.by_zone", false);
   settings.max_connections = static_cast<std::uint32_t>(reader.Integer(
       "callers.max_connections", kDefaultMaxConnections, kMaxConnectionsRange));
   settings.linger = ReadLinger(reader);
--- a/programs/chicory-gatewayd/gateway_settings.h
+++ b/programs/chicory-gatewayd/gateway_settings.h
@@ -32,6 +32,9 @@
   RetryBudgetOptions retry_budget;
   QuotaOptions quota;
   ZoneOverflowOptions zone_overflow;
+  /// Whether the entries of a zone admit requests together if the configuration
+  /// has workspaces.
+  bool admits_by_zone = false;
   /// Maximum number of open connections at each of the HTTP servers for
   /// callers, readiness and metrics.
   std::uint32_t max_connections = 0;
