--- a/programs/chicory-gatewayd/gateway_settings.h
+++ b/programs/chicory-gatewayd/gateway_settings.h
@@ -35,8 +35,7 @@
   /// Whether the entries of a zone admit requests together if the configuration
   /// has workspaces.
   bool admits_by_zone = false;
-  /// Maximum number of open connections at each of the HTTP servers for
-  /// callers, readiness and metrics.
+  /// Maximum number of open connections of callers.
   std::uint32_t max_connections = 0;
   /// Time between the report that this VM is not ready and the refusal of new
   /// connections.
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -35,9 +35,10 @@
 };
 
 /// Handles the requests of callers: finds the route and the workspace, takes a
-/// token of its quota, picks the service, and runs a query. If the
-/// configuration has workspaces, requests are first admitted by ZoneAdmission;
-/// otherwise scattered ones are by RequestAdmission. Not thread safe.
+/// token of its quota, picks the service, and runs a query. Scattered requests
+/// are first admitted by RequestAdmission; if a ZoneAdmission is set and the
+/// configuration has workspaces, it admits all requests instead. Not thread
+/// safe.
 class Router {
  public:
   using Callback = std::function<void(RoutedAnswer answer)>;
