Review of the diff: freed bodies, destroyed accounts, unreachable owners, names

Found by reading: a dropped body kept its buffer (string = {} keeps the capacity); a request that outlives SoupHttpServer read the account of the destroyed server; a refused connection could be chosen for eviction again; without authenticated connections the oldest one of none was closed; with admission by zone, entries had no limit at all after 3 s without an answer of the owner (new test), and the end of a waiting request was counted as in flight. Names and comments that a reader stumbled on are replaced.

--- a/programs/chicory-controld/control_daemon.cc
+++ b/programs/chicory-controld/control_daemon.cc
@@ -102,7 +102,8 @@
 
 Result<void> ControlDaemon::StartPeers() {
   PeerStackOptions options = m_settings.peers;
-  options.max_unproved_connections = m_limits.unproved_peer_connections;
+  options.max_unauthenticated_connections =
+      m_limits.unauthenticated_peer_connections;
   options.scheduler = &m_scheduler;
   options.log = &m_log;
   auto peers = PeerStack::Make(options);
--- a/programs/chicory-entryd/entry_daemon.cc
+++ b/programs/chicory-entryd/entry_daemon.cc
@@ -54,7 +54,8 @@
 
 Result<void> EntryDaemon::StartPeers() {
   PeerStackOptions options = m_settings.peers;
-  options.max_unproved_connections = m_limits.unproved_peer_connections;
+  options.max_unauthenticated_connections =
+      m_limits.unauthenticated_peer_connections;
   options.scheduler = &m_scheduler;
   options.log = &m_log;
   auto peers = PeerStack::Make(options);
--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -79,7 +79,8 @@
 
 Result<void> GatewayDaemon::StartPeers() {
   PeerStackOptions options = m_settings.peers;
-  options.max_unproved_connections = m_limits.unproved_peer_connections;
+  options.max_unauthenticated_connections =
+      m_limits.unauthenticated_peer_connections;
   options.scheduler = &m_scheduler;
   options.log = &m_log;
   // Limits are divided among all entries that may be running, with or without a
--- a/src/adapters/peer_stack.cc
+++ b/src/adapters/peer_stack.cc
@@ -46,7 +46,7 @@
   tcp.key = options.key;
   tcp.scheduler = options.scheduler;
   tcp.refused_peers = options.refused_peers;
-  tcp.max_unproved_connections = options.max_unproved_connections;
+  tcp.max_unauthenticated_connections = options.max_unauthenticated_connections;
   auto tcp_transport = TcpPeerTransport::Make(std::move(tcp));
   if (!tcp_transport) return tl::unexpected(tcp_transport.error());
   UdpOptions udp;
--- a/src/adapters/peer_stack.h
+++ b/src/adapters/peer_stack.h
@@ -33,10 +33,9 @@
   /// Whether this process asks for a lease. Set it to false if the process does
   /// not divide limits by leases.
   bool keeps_lease = true;
-  /// Maximum number of accepted TCP connections whose peer has not proved yet
-  /// that it has the key.
-  std::size_t max_unproved_connections =
-      TcpPeerOptions().max_unproved_connections;
+  /// Maximum number of accepted TCP connections that are not authenticated yet.
+  std::size_t max_unauthenticated_connections =
+      TcpPeerOptions().max_unauthenticated_connections;
   /// Peers with which all communication is refused, so that tests can simulate
   /// network partitions.
   std::set<Address> refused_peers;
--- a/src/adapters/process_limits.cc
+++ b/src/adapters/process_limits.cc
@@ -73,7 +73,7 @@
   // Together at most three quarters of the reserved descriptors.
   parts.monitoring_connections = reserved / 8;
   parts.operator_connections = reserved / 4;
-  parts.unproved_peer_connections = reserved / 4;
+  parts.unauthenticated_peer_connections = reserved / 4;
   return parts;
 }
 
--- a/src/adapters/process_limits.h
+++ b/src/adapters/process_limits.h
@@ -19,9 +19,9 @@
   std::size_t monitoring_connections = 0;
   /// Limit for the address of operators' calls.
   std::size_t operator_connections = 0;
-  /// Limit on the connections at the peer address that have not proved yet that
-  /// they have the key.
-  std::size_t unproved_peer_connections = 0;
+  /// Limit on the connections at the peer address that are not authenticated
+  /// yet.
+  std::size_t unauthenticated_peer_connections = 0;
 };
 
 /// Divides `limits`. For a limit that is not set, the memory that the kernel
--- a/src/adapters/soup_http_server.cc
+++ b/src/adapters/soup_http_server.cc
@@ -27,8 +27,8 @@
 constexpr auto kPeerClosedCondition = static_cast<GIOCondition>(0x2000);
 /// Limit on the bytes in which the end of a head is looked for.
 constexpr std::size_t kMaxPeekedBytes = std::size_t{64} * 1024;
-/// Requests up to this size are not refused as long as larger ones are not the
-/// only way to stay within the account.
+/// Requests up to this size are dropped only when the account is over its
+/// limit, not when little of it is left.
 constexpr std::size_t kSmallRequestBytes = std::size_t{16} * 1024;
 constexpr char kExchangeKey[] = "chicoryvale-exchange";
 
@@ -168,8 +168,8 @@
   /// The whole head had arrived when libsoup began to read the request.
   bool head_arrived = false;
   std::size_t body_bytes = 0;
-  /// The body as received. libsoup would keep each chunk for itself, which
-  /// takes a hundred bytes for a chunk of one byte.
+  /// The body as received. libsoup would allocate an object of about 100 bytes
+  /// for each chunk, even of one byte.
   std::string body;
   AccountedBytes held_bytes;
   bool too_large = false;
@@ -316,6 +316,7 @@
   if (m_connections.size() > m_options.max_connections &&
       !EvictUnusedConnection(connection)) {
     m_counters.Add(SoupHttpServerCounter::kConnectionsRefused);
+    connection->evicted = true;
     ShutDownSocket(socket);
   }
   return connection;
@@ -380,11 +381,15 @@
 void SoupHttpServer::MarkBodyTooLarge(Exchange* exchange) {
   if (exchange->too_large) return;
   exchange->too_large = true;
-  exchange->body = {};
-  exchange->held_bytes.Set(0);
+  FreeBody(exchange);
   m_counters.Add(SoupHttpServerCounter::kBodiesTooLarge);
 }
 
+void SoupHttpServer::FreeBody(Exchange* exchange) {
+  std::string().swap(exchange->body);
+  exchange->held_bytes.Set(0);
+}
+
 void SoupHttpServer::EnforceMemoryLimit() {
   const auto size_of = [](const auto& entry) {
     const Exchange* exchange = entry.second->current;
@@ -398,8 +403,7 @@
     if (largest == m_connections.end() || size_of(*largest) < min_bytes) return;
     Exchange* exchange = largest->second->current;
     exchange->dropped = true;
-    exchange->body = {};
-    exchange->held_bytes.Set(0);
+    FreeBody(exchange);
     m_counters.Add(SoupHttpServerCounter::kOverTotal);
     ResetSocket(exchange->connection->socket.get());
   }
--- a/src/adapters/soup_http_server.h
+++ b/src/adapters/soup_http_server.h
@@ -147,6 +147,7 @@
   void ScheduleSweep();
   void SweepIdleConnections();
   void MarkBodyTooLarge(Exchange* exchange);
+  static void FreeBody(Exchange* exchange);
   /// Closes the connection of the largest request that is being read while
   /// little of the account is left.
   void EnforceMemoryLimit();
--- a/src/adapters/tcp_peer_transport.cc
+++ b/src/adapters/tcp_peer_transport.cc
@@ -135,18 +135,19 @@
   return TRUE;
 }
 
-void TcpPeerTransport::LimitUnprovedConnections() {
-  const auto is_unproved = [](const auto& entry) {
+void TcpPeerTransport::LimitUnauthenticatedConnections() {
+  const auto is_unauthenticated = [](const auto& entry) {
     return !entry.second->connection->IsReady();
   };
-  const auto count = std::ranges::count_if(m_accepted, is_unproved);
-  if (static_cast<std::size_t>(count) < m_options.max_unproved_connections) {
+  const auto count = std::ranges::count_if(m_accepted, is_unauthenticated);
+  if (count == 0 || static_cast<std::size_t>(count) <
+                        m_options.max_unauthenticated_connections) {
     return;
   }
   // Ids are given in ascending order.
   const auto oldest = std::ranges::min_element(
-      m_accepted, {}, [&is_unproved](const auto& entry) {
-        return std::pair(!is_unproved(entry), entry.first);
+      m_accepted, {}, [&is_unauthenticated](const auto& entry) {
+        return std::pair(!is_unauthenticated(entry), entry.first);
       });
   m_counters.Add(PeerCounter::kTooManyConnections);
   oldest->second->connection->Detach();
@@ -154,7 +155,7 @@
 }
 
 void TcpPeerTransport::AcceptConnection(GSocketConnection* connection) {
-  LimitUnprovedConnections();
+  LimitUnauthenticatedConnections();
   if (m_accepted.size() >= m_options.max_connections) {
     m_counters.Add(PeerCounter::kTooManyConnections);
     return;
--- a/src/adapters/tcp_peer_transport.h
+++ b/src/adapters/tcp_peer_transport.h
@@ -42,9 +42,9 @@
   std::size_t max_queued_bytes = std::size_t{32} * 1024 * 1024;
   /// Maximum number of accepted connections and, separately, of dialled ones.
   std::size_t max_connections = 1024;
-  /// Maximum number of accepted connections whose peer has not proved yet that
-  /// it has the key. Beyond it, the oldest of them is closed.
-  std::size_t max_unproved_connections = 512;
+  /// Maximum number of accepted connections that are not authenticated yet.
+  /// Beyond it, the oldest of them is closed.
+  std::size_t max_unauthenticated_connections = 512;
   /// Maximum number of unanswered calls on one connection.
   std::size_t max_calls_per_connection = 1024;
   Duration handshake_timeout = seconds(3);
@@ -102,9 +102,9 @@
                              GSocketConnection* connection, GObject* source,
                              gpointer data);
   void AcceptConnection(GSocketConnection* connection);
-  // Closes the oldest connection whose peer has not proved that it has the key,
-  // if there are as many as allowed.
-  void LimitUnprovedConnections();
+  // Closes the oldest connection that is not authenticated, if there are as
+  // many as allowed.
+  void LimitUnauthenticatedConnections();
   void OnAcceptedReady(ConnectionId id, const Address& peer);
   void OnAcceptedFrame(ConnectionId id, const std::string& payload);
   void SendAnswer(ConnectionId id, const Message& message);
--- a/src/base/memory_account.h
+++ b/src/base/memory_account.h
@@ -50,13 +50,15 @@
 };
 
 /// Bytes that one holder has added to an account; releases them when destroyed.
-/// The account must outlive it. Not thread safe.
+/// The account must outlive the holding of bytes. Not thread safe.
 class AccountedBytes {
  public:
   explicit AccountedBytes(MemoryAccount* account) : m_account(account) {}
   AccountedBytes(const AccountedBytes&) = delete;
   AccountedBytes& operator=(const AccountedBytes&) = delete;
-  ~AccountedBytes() { Set(0); }
+  ~AccountedBytes() {
+    if (m_bytes != 0) Set(0);
+  }
 
   void Set(std::size_t bytes) {
     m_account->Release(m_bytes);
--- a/src/ports/zone_admission.h
+++ b/src/ports/zone_admission.h
@@ -25,7 +25,7 @@
 
 /// A request that competes with others for a group of replicas.
 struct ZoneAdmissionRequest {
-  /// Name of the group: of its first service.
+  /// Name of the group, which is the name of its first service.
   std::string group;
   /// Empty if the caller has none.
   std::string workspace;
@@ -58,7 +58,7 @@
     OnSubmit(id, request, std::move(callback));
   }
 
-  /// Ends an admitted request. Does nothing if it has ended.
+  /// Ends an admitted request. Does nothing if it waits or has ended.
   void Finish(AdmissionId id, AdmittedOutcome outcome) {
     OnFinish(id, outcome);
   }
--- a/src/zone_admission/admission_messages.h
+++ b/src/zone_admission/admission_messages.h
@@ -58,7 +58,8 @@
 struct AdmissionReplyMessage {
   /// Whether entries should ask before they send a request.
   bool is_saturated = false;
-  /// What became of the request that the call asked for.
+  /// Whether the request that the call asked for is admitted; if so, its
+  /// ticket, otherwise the time after which its caller should retry.
   bool is_admitted = false;
   std::uint64_t ticket = 0;
   std::uint64_t retry_after_us = 0;
--- a/src/zone_admission/group_admission.h
+++ b/src/zone_admission/group_admission.h
@@ -53,9 +53,9 @@
 /// replicas. It learns from the outcomes of all of them how many may be in
 /// flight. While as many are, further ones wait: the most urgent ones are
 /// admitted first, and among equally urgent ones each workspace gets the same
-/// share, however many requests it sends. A workspace with less than its share
-/// in flight does not wait until others have less than theirs. A request whose
-/// turn would come too late is refused at once. Not thread safe.
+/// share, however many requests it sends. A new request of a workspace below
+/// its share is admitted even beyond the limit. A request whose turn would come
+/// too late is refused at once. Not thread safe.
 class GroupAdmission {
  public:
   using Decide = std::function<void(const ZoneAdmissionDecision& decision)>;
@@ -139,7 +139,8 @@
     TimePoint expire_at{};
   };
 
-  // Discards what was learned of a load that has ended.
+  // Removes the limit once no request has missed its target latency for some
+  // seconds and the group is not saturated.
   void ForgetOldMiss();
   [[nodiscard]] bool HasRoom() const;
   // Returns whether a request may exceed the limit, because its workspace has
--- a/src/zone_admission/zone_admission_client.cc
+++ b/src/zone_admission/zone_admission_client.cc
@@ -86,7 +86,9 @@
   m_requests.emplace(
       id, Request{.request = request, .callback = std::move(callback)});
   const Group& group = GroupOf(request.group);
-  if (m_ports.scheduler->Now() < group.saturated_until) return Ask(id);
+  const bool asks = m_ports.scheduler->Now() < group.saturated_until ||
+                    !OwnerOf(request.group);
+  if (asks) return Ask(id);
   m_counters.Add(ZoneAdmissionCounter::kSentWithoutAsking);
   StartUnasked(id);
 }
@@ -198,8 +200,10 @@
 }
 
 void ZoneAdmissionClient::OnFinish(AdmissionId id, AdmittedOutcome outcome) {
-  const auto node = m_requests.extract(id);
-  if (!node.empty()) End(id, node.mapped(), outcome);
+  const auto found = m_requests.find(id);
+  if (found == m_requests.end() || !found->second.is_admitted) return;
+  const auto node = m_requests.extract(found);
+  End(id, node.mapped(), outcome);
 }
 
 void ZoneAdmissionClient::OnCancel(AdmissionId id) {
--- a/tests/zone_admission/zone_admission_test.cc
+++ b/tests/zone_admission/zone_admission_test.cc
@@ -125,6 +125,18 @@
   EXPECT_EQ(Count(m_other, ZoneAdmissionCounter::kDecidedAlone), 2U);
 }
 
+// Requests would have no limit at all once the saturation is forgotten.
+TEST_F(ZoneAdmissionTest, AnEntryDecidesAloneAsLongAsTheOwnerDoesNotAnswer) {
+  m_group.network().SetState(ZoneGroup::AddressOf(m_owner),
+                             NodeState::kCrashed);
+  Submit(m_other);
+  m_group.scheduler().RunFor(milliseconds(700));
+  const std::uint64_t before =
+      Count(m_other, ZoneAdmissionCounter::kDecidedAlone);
+  Submit(m_other);
+  EXPECT_EQ(Count(m_other, ZoneAdmissionCounter::kDecidedAlone), before + 1);
+}
+
 // The next owner starts without what the former one knew.
 TEST_F(ZoneAdmissionTest, AnotherEntryOwnsTheGroupOfAFailedOne) {
   Saturate(20);
