--- a/src/zone_admission/group_owner.cc
+++ b/src/zone_admission/group_owner.cc
@@ -41,7 +41,7 @@
 }
 
 void GroupOwner::Handle(const Address& from, const AdmissionCallMessage& call,
-                        Respond respond) {
+                        const Respond& respond) {
   GroupAdmission& group = GroupOf(call.group);
   for (const AdmissionEndMessage& ended : call.ended) {
     const AdmittedOutcome outcome = OutcomeOf(ended.outcome);
--- a/src/zone_admission/group_owner.h
+++ b/src/zone_admission/group_owner.h
@@ -30,7 +30,7 @@
   /// Handles a call of the entry `from`. Calls `respond` once: at once, or if
   /// the call asks for a request that has to wait, when that is decided.
   void Handle(const Address& from, const AdmissionCallMessage& call,
-              Respond respond);
+              const Respond& respond);
 
   /// Returns whether entries should ask for requests to `group`.
   [[nodiscard]] bool IsSaturated(const std::string& group) const;
