Codec: a bool that is neither 0 nor 1 is a malformed message

Cause: a decoded bool took the received byte as it is; another value than 0 or 1 has no defined meaning. Found by fuzz_tests with UndefinedBehaviorSanitizer (admission_call and config_delta). The test program also replaces the nothrow operator new, whose memory it frees; AddressSanitizer reported the mismatch.

--- a/src/base/codec.h
+++ b/src/base/codec.h
@@ -71,6 +71,15 @@
   archive.LoadBytes(&value, sizeof(value));
 }
 
+// A bool whose byte is neither 0 nor 1 has no defined value.
+inline void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive& archive,
+                                      bool& value) {
+  unsigned char byte = 0;
+  archive.LoadBytes(&byte, sizeof(byte));
+  if (byte > 1) throw cereal::Exception("not a bool");
+  value = byte == 1;
+}
+
 template <class T>
 void CEREAL_SERIALIZE_FUNCTION_NAME(BoundedOutputArchive& archive,
                                     cereal::NameValuePair<T>& pair) {
--- a/tests/fuzz/reader_fuzz_test.cc
+++ b/tests/fuzz/reader_fuzz_test.cc
@@ -52,6 +52,11 @@
   if (memory == nullptr) throw std::bad_alloc();
   return memory;
 }
+// Used for the temporary buffers of algorithms.
+void* operator new(std::size_t size, const std::nothrow_t& /*tag*/) noexcept {
+  g_allocated_bytes += size;
+  return std::malloc(size == 0 ? 1 : size);
+}
 void operator delete(void* memory) noexcept { std::free(memory); }
 void operator delete(void* memory, std::size_t /*size*/) noexcept {
   std::free(memory);
