--- a/review/lab2.hpp
+++ b/review/lab2.hpp
@@ -1,6 +1,7 @@
-// A small deployment for the scripts of the second review: control processes and gateways run as
-// separate processes on loopback addresses, with the commands of the deploy file. The platform, the
-// replicas, the consumers and the operator are threads of the script.
+// A small deployment for the scripts of the second review: control processes
+// and gateways run as separate processes on loopback addresses, with the
+// commands of the deploy file. The platform, the replicas, the consumers and
+// the operator are threads of the script.
 #ifndef REVIEW_LAB2_HPP_
 #define REVIEW_LAB2_HPP_
 
@@ -75,7 +76,8 @@
   std::ofstream m_file;
 };
 
-// Sockets and HTTP ---------------------------------------------------------------------------------
+// Sockets and HTTP
+// ---------------------------------------------------------------------------------
 
 inline sockaddr_in ToAddress(const std::string& ip, int port) {
   sockaddr_in address{};
@@ -90,7 +92,8 @@
   const int on = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   const sockaddr_in address = ToAddress(ip, port);
-  if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
+  if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) !=
+          0 ||
       listen(fd, 256) != 0) {
     close(fd);
     return -1;
@@ -108,7 +111,8 @@
 inline bool SendAll(int fd, const std::string& bytes) {
   std::size_t sent = 0;
   while (sent < bytes.size()) {
-    const ssize_t count = send(fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+    const ssize_t count =
+        send(fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
     if (count <= 0) return false;
     sent += static_cast<std::size_t>(count);
   }
@@ -132,9 +136,10 @@
   }
 };
 
-/// Reads one message with a Content-Length. Returns nothing at the end of the connection or after
-/// `timeout_ms`.
-inline std::optional<Message> ReadMessage(int fd, std::string* buffer, int timeout_ms) {
+/// Reads one message with a Content-Length. Returns nothing at the end of the
+/// connection or after `timeout_ms`.
+inline std::optional<Message> ReadMessage(int fd, std::string* buffer,
+                                          int timeout_ms) {
   const auto end = Clock::now() + milliseconds(timeout_ms);
   std::size_t head_end = std::string::npos;
   Message message;
@@ -154,17 +159,21 @@
           std::string name = line.substr(0, colon);
           std::transform(name.begin(), name.end(), name.begin(), ::tolower);
           const std::size_t value = line.find_first_not_of(' ', colon + 1);
-          message.headers[name] = value == std::string::npos ? "" : line.substr(value);
+          message.headers[name] =
+              value == std::string::npos ? "" : line.substr(value);
         }
-        length = std::strtoul(message.Header("content-length").c_str(), nullptr, 10);
+        length =
+            std::strtoul(message.Header("content-length").c_str(), nullptr, 10);
       }
     }
-    if (head_end != std::string::npos && buffer->size() >= head_end + 4 + length) {
+    if (head_end != std::string::npos &&
+        buffer->size() >= head_end + 4 + length) {
       message.body = buffer->substr(head_end + 4, length);
       buffer->erase(0, head_end + 4 + length);
       return message;
     }
-    const auto left = std::chrono::duration_cast<milliseconds>(end - Clock::now()).count();
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(end - Clock::now()).count();
     if (left <= 0) return std::nullopt;
     pollfd waiting{fd, POLLIN, 0};
     if (poll(&waiting, 1, static_cast<int>(left)) <= 0) return std::nullopt;
@@ -175,15 +184,18 @@
   }
 }
 
-/// Sends a request on a connection of its own and closes the connection after the answer, or after
-/// `timeout_ms` without one.
-inline std::optional<Message> Call(const std::string& ip, int port, const std::string& method,
-                                   const std::string& path, const std::string& headers,
+/// Sends a request on a connection of its own and closes the connection after
+/// the answer, or after `timeout_ms` without one.
+inline std::optional<Message> Call(const std::string& ip, int port,
+                                   const std::string& method,
+                                   const std::string& path,
+                                   const std::string& headers,
                                    const std::string& body, int timeout_ms) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in address = ToAddress(ip, port);
   std::optional<Message> answer;
-  if (connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) {
+  if (connect(fd, reinterpret_cast<const sockaddr*>(&address),
+              sizeof address) == 0) {
     std::string request = method + " " + path + " HTTP/1.1\r\n" + headers;
     if (!body.empty() || method == "PUT" || method == "POST") {
       request += "Content-Length: " + std::to_string(body.size()) + "\r\n";
@@ -197,12 +209,13 @@
   return answer;
 }
 
-/// A server that passes each request to a handler and sends what the handler returns. A connection
-/// is closed where the handler returns nothing.
+/// A server that passes each request to a handler and sends what the handler
+/// returns. A connection is closed where the handler returns nothing.
 class Server {
  public:
   using Handler = std::function<std::string(const Message& request)>;
-  Server(const std::string& ip, int port, Handler handler) : m_handler(std::move(handler)) {
+  Server(const std::string& ip, int port, Handler handler)
+      : m_handler(std::move(handler)) {
     m_listener = Listen(ip, port);
     if (m_listener < 0) return;
     std::thread([this] { Accept(); }).detach();
@@ -228,7 +241,8 @@
   int m_listener = -1;
 };
 
-// Processes ----------------------------------------------------------------------------------------
+// Processes
+// ----------------------------------------------------------------------------------------
 
 class Process {
  public:
@@ -247,7 +261,8 @@
       dup2(fileno(log), 1);
       dup2(fileno(log), 2);
       setenv("GSETTINGS_BACKEND", "memory", 1);
-      execl(m_binary.c_str(), m_binary.c_str(), "--config", m_settings_path.c_str(), nullptr);
+      execl(m_binary.c_str(), m_binary.c_str(), "--config",
+            m_settings_path.c_str(), nullptr);
       _exit(127);
     }
     return m_pid > 0;
@@ -302,8 +317,8 @@
 class Deployment {
  public:
   /// `root` is the root of the repository.
-  Deployment(std::string root, int controls, int gateways, std::vector<std::string> zones,
-             Bounds bounds = {})
+  Deployment(std::string root, int controls, int gateways,
+             std::vector<std::string> zones, Bounds bounds = {})
       : m_root(std::move(root)), m_zones(std::move(zones)), m_bounds(bounds) {
     char folder[] = "/tmp/review-XXXXXX";
     if (mkdtemp(folder) != nullptr) m_folder = folder;
@@ -319,16 +334,29 @@
     }
   }
 
-  [[nodiscard]] std::string Ip(int host) const { return m_prefix + std::to_string(host); }
-  [[nodiscard]] const std::string& ControlIp(int i) const { return m_control_ips.at(i); }
-  [[nodiscard]] const std::string& GatewayIp(int i) const { return m_gateway_ips.at(i); }
-  [[nodiscard]] Process& Control(int i) { return *m_processes.at("control" + std::to_string(i)); }
-  [[nodiscard]] Process& Gateway(int i) { return *m_processes.at("gateway" + std::to_string(i)); }
-  [[nodiscard]] std::string ZoneOf(int i) const { return m_zones[i % m_zones.size()]; }
+  [[nodiscard]] std::string Ip(int host) const {
+    return m_prefix + std::to_string(host);
+  }
+  [[nodiscard]] const std::string& ControlIp(int i) const {
+    return m_control_ips.at(i);
+  }
+  [[nodiscard]] const std::string& GatewayIp(int i) const {
+    return m_gateway_ips.at(i);
+  }
+  [[nodiscard]] Process& Control(int i) {
+    return *m_processes.at("control" + std::to_string(i));
+  }
+  [[nodiscard]] Process& Gateway(int i) {
+    return *m_processes.at("gateway" + std::to_string(i));
+  }
+  [[nodiscard]] std::string ZoneOf(int i) const {
+    return m_zones[i % m_zones.size()];
+  }
 
   /// Serves a replica and lists it.
   bool AddReplica(const Replica& replica, const Server::Handler& handler) {
-    m_servers.push_back(std::make_unique<Server>(replica.ip, kReplicaPort, handler));
+    m_servers.push_back(
+        std::make_unique<Server>(replica.ip, kReplicaPort, handler));
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_replicas.push_back(replica);
     return m_servers.back()->IsListening();
@@ -337,15 +365,18 @@
   /// Starts the platform and all processes. Returns false if that fails.
   bool Start() {
     m_servers.push_back(std::make_unique<Server>(
-        Ip(250), kPlatformPort, [this](const Message&) { return ReplicaList(); }));
+        Ip(250), kPlatformPort,
+        [this](const Message&) { return ReplicaList(); }));
     if (m_folder.empty() || !m_servers.back()->IsListening()) return false;
     for (std::size_t i = 0; i < m_control_ips.size(); ++i) {
-      if (!StartProcess("control" + std::to_string(i), "chicory-controld", ControlSettings(i))) {
+      if (!StartProcess("control" + std::to_string(i), "chicory-controld",
+                        ControlSettings(i))) {
         return false;
       }
     }
     for (std::size_t i = 0; i < m_gateway_ips.size(); ++i) {
-      if (!StartProcess("gateway" + std::to_string(i), "chicory-gatewayd", GatewaySettings(i))) {
+      if (!StartProcess("gateway" + std::to_string(i), "chicory-gatewayd",
+                        GatewaySettings(i))) {
         return false;
       }
     }
@@ -356,9 +387,10 @@
   bool Put(const std::string& config, int timeout_s = 25) {
     const auto end = Clock::now() + std::chrono::seconds(timeout_s);
     for (std::size_t i = 0; Clock::now() < end; ++i) {
-      const auto answer = Call(m_control_ips[i % m_control_ips.size()], kControlPort, "PUT",
-                               "/config", "Host: control\r\nContent-Type: application/json\r\n",
-                               config, 1000);
+      const auto answer =
+          Call(m_control_ips[i % m_control_ips.size()], kControlPort, "PUT",
+               "/config", "Host: control\r\nContent-Type: application/json\r\n",
+               config, 1000);
       if (answer && answer->Status() == 200) return true;
       SleepMs(200);
     }
@@ -370,7 +402,8 @@
     const auto end = Clock::now() + std::chrono::seconds(timeout_s);
     for (const std::string& ip : m_gateway_ips) {
       while (true) {
-        const auto answer = Call(ip, kReadyPort, "GET", "/ready", "Host: ready\r\n", "", 1000);
+        const auto answer =
+            Call(ip, kReadyPort, "GET", "/ready", "Host: ready\r\n", "", 1000);
         if (answer && answer->Status() == 200) break;
         if (Clock::now() > end) return false;
         SleepMs(100);
@@ -380,15 +413,19 @@
   }
 
  private:
-  // A free /24 of the loopback range, so that several scripts can run at the same time.
+  // A free /24 of the loopback range, so that several scripts can run at the
+  // same time.
   static std::string FreePrefix() {
     const auto pid = static_cast<unsigned>(getpid());
     for (unsigned i = 0; i < 200; ++i) {
       const unsigned number = pid + 977 * i;
-      const std::string prefix = "127." + std::to_string(20 + number % 200) + "." +
-                                 std::to_string(1 + number / 200 % 250) + ".";
-      if (IsFree(prefix + "250", kPlatformPort) && IsFree(prefix + "100", kPeerPort) &&
-          IsFree(prefix + "10", kPeerPort) && IsFree(prefix + "200", kReplicaPort)) {
+      const std::string prefix = "127." + std::to_string(20 + number % 200) +
+                                 "." + std::to_string(1 + number / 200 % 250) +
+                                 ".";
+      if (IsFree(prefix + "250", kPlatformPort) &&
+          IsFree(prefix + "100", kPeerPort) &&
+          IsFree(prefix + "10", kPeerPort) &&
+          IsFree(prefix + "200", kReplicaPort)) {
         return prefix;
       }
     }
@@ -400,19 +437,24 @@
     std::string entries;
     for (const Replica& replica : m_replicas) {
       if (!entries.empty()) entries += ",";
-      entries += R"({"backend":")" + replica.service + R"(","address":")" + replica.ip + ":" +
-                 std::to_string(kReplicaPort) + R"(","zone":")" + replica.zone +
-                 R"(","version":"v1","slots":4,"state":"ready","warmupLeftMs":0,"id":")" +
-                 replica.id + R"("})";
+      entries +=
+          R"({"backend":")" + replica.service + R"(","address":")" +
+          replica.ip + ":" + std::to_string(kReplicaPort) + R"(","zone":")" +
+          replica.zone +
+          R"(","version":"v1","slots":4,"state":"ready","warmupLeftMs":0,"id":")" +
+          replica.id + R"("})";
     }
-    const std::string body = R"({"instances":[)" + entries + R"(],"nextPageToken":null})";
-    return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
+    const std::string body =
+        R"({"instances":[)" + entries + R"(],"nextPageToken":null})";
+    return "HTTP/1.1 200 OK\r\nContent-Type: "
+           "application/json\r\nContent-Length: " +
            std::to_string(body.size()) + "\r\n\r\n" + body;
   }
 
   [[nodiscard]] std::string Seeds() const {
     std::string seeds;
-    for (std::size_t i = 0; i < std::min<std::size_t>(3, m_control_ips.size()); ++i) {
+    for (std::size_t i = 0; i < std::min<std::size_t>(3, m_control_ips.size());
+         ++i) {
       if (!seeds.empty()) seeds += ",";
       seeds += "\"" + m_control_ips[i] + ":" + std::to_string(kPeerPort) + "\"";
     }
@@ -423,12 +465,16 @@
   [[nodiscard]] std::string ControlSettings(std::size_t i) const {
     const std::string& ip = m_control_ips[i];
     return "availability_zone = \"" + ZoneOf(static_cast<int>(i)) +
-           "\"\nlimits.memory_mb = 256\nlimits.max_fds = 4096\ndata_folder = \"" + m_folder +
-           "/data" + std::to_string(i) + "\"\n\n[listen]\nrouting = \"" + ip + ":" +
+           "\"\nlimits.memory_mb = 256\nlimits.max_fds = 4096\ndata_folder = "
+           "\"" +
+           m_folder + "/data" + std::to_string(i) +
+           "\"\n\n[listen]\nrouting = \"" + ip + ":" +
            std::to_string(kControlPort) + "\"\npeers = \"" + ip + ":" +
            std::to_string(kPeerPort) + "\"\nmetrics = \"" + ip + ":" +
-           std::to_string(kMetricsPort) + "\"\n\n[group]\nmembers = [" + Seeds() +
-           "]\nmay_form = true\nkeep_members = true\n\n[membership]\npeers_share_port = true\n\n"
+           std::to_string(kMetricsPort) + "\"\n\n[group]\nmembers = [" +
+           Seeds() +
+           "]\nmay_form = true\nkeep_members = "
+           "true\n\n[membership]\npeers_share_port = true\n\n"
            "[keys]\npeer_key = \"chicoryvale-frames-of-one-deployment\"\n\n"
            "[shutdown]\nlinger_ms = 0\n\n[log]\ntarget = \"stdout\"\n";
   }
@@ -436,20 +482,24 @@
   [[nodiscard]] std::string GatewaySettings(std::size_t i) const {
     const std::string& ip = m_gateway_ips[i];
     return "availability_zone = \"" + ZoneOf(static_cast<int>(i)) +
-           "\"\nlimits.memory_mb = 182\nlimits.max_fds = 2870\n\n[listen]\ncallers = \"" + ip +
-           ":" + std::to_string(kCallerPort) + "\"\nready = \"" + ip + ":" +
-           std::to_string(kReadyPort) + "\"\npeers = \"" + ip + ":" + std::to_string(kPeerPort) +
-           "\"\nmetrics = \"" + ip + ":" + std::to_string(kMetricsPort) +
-           "\"\n\n[control]\naddresses = [" + Seeds() +
+           "\"\nlimits.memory_mb = 182\nlimits.max_fds = "
+           "2870\n\n[listen]\ncallers = \"" +
+           ip + ":" + std::to_string(kCallerPort) + "\"\nready = \"" + ip +
+           ":" + std::to_string(kReadyPort) + "\"\npeers = \"" + ip + ":" +
+           std::to_string(kPeerPort) + "\"\nmetrics = \"" + ip + ":" +
+           std::to_string(kMetricsPort) + "\"\n\n[control]\naddresses = [" +
+           Seeds() +
            "]\n\n[membership]\npeers_share_port = true\n\n"
            "[keys]\npeer_key = \"chicoryvale-frames-of-one-deployment\"\n\n"
            "[platform]\nreplica_list = \"" +
            Ip(250) + ":" + std::to_string(kPlatformPort) +
-           "\"\nreplica_list_period_ms = 1000\nfirst_start = true\ndrain_time_ms = " +
+           "\"\nreplica_list_period_ms = 1000\nfirst_start = "
+           "true\ndrain_time_ms = " +
            std::to_string(m_bounds.drain_ms) +
            "\n\n[repeats]\nratio = 0.2\nwindow_ms = 10000\nfixed = " +
            std::to_string(m_bounds.retry_slack) +
-           "\n\n[shutdown]\nlinger_ms = 2500\ngrace_ms = " + std::to_string(m_bounds.grace_s) +
+           "\n\n[shutdown]\nlinger_ms = 2500\ngrace_ms = " +
+           std::to_string(m_bounds.grace_s) +
            "000\n\n[log]\ntarget = \"stdout\"\n";
   }
 
@@ -459,7 +509,8 @@
     std::ofstream(path) << settings;
     const std::string program = m_root + "/target/bin/" + binary;
     if (access(program.c_str(), X_OK) != 0) return false;
-    m_processes[name] = std::make_unique<Process>(program, path, m_folder + "/" + name + ".log");
+    m_processes[name] = std::make_unique<Process>(
+        program, path, m_folder + "/" + name + ".log");
     return m_processes[name]->Start();
   }
 
@@ -484,11 +535,12 @@
 
 /// The one line of a route in a configuration.
 inline std::string RouteJson(const std::string& name, const std::string& prefix,
-                             const std::string& type, const std::string& service) {
-  return R"({"name":")" + name + R"(","host":"h.example","pathPrefix":")" + prefix +
-         R"(","routeType":")" + type +
-         R"(","timeoutMs":5000,"targetLatencyMs":500,"priority":1,"backend":")" + service +
-         R"(","maxAttempts":2})";
+                             const std::string& type,
+                             const std::string& service) {
+  return R"({"name":")" + name + R"(","host":"h.example","pathPrefix":")" +
+         prefix + R"(","routeType":")" + type +
+         R"(","timeoutMs":5000,"targetLatencyMs":500,"priority":1,"backend":")" +
+         service + R"(","maxAttempts":2})";
 }
 
 inline std::string ConfigJson(int version, const std::string& routes,
@@ -496,19 +548,22 @@
   std::string backends;
   for (const std::string& service : services) {
     if (!backends.empty()) backends += ",";
-    backends += R"({"name":")" + service +
-                R"(","healthPath":"/health","maxConnections":82,"protocol":"h1","tls":false})";
+    backends +=
+        R"({"name":")" + service +
+        R"(","healthPath":"/health","maxConnections":82,"protocol":"h1","tls":false})";
   }
-  return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes +
-         R"(],"backends":[)" + backends +
+  return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" +
+         routes + R"(],"backends":[)" + backends +
          R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,)"
          R"("idleTimeoutMs":15000}})";
 }
 
-/// Runs `script` with the root of the repository and the record, under the time limit. Exits with
-/// its result without waiting for threads; the deployment has ended its processes by then.
-inline int Main(int argc, char** argv,
-                const std::function<int(const std::string& root, Record* record)>& script) {
+/// Runs `script` with the root of the repository and the record, under the time
+/// limit. Exits with its result without waiting for threads; the deployment has
+/// ended its processes by then.
+inline int Main(
+    int argc, char** argv,
+    const std::function<int(const std::string& root, Record* record)>& script) {
   if (argc != 3) {
     fprintf(stderr, "usage: %s ROOT RECORD\n", argv[0]);
     return kCouldNotRun;
