--- a/review/lab2.hpp
+++ b/review/lab2.hpp
@@ -297,6 +297,9 @@
   std::string service;
   std::string ip;
   std::string zone;
+  /// How much longer the replica stays cold, as the list tells; never cold if
+  /// not set.
+  std::function<int()> warmup_left_ms = nullptr;
 };
 
 constexpr int kControlPort = 8106;
@@ -441,8 +444,10 @@
           R"({"backend":")" + replica.service + R"(","address":")" +
           replica.ip + ":" + std::to_string(kReplicaPort) + R"(","zone":")" +
           replica.zone +
-          R"(","version":"v1","slots":4,"state":"ready","warmupLeftMs":0,"id":")" +
-          replica.id + R"("})";
+          R"(","version":"v1","slots":4,"state":"ready","warmupLeftMs":)" +
+          std::to_string(replica.warmup_left_ms ? replica.warmup_left_ms()
+                                                : 0) +
+          R"(,"id":")" + replica.id + R"("})";
     }
     const std::string body =
         R"({"instances":[)" + entries + R"(],"nextPageToken":null})";
