--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,45 +1,36 @@
-// A frozen control machine: an operator evacuates a zone, ends the evacuation,
-// and evacuates the zone again 3 s later. The order that ends it reaches a
-// frozen machine first, which doesn't answer; the operator closes that
-// connection after a second and sends the order to the next machine, which
-// acknowledges it. The frozen machine wakes after the second evacuation was
-// acknowledged. From then on, and after all bounds, no request may reach a
-// replica in the zone.
+// Two routes on two hosts have the same name, which the pages allow: only the
+// same host and prefix make two routes invalid. One route is split among six
+// services, the other one among two, with equal weights. The operator sends
+// such a configuration, it is acknowledged, and ordinary requests come for both
+// routes.
+//
+// As on the platform, a process that ended is started again after a short
+// delay.
 #include "lab2.hpp"
 
 namespace {
 
-constexpr int kFreezeMs = 6000;
-/// Time between the end of the first evacuation and the second one.
-constexpr int kWithdrawnMs = 3000;
-/// An operator moves on after a second without an answer.
-constexpr int kOrderTimeoutMs = 1000;
+constexpr int kServices = 6;
+constexpr int kShortSplit = 2;
+constexpr int kGateways = 3;
+constexpr int kRestartDelayMs = 500;
+constexpr double kPlayedS = 45;
 
-// Bounds of the deployment, and the time after which all of them have passed
-// since the machine woke: contactMs, until all machines are in touch;
-// maxSkewMs, the most that an unstable core may add; evacuateMs.
-constexpr int kContactMs = 5000;
-constexpr int kMaxSkewMs = 15000;
-constexpr int kEvacuateMs = 5000;
-constexpr double kAllBoundsS = (kContactMs + kMaxSkewMs + kEvacuateMs) / 1000.0;
-constexpr double kCheckedS = 10;
-
-struct Run {
-  std::string zone;
-  double at;
-};
+/// How far a part's share may lie off its weight's, over this many requests.
+constexpr double kMaxShareOff = 0.2;
+constexpr int kMinRequests = 200;
 
 int Play(const std::string& root, lab::Record* record) {
-  const std::vector<std::string> zones = {
-      "nl-west-maasvlakte", "nl-west-kijfhoek", "nl-west-rotterdam"};
-  lab::Bounds bounds;
-  bounds.drain_ms = 4000;
-  lab::Deployment deployment(root, 3, 3, zones, bounds);
+  const std::vector<std::string> zones = {"rajkot-a", "jamnagar-b",
+                                          "bhavnagar-c"};
+  lab::Deployment deployment(root, 3, kGateways, zones);
+  std::vector<std::string> services;
   std::mutex mutex;
-  std::vector<Run> runs;
-  for (int i = 0; i < 3; ++i) {
+  std::map<std::string, std::map<std::string, int>> runs_by_host;
+  for (int i = 0; i < kServices; ++i) {
+    services.push_back("desk-" + std::to_string(i));
     const std::string id = "i-" + std::to_string(i);
-    const auto handler = [&, i, id](const lab::Message& request) {
+    const auto handler = [&, id](const lab::Message& request) {
       const std::string request_id = request.Header("chicoryvale-request-id");
       const std::string echo = "Chicoryvale-Request-Id: " + request_id + "\r\n";
       if (request.Header("chicoryvale-expect-instance") != id) {
@@ -48,104 +39,107 @@
       }
       {
         const std::lock_guard<std::mutex> lock(mutex);
-        runs.push_back({zones[i], lab::Seconds()});
+        ++runs_by_host[request.Header("host")][id];
       }
-      record->Line("replica in %s ran %s", zones[i].c_str(),
-                   request_id.c_str());
+      record->Line("replica %s ran %s", id.c_str(), request_id.c_str());
       return "HTTP/1.1 200 OK\r\n" + echo + "Chicoryvale-Server-Stamp: " + id +
              "." + request_id + "\r\nContent-Length: 5\r\n\r\nfound";
     };
     if (!deployment.AddReplica(
-            {id, "emplacement-desk", deployment.Ip(200 + i), zones[i]},
-            handler)) {
+            {id, services[i], deployment.Ip(200 + i), zones[i % 3]}, handler)) {
       return lab::kCouldNotRun;
     }
   }
+  const auto split = [&](const std::string& name, const std::string& host,
+                         int count) {
+    std::string parts;
+    for (int i = 0; i < count; ++i) {
+      if (!parts.empty()) parts += ",";
+      parts += R"({"backend":")" + services[i] + R"(","weight":10})";
+    }
+    return R"({"name":")" + name + R"(","host":")" + host +
+           R"(","pathPrefix":"/fetch/","routeType":"safe","timeoutMs":5000,)"
+           R"("targetLatencyMs":500,"priority":1,"trafficSplit":[)" +
+           parts + R"(],"maxAttempts":2})";
+  };
+  const std::string second = lab::HasTrouble() ? "fetch" : "fetch-2";
   const std::string config = lab::ConfigJson(
-      1, lab::RouteJson("fetch", "/fetch/", "safe", "emplacement-desk"),
-      {"emplacement-desk"});
-  if (!deployment.Start() || !deployment.Put(config) ||
-      !deployment.WaitReady()) {
+      1,
+      split("fetch", "a.example", kServices) + "," +
+          split(second, "b.example", kShortSplit),
+      services);
+  if (!deployment.Start()) return lab::kCouldNotRun;
+  if (!deployment.Put(config)) {
+    record->Line("operator: the configuration is not acknowledged");
     return lab::kCouldNotRun;
   }
+  record->Line("operator: the configuration is acknowledged: %s",
+               config.c_str());
+  if (!deployment.WaitReady()) return lab::kCouldNotRun;
+  lab::SleepMs(2000);
+
+  std::vector<int> ends(kGateways);
   std::atomic<bool> is_over{false};
-  std::atomic<int> served{0};
-  std::thread consumers([&] {
-    for (int n = 0; !is_over; ++n) {
-      const auto answer = lab::Call(
-          deployment.GatewayIp(n % 3), lab::kCallerPort, "GET",
-          "/fetch/consignment",
-          "Host: h.example\r\nChicoryvale-Request-Id: r" + std::to_string(n) +
-              "\r\nChicoryvale-Deadline-Ms: 4000\r\n",
-          "", 4500);
-      record->Line("consumer: r%d answered %d", n,
-                   answer ? answer->Status() : 0);
-      if (answer && answer->Status() == 200) ++served;
-      lab::SleepMs(25);
+  std::thread platform([&] {
+    while (!is_over) {
+      for (int i = 0; i < kGateways; ++i) {
+        if (deployment.Gateway(i).Runs()) continue;
+        ++ends[i];
+        record->Line("gateway %d ended by itself, for the %d. time", i,
+                     ends[i]);
+        lab::SleepMs(kRestartDelayMs);
+        deployment.Gateway(i).Start();
+      }
+      lab::SleepMs(20);
     }
   });
-  const auto finish = [&](int result) {
-    is_over = true;
-    consumers.join();
-    return result;
-  };
-
-  // Sends an order to `first`, and to the next machines until one acknowledges
-  // it.
-  const auto order = [&](const std::string& method, int first) {
-    for (int i = 0; i < 12; ++i) {
-      const int control = (first + i) % 3;
-      const auto answer = lab::Call(
-          deployment.ControlIp(control), lab::kControlPort, method,
-          "/evacuate/" + zones[0], "Host: control\r\n", "", kOrderTimeoutMs);
-      record->Line("operator: %s /evacuate/%s at control %d: %d",
-                   method.c_str(), zones[0].c_str(), control,
-                   answer ? answer->Status() : 0);
-      if (answer && answer->Status() / 100 == 2) return true;
-      lab::SleepMs(100);
-    }
-    return false;
-  };
-
-  lab::SleepMs(8000);
-  if (!order("POST", 0)) return finish(lab::kCouldNotRun);
-  lab::SleepMs(5000);
-  constexpr int kFrozen = 2;
-  const double frozen_at = lab::Seconds();
-  if (lab::HasTrouble()) {
-    deployment.Control(kFrozen).Signal(SIGSTOP);
-    record->Line("control %d is frozen", kFrozen);
+  int served = 0;
+  int sent = 0;
+  const double end = lab::Seconds() + kPlayedS;
+  while (lab::Seconds() < end) {
+    const std::string host = sent % 2 == 0 ? "a.example" : "b.example";
+    const auto answer = lab::Call(
+        deployment.GatewayIp(sent / 2 % kGateways), lab::kCallerPort, "GET",
+        "/fetch/x",
+        "Host: " + host + "\r\nChicoryvale-Request-Id: r" +
+            std::to_string(sent) + "\r\nChicoryvale-Deadline-Ms: 4000\r\n",
+        "", 4500);
+    record->Line("consumer: r%d for %s answered %d", sent, host.c_str(),
+                 answer ? answer->Status() : 0);
+    if (answer && answer->Status() == 200) ++served;
+    ++sent;
+    lab::SleepMs(25);
   }
-  lab::SleepMs(100);
-  if (!order("DELETE", kFrozen)) return finish(lab::kCouldNotRun);
-  lab::SleepMs(kWithdrawnMs);
-  if (!order("POST", 0)) return finish(lab::kCouldNotRun);
-  const double acknowledged_at = lab::Seconds();
-  while (lab::Seconds() < frozen_at + kFreezeMs / 1000.0) lab::SleepMs(10);
-  if (acknowledged_at > frozen_at + kFreezeMs / 1000.0)
-    return finish(lab::kCouldNotRun);
-  if (lab::HasTrouble()) {
-    deployment.Control(kFrozen).Signal(SIGCONT);
-    record->Line("control %d runs again", kFrozen);
+  is_over = true;
+  platform.join();
+  int ended = 0;
+  for (int i = 0; i < kGateways; ++i) {
+    record->Line("gateway %d ended by itself %d times", i, ends[i]);
+    ended += ends[i];
   }
-  const double from = lab::Seconds() + kAllBoundsS;
-  while (lab::Seconds() < from + kCheckedS) lab::SleepMs(100);
-  finish(lab::kHeld);
-
+  record->Line("%d of %d requests were served", served, sent);
   const std::lock_guard<std::mutex> lock(mutex);
-  int in_zone = 0;
-  int elsewhere = 0;
-  for (const Run& run : runs) {
-    if (run.at < from) continue;
-    ++(run.zone == zones[0] ? in_zone : elsewhere);
+  bool is_off = false;
+  bool has_few = false;
+  for (const auto& [host, count] :
+       std::map<std::string, int>{{"a.example", kServices},
+                                  {"b.example", kShortSplit}}) {
+    int total = 0;
+    for (const auto& [id, runs] : runs_by_host[host]) total += runs;
+    if (total < kMinRequests) {
+      has_few = true;
+      continue;
+    }
+    for (int i = 0; i < count; ++i) {
+      const int runs = runs_by_host[host]["i-" + std::to_string(i)];
+      const double share = static_cast<double>(runs) / total;
+      record->Line("%s: part %d of %d has the share %.3f of %d requests",
+                   host.c_str(), i + 1, count, share, total);
+      if (std::abs(share - 1.0 / count) > kMaxShareOff) is_off = true;
+    }
   }
-  record->Line(
-      "from %.1f s on, %.0f s after the machine woke: %d requests reached the "
-      "evacuated "
-      "zone, %d the others; %d requests were served in all",
-      from, kAllBoundsS, in_zone, elsewhere, served.load());
-  if (in_zone + elsewhere < 50) return lab::kCouldNotRun;
-  return in_zone > 0 ? lab::kBroken : lab::kHeld;
+  if (ended > 0 || is_off) return lab::kBroken;
+  return has_few ? lab::kCouldNotRun : lab::kHeld;
 }
 
 }  // namespace
