Review: a fraction among the bounds keeps the gateways from starting

Cause: the template passes the bound on as it is, and the settings of the gateway take only a whole number for the fixed part of the retry budget.

--- a/review/lab2.hpp
+++ b/review/lab2.hpp
@@ -314,7 +314,8 @@
 struct Bounds {
   int drain_ms = 3000;
   int grace_s = 6;
-  int retry_slack = 104;
+  /// As the template of the settings shows it.
+  std::string retry_slack = "104";
 };
 
 class Deployment {
@@ -502,7 +503,7 @@
            "true\ndrain_time_ms = " +
            std::to_string(m_bounds.drain_ms) +
            "\n\n[repeats]\nratio = 0.2\nwindow_ms = 10000\nfixed = " +
-           std::to_string(m_bounds.retry_slack) +
+           m_bounds.retry_slack +
            "\n\n[shutdown]\nlinger_ms = 2500\ngrace_ms = " +
            std::to_string(m_bounds.grace_s) +
            "000\n\n[log]\ntarget = \"stdout\"\n";
