Tests: the counting operator delete is not inlined, so that GCC pairs it with operator new

Cause: g++ 12 on x86-64 inlined the replaced operator delete of the fuzz tests into its callers but not operator new, and refused the call of free() there (-Werror=mismatched-new-delete). The pair does match: operator new uses malloc(). Change: operator delete is marked noinline. What readers allocate is counted and bounded as before, and the warning stays an error.

--- a/tests/fuzz/reader_fuzz_test.cc
+++ b/tests/fuzz/reader_fuzz_test.cc
@@ -57,8 +57,13 @@
   g_allocated_bytes += size;
   return std::malloc(size == 0 ? 1 : size);
 }
-void operator delete(void* memory) noexcept { std::free(memory); }
-void operator delete(void* memory, std::size_t /*size*/) noexcept {
+// Not inlined, since GCC takes the call of free() for one that does not match
+// operator new when it inlines only one of the two.
+[[gnu::noinline]] void operator delete(void* memory) noexcept {
+  std::free(memory);
+}
+[[gnu::noinline]] void operator delete(void* memory,
+                                       std::size_t /*size*/) noexcept {
   std::free(memory);
 }
 
