--- a/tests/replication/catch_up_test.cc
+++ b/tests/replication/catch_up_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 #include "replication/replica_group.h"
@@ -13,6 +14,10 @@
 
 constexpr std::size_t kDocumentBytes = std::size_t{300} << 10;
 
+char LetterOf(std::uint64_t version) {
+  return "abcdefghijklmnopqrstuvwxyz"[version % 26];
+}
+
 /// A group of three with the log limits of a deployment.
 class CatchUpTest : public testing::Test {
  protected:
@@ -34,7 +39,7 @@
       Change change;
       change.operation_id = "document-" + std::to_string(m_version);
       change.payload = ReplaceRouting{
-          {m_version, std::string(kDocumentBytes, 'a' + m_version % 26)}};
+          {m_version, std::string(kDocumentBytes, LetterOf(m_version))}};
       ASSERT_TRUE(m_group.Propose(*leader, change));
     }
   }
