Settings: whatever number the platform states for a bound, a daemon starts

Change: SettingsReader::Quantity and Period take any finite number, and replace one that can't be used by the nearest one, with a line that names both. The fixed number of the retry budget is a fraction.

--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -74,9 +74,22 @@
   m_peers->Start();
   m_replica_list_sync->Start();
   m_settings_watch.Start();
+  LogSettings();
   return {};
 }
 
+void GatewayDaemon::LogSettings() const {
+  const RetryBudgetOptions& budget = m_settings.retry_budget;
+  Log(LogLevel::kInfo, "settings_in_force",
+      {{"drain_ms", MillisecondsText(m_settings.replica_list.drain_time)},
+       {"grace_ms", MillisecondsText(m_settings.grace)},
+       {"retry_ratio", std::to_string(budget.ratio)},
+       {"retry_window_ms", MillisecondsText(budget.window)},
+       {"fixed_retries", std::to_string(budget.fixed_retries)},
+       {"memory_mb", std::to_string(m_settings.resources.memory_bytes >> 20)},
+       {"max_fds", std::to_string(m_settings.resources.max_fds)}});
+}
+
 Result<void> GatewayDaemon::StartPeers() {
   PeerStackOptions options = m_settings.peers;
   options.max_unauthenticated_connections =
--- a/programs/chicory-gatewayd/gateway_daemon.h
+++ b/programs/chicory-gatewayd/gateway_daemon.h
@@ -55,6 +55,7 @@
   Result<void> StartPeers();
   void StartRouting();
   Result<void> StartServers();
+  void LogSettings() const;
   Result<std::unique_ptr<BeastHttpServer>> MakeServer(
       const std::string& address, std::size_t max_connections,
       HttpServer::Handler handler);
--- a/programs/chicory-gatewayd/gateway_settings.cc
+++ b/programs/chicory-gatewayd/gateway_settings.cc
@@ -10,13 +10,13 @@
 constexpr Duration kDefaultReplicaListPeriod = seconds(1);
 constexpr IntegerRange kReplicaListPeriodRangeMs = {50, 60'000};
 constexpr Duration kDefaultDrainTime = seconds(3);
-constexpr IntegerRange kDrainTimeRangeMs = {2'000, 600'000};
+constexpr DurationRange kDrainTimeRange = {Duration::zero(), hours(24)};
 constexpr Duration kDefaultGrace = seconds(6);
-constexpr IntegerRange kGraceRangeMs = {0, 600'000};
-constexpr Duration kDefaultRetryBudgetWindow = seconds(10);
-constexpr IntegerRange kRetryBudgetWindowRangeMs = {100, 600'000};
-constexpr IntegerRange kFixedRetriesRange = {0, 1'000'000};
-constexpr double kMaxQuotaSlack = 1'000'000;
+constexpr DurationRange kGraceRange = {Duration::zero(), hours(24)};
+constexpr DurationRange kRetryBudgetWindowRange = {milliseconds(100),
+                                                   hours(24)};
+constexpr QuantityRange kRatioRange = {0, 1'000'000};
+constexpr QuantityRange kRequestCountRange = {0, 1'000'000'000};
 constexpr std::int64_t kDefaultCrossZonePriceUs = 5'000;
 constexpr IntegerRange kCrossZonePriceRangeUs = {0, 10'000'000};
 constexpr std::int64_t kDefaultMaxConnections = 2000;
@@ -24,12 +24,11 @@
 
 RetryBudgetOptions ReadRetryBudget(SettingsReader& reader) {
   RetryBudgetOptions budget;
-  budget.ratio = reader.Number("repeats.ratio", budget.ratio, 0, 1);
+  budget.ratio = reader.Quantity("repeats.ratio", budget.ratio, kRatioRange);
   budget.window =
-      reader.Milliseconds("repeats.window_ms", kDefaultRetryBudgetWindow,
-                          kRetryBudgetWindowRangeMs);
-  budget.fixed_retries = static_cast<std::uint32_t>(
-      reader.Integer("repeats.fixed", 0, kFixedRetriesRange));
+      reader.Period("repeats.window", budget.window, kRetryBudgetWindowRange);
+  budget.fixed_retries = reader.Quantity("repeats.fixed", budget.fixed_retries,
+                                         kRequestCountRange);
   return budget;
 }
 
@@ -58,20 +57,19 @@
   settings.replica_list.period =
       reader.Milliseconds("platform.replica_list_period_ms",
                           kDefaultReplicaListPeriod, kReplicaListPeriodRangeMs);
-  settings.replica_list.drain_time = reader.Milliseconds(
-      "platform.drain_time_ms", kDefaultDrainTime, kDrainTimeRangeMs);
+  settings.replica_list.drain_time =
+      reader.Period("platform.drain_time", kDefaultDrainTime, kDrainTimeRange);
   settings.retry_budget = ReadRetryBudget(reader);
   settings.retry_budget.first_start = settings.replica_list.first_start;
-  settings.quota.slack = reader.Number("quota.slack", 0, 0, kMaxQuotaSlack);
-  settings.quota.overshoot = reader.Number("quota.overshoot", 0, 0, 1);
+  settings.quota.slack = reader.Quantity("quota.slack", 0, kRequestCountRange);
+  settings.quota.overshoot = reader.Quantity("quota.overshoot", 0, kRatioRange);
   settings.quota.first_start = settings.replica_list.first_start;
   settings.zone_overflow = ReadZoneOverflow(reader);
   settings.admits_by_zone = reader.Bool("admission.by_zone", false);
   settings.max_connections = static_cast<std::uint32_t>(reader.Integer(
       "callers.max_connections", kDefaultMaxConnections, kMaxConnectionsRange));
   settings.linger = ReadLinger(reader);
-  settings.grace =
-      reader.Milliseconds("shutdown.grace_ms", kDefaultGrace, kGraceRangeMs);
+  settings.grace = reader.Period("shutdown.grace", kDefaultGrace, kGraceRange);
   settings.resources = ReadResourceLimits(reader);
   settings.log_level = ReadLogLevel(reader);
   settings.log_target = ReadLogTarget(reader);
--- a/programs/chicoryctl/main.cc
+++ b/programs/chicoryctl/main.cc
@@ -52,7 +52,7 @@
       reader.Addresses("control.addresses");
   const std::string token_file = reader.String("keys.operator_token_file", "");
   const std::vector<SettingsError> faults = reader.Finish();
-  std::cerr << FormatSettingsErrors(path, faults);
+  std::cerr << FormatSettingsMessages(path, faults);
   if (!faults.empty()) return ExitCode::kBadSettings;
   if (invocation->control.empty()) invocation->control = control;
   if (invocation->token_file.empty()) invocation->token_file = token_file;
--- a/src/adapters/command_line.cc
+++ b/src/adapters/command_line.cc
@@ -48,7 +48,8 @@
   SettingsReader reader(text);
   program.read_settings(reader);
   const std::vector<SettingsError> errors = reader.Finish();
-  std::cerr << FormatSettingsErrors(path, errors);
+  std::cerr << FormatSettingsMessages(path, errors)
+            << FormatSettingsMessages(path, reader.Notices());
   return errors.empty() ? ExitCode::kOk : ExitCode::kBadSettings;
 }
 
--- a/src/adapters/common_settings.cc
+++ b/src/adapters/common_settings.cc
@@ -12,9 +12,8 @@
 constexpr Duration kDefaultLinger = milliseconds(500);
 constexpr IntegerRange kLingerRangeMs = {0, 600'000};
 
-// A process uses 8 MB and some 30 descriptors before it has any caller.
-constexpr IntegerRange kMemoryRangeMb = {24, 16'777'216};
-constexpr IntegerRange kMaxFdsRange = {128, 10'000'000};
+constexpr QuantityRange kMemoryRangeMb = {0, 16'777'216};
+constexpr QuantityRange kMaxFdsRange = {0, 10'000'000};
 
 }  // namespace
 
@@ -54,13 +53,12 @@
 }
 
 ResourceLimits ReadResourceLimits(SettingsReader& reader) {
-  constexpr std::size_t kBytesPerMb = std::size_t{1} << 20;
+  constexpr double kBytesPerMb = 1 << 20;
   ResourceLimits limits;
-  limits.memory_bytes = static_cast<std::size_t>(reader.Integer(
-                            "limits.memory_mb", 0, kMemoryRangeMb)) *
-                        kBytesPerMb;
+  limits.memory_bytes = static_cast<std::size_t>(
+      reader.Quantity("limits.memory_mb", 0, kMemoryRangeMb) * kBytesPerMb);
   limits.max_fds = static_cast<std::uint32_t>(
-      reader.Integer("limits.max_fds", 0, kMaxFdsRange));
+      reader.Quantity("limits.max_fds", 0, kMaxFdsRange));
   return limits;
 }
 
--- a/src/adapters/settings_reader.cc
+++ b/src/adapters/settings_reader.cc
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <set>
+#include <sstream>
 #include <utility>
 
 namespace chicoryvale {
@@ -30,6 +32,13 @@
 
 namespace {
 
+/// Returns `value` without trailing zeros.
+std::string ToText(double value) {
+  std::ostringstream text;
+  text << value;
+  return text.str();
+}
+
 std::string InvalidAddressText(const std::string& key,
                                const std::string& text) {
   return key + ": \"" + text + "\" is not an IP address and port";
@@ -44,6 +53,7 @@
   const toml::table* table = nullptr;
   std::set<std::string> read_keys;
   std::vector<SettingsError> errors;
+  std::vector<SettingsNotice> notices;
   bool has_syntax_error = false;
 
   const toml::node* Find(const std::string& key) {
@@ -51,9 +61,33 @@
     return table->at_path(key).node();
   }
 
+  static std::uint32_t LineOf(const toml::node* node) {
+    return node == nullptr ? 0 : node->source().begin.line;
+  }
+
   void AddError(const toml::node* node, const std::string& text) {
-    const std::uint32_t line = node == nullptr ? 0 : node->source().begin.line;
-    errors.push_back({line, text});
+    errors.push_back({LineOf(node), text});
+  }
+
+  // Returns the value in `range` that is nearest to `value`.
+  double Clamp(const std::string& key, double value, QuantityRange range) {
+    const double used = std::clamp(value, range.min, range.max);
+    if (used != value) {
+      notices.push_back(
+          {LineOf(Find(key)),
+           key + " is " + ToText(value) + "; " + ToText(used) + " is used"});
+    }
+    return used;
+  }
+
+  // Returns the finite number of `key`. Adds an error if it is none.
+  std::optional<double> FiniteNumber(const std::string& key) {
+    const toml::node* node = Find(key);
+    if (node == nullptr) return std::nullopt;
+    const auto value = node->value<double>();
+    if (value && node->is_number() && std::isfinite(*value)) return value;
+    AddError(node, key + " is not a finite number");
+    return std::nullopt;
   }
 
   // Returns the value of `key` if it has type T. Adds an error if it has
@@ -81,11 +115,12 @@
   }
 };
 
-std::string FormatSettingsErrors(const std::string& file,
-                                 const std::vector<SettingsError>& errors) {
+std::string FormatSettingsMessages(
+    const std::string& file, const std::vector<SettingsMessage>& messages) {
   std::string text;
-  for (const SettingsError& error : errors) {
-    text += file + ":" + std::to_string(error.line) + ": " + error.text + "\n";
+  for (const SettingsMessage& message : messages) {
+    text +=
+        file + ":" + std::to_string(message.line) + ": " + message.text + "\n";
   }
   return text;
 }
@@ -187,6 +222,32 @@
   return fallback;
 }
 
+double SettingsReader::Quantity(const std::string& key, double fallback,
+                                QuantityRange range) {
+  const auto value = m_state->FiniteNumber(key);
+  return value ? m_state->Clamp(key, *value, range) : fallback;
+}
+
+Duration SettingsReader::Period(const std::string& name, Duration fallback,
+                                DurationRange range) {
+  const std::string in_ms = name + "_ms";
+  const std::string in_s = name + "_s";
+  const bool has_ms = m_state->Find(in_ms) != nullptr;
+  const bool has_s = m_state->Find(in_s) != nullptr;
+  if (!has_ms && !has_s) return fallback;
+  if (has_ms && has_s) AddError(in_s, in_ms + " is set as well as " + in_s);
+  const std::string& key = has_s ? in_s : in_ms;
+  const auto value = m_state->FiniteNumber(key);
+  if (!value) return fallback;
+  const double unit = static_cast<double>(
+      Duration(has_s ? seconds(1) : milliseconds(1)).count());
+  const QuantityRange range_in_unit = {
+      static_cast<double>(range.min.count()) / unit,
+      static_cast<double>(range.max.count()) / unit};
+  return Duration(
+      std::llround(m_state->Clamp(key, *value, range_in_unit) * unit));
+}
+
 bool SettingsReader::Bool(const std::string& key, bool fallback) {
   return m_state->Value<bool>(key, "true or false").value_or(fallback);
 }
@@ -231,6 +292,10 @@
   return m_state->errors;
 }
 
+const std::vector<SettingsNotice>& SettingsReader::Notices() const {
+  return m_state->notices;
+}
+
 bool IsHostPort(const std::string& text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string::npos) return false;
--- a/src/adapters/settings_reader.h
+++ b/src/adapters/settings_reader.h
@@ -13,16 +13,22 @@
 
 namespace chicoryvale {
 
-/// An error in a settings file.
-struct SettingsError {
-  /// Line number in the file, starting at 1; 0 if the error has no line.
+/// A message about a settings file.
+struct SettingsMessage {
+  /// Line number in the file, starting at 1; 0 if the message has no line.
   std::uint32_t line = 0;
   std::string text;
 };
 
-/// Formats each error as one line "file:line: text".
-std::string FormatSettingsErrors(const std::string& file,
-                                 const std::vector<SettingsError>& errors);
+/// An error, because of which the settings are not used.
+using SettingsError = SettingsMessage;
+
+/// A notice of a value that was replaced by the nearest one that can be used.
+using SettingsNotice = SettingsMessage;
+
+/// Formats each message as one line "file:line: text".
+std::string FormatSettingsMessages(
+    const std::string& file, const std::vector<SettingsMessage>& messages);
 
 /// Inclusive range of an integer setting.
 struct IntegerRange {
@@ -30,6 +36,18 @@
   std::int64_t max = 0;
 };
 
+/// Inclusive range of a setting that may be a fraction.
+struct QuantityRange {
+  double min = 0;
+  double max = 0;
+};
+
+/// Inclusive range of a duration.
+struct DurationRange {
+  Duration min{};
+  Duration max{};
+};
+
 /// Reads and validates a TOML settings file. Each read function checks the type
 /// and range of one key, and Finish returns all errors together, including one
 /// for each unknown key. Keys are dotted paths, for example "listen.callers".
@@ -64,6 +82,17 @@
   double Number(const std::string& key, double fallback, double min,
                 double max);
 
+  /// Reads a whole number or a fraction that the deployment's platform states
+  /// and no operator chooses; `fallback` if the key is absent. A finite number
+  /// outside of `range` is replaced by the nearest one in it, with a notice,
+  /// since a process that refuses it could not start.
+  double Quantity(const std::string& key, double fallback, QuantityRange range);
+
+  /// Reads a duration like Quantity, from the key `name` + "_ms" or `name` +
+  /// "_s"; both together are an error. Rounded to the resolution of Duration.
+  Duration Period(const std::string& name, Duration fallback,
+                  DurationRange range);
+
   /// Reads a boolean; `fallback` if the key is absent.
   bool Bool(const std::string& key, bool fallback);
 
@@ -84,6 +113,9 @@
   /// read, because each key that was not read is reported as unknown.
   std::vector<SettingsError> Finish();
 
+  /// Returns the notices of all reads so far, in the order of the reads.
+  [[nodiscard]] const std::vector<SettingsNotice>& Notices() const;
+
  private:
   struct State;
   explicit SettingsReader(std::unique_ptr<State> state);
--- a/src/adapters/settings_watch.cc
+++ b/src/adapters/settings_watch.cc
@@ -61,6 +61,12 @@
          {"faults", std::to_string(errors.size())}});
     return;
   }
+  for (const SettingsNotice& notice : reader.Notices()) {
+    Log(LogLevel::kWarning, "settings_adjusted",
+        {{"file", m_path},
+         {"line", std::to_string(notice.line)},
+         {"reason", notice.text}});
+  }
   m_counters.Add(SettingsCounter::kAdopted);
   m_adopt();
 }
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -13,6 +13,7 @@
 /// comparable.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
+using std::chrono::hours;
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
--- a/src/routing/retry_budget.cc
+++ b/src/routing/retry_budget.cc
@@ -81,8 +81,7 @@
   const double fixed_limit =
       since_start < kMemberDiscoveryTime
           ? 0
-          : fixed_ratio * static_cast<double>(m_options.fixed_retries) /
-                m_entry_count;
+          : fixed_ratio * m_options.fixed_retries / m_entry_count;
   const double usable_ratio = purpose == Purpose::kHedge
                                   ? kUsableBudgetRatio * kHedgeBudgetRatio
                                   : kUsableBudgetRatio;
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -15,7 +15,7 @@
 struct RetryBudgetOptions {
   double ratio = 0.2;
   Duration window = seconds(10);
-  std::uint32_t fixed_retries = 0;
+  double fixed_retries = 0;
   /// Whether all processes start for the first time, so that no earlier run has
   /// used any of the budget.
   bool first_start = false;
@@ -34,7 +34,7 @@
       : m_options(options), m_started(started) {}
 
   /// Changes the ratio and the fixed number.
-  void SetRetryLimits(double ratio, std::uint32_t fixed_retries) {
+  void SetRetryLimits(double ratio, double fixed_retries) {
     m_options.ratio = ratio;
     m_options.fixed_retries = fixed_retries;
   }
