Evacuations: an order is carried out only while its caller waits, on a confirmed version

Cause: a resumed process read an order from a connection that its operator had closed, and carried it out after a later one. Orders have no version, and nobody asked whether one was still wanted. Change: the leader names the version of the configuration, confirmed by a quorum; then, at least 50 ms after the order arrived, its caller must still be connected, and the order goes to the leader for that version only. The leader takes one order at a time. A retry that a pause has held up checks its deadline.

--- a/programs/chicory-controld/control_daemon.cc
+++ b/programs/chicory-controld/control_daemon.cc
@@ -215,6 +215,9 @@
       [this](const HttpRequest& request, const HttpResponder& respond) {
         m_routing_endpoint->Handle(request, respond);
       });
+  m_routing_server->SetDisconnectHandler([this](std::uint64_t connection) {
+    m_routing_endpoint->OnDisconnected(connection);
+  });
   return {};
 }
 
--- a/src/control/routing_service.cc
+++ b/src/control/routing_service.cc
@@ -15,6 +15,11 @@
 /// Delay before a failed request is retried.
 constexpr Duration kRetryDelay = milliseconds(75);
 
+/// Minimum time between the arrival of an order and its execution. If the order
+/// was held up on the way and its caller has closed the connection, the close
+/// arrives within this time.
+constexpr Duration kCallerCheckTime = milliseconds(50);
+
 }  // namespace
 
 Change RoutingService::ToChange(const Request& request) {
@@ -60,26 +65,64 @@
 }
 
 void RoutingService::SetEvacuation(const std::string& availability_zone,
-                                   bool evacuated, AcceptCallback callback) {
-  EvacuationOrder order;
-  order.operation_id = "evacuation-" + m_self.host_port + "-" +
-                       std::to_string(m_run_id) + "-" +
-                       std::to_string(++m_last_order);
-  order.availability_zone = availability_zone;
-  order.evacuated = evacuated;
-  const TimePoint deadline = m_dependencies.scheduler->Now() + kRequestTimeout;
-  Execute(
-      {true, {}, order}, deadline,
-      [this, order, callback = std::move(callback)](const Reply& reply) {
-        m_dependencies.log->Write(
-            reply.succeeded ? LogLevel::kInfo : LogLevel::kWarning,
-            reply.succeeded ? "evacuation_accepted" : "evacuation_not_accepted",
-            {{"availability_zone", order.availability_zone},
-             {"evacuated", order.evacuated ? "true" : "false"},
-             {"reason", reply.message}});
-        if (reply.succeeded) return callback({});
-        callback(tl::unexpected<Error>(ToError(reply)));
-      });
+                                   bool evacuated, CallerCheck caller_waits,
+                                   AcceptCallback callback) {
+  EvacuationOrder evacuation;
+  evacuation.operation_id = "evacuation-" + m_self.host_port + "-" +
+                            std::to_string(m_run_id) + "-" +
+                            std::to_string(++m_last_order);
+  evacuation.availability_zone = availability_zone;
+  evacuation.evacuated = evacuated;
+  const auto order = std::make_shared<OpenOrder>();
+  order->request = {true, {}, std::move(evacuation), kUnknownVersion};
+  order->received_at = m_dependencies.scheduler->Now();
+  order->deadline = order->received_at + kRequestTimeout;
+  order->caller_waits = std::move(caller_waits);
+  order->callback = std::move(callback);
+  RunOrder(order);
+}
+
+void RoutingService::RunOrder(const std::shared_ptr<OpenOrder>& order) {
+  Execute(order->request, order->deadline,
+          [this, order](const Reply& reply) { OnOrderReply(order, reply); });
+}
+
+void RoutingService::OnOrderReply(const std::shared_ptr<OpenOrder>& order,
+                                  const Reply& reply) {
+  const bool names_version = !reply.succeeded && reply.current_version;
+  if (!names_version) return FinishOrder(*order, reply);
+  order->request.expected_version = reply.current_version;
+  const Duration wait =
+      order->received_at + kCallerCheckTime - m_dependencies.scheduler->Now();
+  m_dependencies.scheduler->Schedule(
+      std::max<Duration>(wait, Duration::zero()),
+      [this, order] { RunConfirmedOrder(order); });
+}
+
+void RoutingService::RunConfirmedOrder(
+    const std::shared_ptr<OpenOrder>& order) {
+  if (!order->caller_waits()) {
+    return FinishOrder(*order, ErrorReply({ErrorKind::kNoQuorum,
+                                           "the caller has gone", Ran::kNo}));
+  }
+  if (m_dependencies.scheduler->Now() >= order->deadline) {
+    return FinishOrder(
+        *order,
+        ErrorReply({ErrorKind::kNoQuorum,
+                    "other changes came first until the timeout", Ran::kNo}));
+  }
+  RunOrder(order);
+}
+
+void RoutingService::FinishOrder(const OpenOrder& order, const Reply& reply) {
+  m_dependencies.log->Write(
+      reply.succeeded ? LogLevel::kInfo : LogLevel::kWarning,
+      reply.succeeded ? "evacuation_accepted" : "evacuation_not_accepted",
+      {{"availability_zone", order.request.evacuation->availability_zone},
+       {"evacuated", order.request.evacuation->evacuated ? "true" : "false"},
+       {"reason", reply.message}});
+  if (reply.succeeded) return order.callback({});
+  order.callback(tl::unexpected<Error>(ToError(reply)));
 }
 
 void RoutingService::Read(ReadCallback callback) {
@@ -138,6 +181,37 @@
         });
     return;
   }
+  if (!request.expected_version) {
+    return ProposeChange(request, std::move(callback));
+  }
+  m_queued_orders.push_back({request, std::move(callback)});
+  if (m_queued_orders.size() == 1) RunQueuedOrder();
+}
+
+void RoutingService::RunQueuedOrder() {
+  m_dependencies.group->ReadVersion([this](Result<std::uint64_t> version) {
+    if (!version) return FinishQueuedOrder(ErrorReply(version.error()));
+    const Request& request = m_queued_orders.front().request;
+    if (*version != *request.expected_version) {
+      Reply reply = ErrorReply({ErrorKind::kVersionConflict,
+                                "the configuration has changed", Ran::kNo});
+      reply.current_version = *version;
+      return FinishQueuedOrder(std::move(reply));
+    }
+    ProposeChange(request,
+                  [this](Reply reply) { FinishQueuedOrder(std::move(reply)); });
+  });
+}
+
+void RoutingService::FinishQueuedOrder(Reply reply) {
+  const QueuedOrder order = std::move(m_queued_orders.front());
+  m_queued_orders.pop_front();
+  if (!m_queued_orders.empty()) RunQueuedOrder();
+  order.callback(std::move(reply));
+}
+
+void RoutingService::ProposeChange(const Request& request,
+                                   ReplyCallback callback) {
   m_dependencies.group->Propose(
       ToChange(request),
       [callback = std::move(callback)](const Result<ChangeResult>& result) {
@@ -169,11 +243,11 @@
 }
 
 // Accepting and reading are idempotent, so a request is retried after any error
-// except kInvalidChange, which every leader would return.
+// except those that every leader would return.
 void RoutingService::CompleteOrRetry(const Request& request, TimePoint deadline,
                                      Reply reply, ReplyCallback callback) {
   const bool final =
-      reply.succeeded ||
+      reply.succeeded || reply.current_version ||
       reply.error == static_cast<std::uint8_t>(ErrorKind::kInvalidChange);
   if (final) return callback(std::move(reply));
   if (m_dependencies.scheduler->Now() + kRetryDelay >= deadline) {
@@ -182,7 +256,13 @@
   }
   m_dependencies.scheduler->Schedule(
       kRetryDelay, [this, request, deadline, callback = std::move(callback)] {
-        Execute(request, deadline, callback);
+        // The process may have been paused for longer than the retry delay.
+        if (m_dependencies.scheduler->Now() < deadline) {
+          return Execute(request, deadline, callback);
+        }
+        callback(
+            ErrorReply({ErrorKind::kNoQuorum,
+                        "the timeout passed before a retry", Ran::kMaybe}));
       });
 }
 
--- a/src/control/routing_service.h
+++ b/src/control/routing_service.h
@@ -2,7 +2,9 @@
 #define CHICORYVALE_SRC_CONTROL_ROUTING_SERVICE_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,6 +28,8 @@
  public:
   using AcceptCallback = std::function<void(Result<void>)>;
   using ReadCallback = std::function<void(Result<RoutingDocument>)>;
+  /// Returns whether the caller of an order still waits for its result.
+  using CallerCheck = std::function<bool()>;
 
   /// Collaborators of a RoutingService. All pointees outlive it.
   struct Dependencies {
@@ -49,9 +53,13 @@
 
   /// Evacuates an availability zone, or ends its evacuation. Each call is a
   /// change of its own; one that changes nothing is accepted without effect.
-  /// Calls `callback` like Accept.
+  /// Orders have no version that says which one is newer. An order is
+  /// therefore carried out only if its caller still waits after a quorum has
+  /// confirmed the version of the configuration, and only on that version: one
+  /// that was held up on the way cannot undo what was ordered meanwhile. Calls
+  /// `callback` like Accept.
   void SetEvacuation(const std::string& availability_zone, bool evacuated,
-                     AcceptCallback callback);
+                     CallerCheck caller_waits, AcceptCallback callback);
 
   /// Calls `callback` once with the newest accepted document, confirmed by a
   /// quorum after this call, or with kNoQuorum if it cannot be confirmed. The
@@ -79,12 +87,16 @@
     RoutingDocument document;
     /// Encoded only if present, as earlier builds don't know it.
     std::optional<EvacuationOrder> evacuation = std::nullopt;
+    /// The version of the configuration on which `evacuation` is carried out;
+    /// absent in the orders of earlier builds, which have no condition.
+    std::optional<std::uint64_t> expected_version = std::nullopt;
 
     // NOLINTBEGIN(readability-identifier-naming)
     template <class Archive>
     void save(Archive& archive) const {
       archive(is_accept, document);
       if (evacuation) archive(*evacuation);
+      if (evacuation && expected_version) archive(*expected_version);
     }
     template <class Archive>
     void load(Archive& archive) {
@@ -93,6 +105,8 @@
       EvacuationOrder order;
       archive(order);
       evacuation = std::move(order);
+      if (archive.Remaining() == 0) return;
+      archive(expected_version.emplace());
     }
     // NOLINTEND(readability-identifier-naming)
   };
@@ -103,14 +117,45 @@
     std::uint8_t error = 0;
     std::string message;
     RoutingDocument document;
+    /// The version in force, with kVersionConflict. Encoded only if present, as
+    /// earlier builds don't know it.
+    std::optional<std::uint64_t> current_version = std::nullopt;
 
+    // NOLINTBEGIN(readability-identifier-naming)
     template <class Archive>
-    void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+    void save(Archive& archive) const {
       archive(succeeded, error, message, document);
+      if (current_version) archive(*current_version);
     }
+    template <class Archive>
+    void load(Archive& archive) {
+      archive(succeeded, error, message, document);
+      if (archive.Remaining() > 0) archive(current_version.emplace());
+    }
+    // NOLINTEND(readability-identifier-naming)
   };
   using ReplyCallback = std::function<void(Reply)>;
 
+  /// No configuration has this version, so an order that expects it asks for
+  /// the current one.
+  static constexpr std::uint64_t kUnknownVersion =
+      std::numeric_limits<std::uint64_t>::max();
+
+  /// An order whose caller has had no answer.
+  struct OpenOrder {
+    Request request;
+    TimePoint received_at{};
+    TimePoint deadline{};
+    CallerCheck caller_waits;
+    AcceptCallback callback;
+  };
+
+  /// An order that this leader carries out after those before it.
+  struct QueuedOrder {
+    Request request;
+    ReplyCallback callback;
+  };
+
   static Change ToChange(const Request& request);
   static Reply ErrorReply(const Error& error);
   static Error ToError(const Reply& reply);
@@ -124,6 +169,20 @@
   /// Calls `callback` if `reply` is final or no time is left, else retries.
   void CompleteOrRetry(const Request& request, TimePoint deadline, Reply reply,
                        ReplyCallback callback);
+  /// Runs `order` at the leader until it is carried out or has failed.
+  void RunOrder(const std::shared_ptr<OpenOrder>& order);
+  void OnOrderReply(const std::shared_ptr<OpenOrder>& order,
+                    const Reply& reply);
+  /// Runs `order` again on the version that the leader has named, unless its
+  /// caller has gone.
+  void RunConfirmedOrder(const std::shared_ptr<OpenOrder>& order);
+  void FinishOrder(const OpenOrder& order, const Reply& reply);
+  /// Carries out the first queued order if the configuration has the version
+  /// that it expects. The next one begins after it has ended, so that no two
+  /// compare the same version.
+  void RunQueuedOrder();
+  void FinishQueuedOrder(Reply reply);
+  void ProposeChange(const Request& request, ReplyCallback callback);
   void OnPeerRequest(const std::string& bytes,
                      const PeerTransport::Responder& respond);
 
@@ -131,6 +190,7 @@
   Address m_self;
   std::uint64_t m_run_id;
   std::uint64_t m_last_order = 0;
+  std::deque<QueuedOrder> m_queued_orders;
 };
 
 }  // namespace chicoryvale
--- a/tests/control/routing_service_test.cc
+++ b/tests/control/routing_service_test.cc
@@ -88,16 +88,21 @@
     return result;
   }
 
-  std::optional<Result<void>> Evacuate(RoutingService* service,
-                                       bool evacuated) {
+  std::optional<Result<void>> Evacuate(RoutingService* service, bool evacuated,
+                                       bool caller_waits = true) {
     std::optional<Result<void>> result;
     service->SetEvacuation(
-        "zone-b", evacuated,
+        "zone-b", evacuated, [caller_waits] { return caller_waits; },
         [&](const Result<void>& received) { result = received; });
     m_scheduler.RunFor(seconds(2));
     return result;
   }
 
+  [[nodiscard]] bool IsEvacuated() const {
+    return m_state.Config().evacuated_zones ==
+           std::vector<std::string>{"zone-b"};
+  }
+
   FakeScheduler m_scheduler;
   FakeNetwork m_network{&m_scheduler, 1};
   RecordingLog m_log;
@@ -184,6 +189,76 @@
             ErrorKind::kNoQuorum);
 }
 
+// review/9: a process that had been paused carried out an order whose operator
+// had given it up, and undid a later one.
+TEST_F(RoutingServiceTest, AnOrderWhoseCallerHasGoneIsNotCarriedOut) {
+  for (RoutingService* service : {&m_leader_service, &m_other_service}) {
+    for (const bool evacuated : {true, false}) {
+      ASSERT_TRUE(Evacuate(service, !evacuated)->has_value());
+      EXPECT_FALSE(Evacuate(service, evacuated, false)->has_value());
+      EXPECT_EQ(IsEvacuated(), !evacuated);
+    }
+  }
+}
+
+// The close of a caller that has given up arrives after its order.
+TEST_F(RoutingServiceTest, ACallerThatLeavesRightAfterItsOrderIsSeen) {
+  bool waits = true;
+  std::optional<Result<void>> result;
+  m_leader_service.SetEvacuation(
+      "zone-b", true, [&] { return waits; },
+      [&](const Result<void>& received) { result = received; });
+  m_scheduler.RunFor(milliseconds(40));
+  waits = false;
+  m_scheduler.RunFor(seconds(2));
+  ASSERT_TRUE(result);
+  EXPECT_FALSE(result->has_value());
+  EXPECT_FALSE(IsEvacuated());
+}
+
+// An order that waits on the way to a paused leader is carried out on the
+// version that its sender knew, or not at all.
+TEST_F(RoutingServiceTest, AnOrderThatOthersHaveOvertakenIsNotCarriedOut) {
+  for (const bool evacuated : {true, false}) {
+    ASSERT_TRUE(Evacuate(&m_other_service, !evacuated)->has_value());
+    std::optional<Result<void>> result;
+    m_other_service.SetEvacuation(
+        "zone-b", evacuated, [] { return true; },
+        [&](const Result<void>& received) { result = received; });
+    // By now the sender has asked for the version.
+    m_scheduler.RunFor(milliseconds(40));
+    m_network.SetState(kLeader, NodeState::kFrozen);
+    m_scheduler.RunFor(seconds(2));
+    ASSERT_TRUE(result);
+    EXPECT_FALSE(result->has_value());
+    // Meanwhile another leader carries the order out, and a later one.
+    for (const bool later : {evacuated, !evacuated}) {
+      Change change;
+      change.operation_id =
+          "later-" + std::to_string(evacuated) + std::to_string(later);
+      change.payload = SetEvacuation{"zone-b", later};
+      m_state.Apply(change);
+    }
+    m_network.SetState(kLeader, NodeState::kRunning);
+    m_scheduler.RunFor(seconds(2));
+    EXPECT_EQ(IsEvacuated(), !evacuated);
+  }
+}
+
+TEST_F(RoutingServiceTest, OrdersAtOnceAreAllCarriedOut) {
+  int accepted = 0;
+  for (const std::string zone : {"zone-a", "zone-b", "zone-c", "zone-d"}) {
+    for (RoutingService* service : {&m_leader_service, &m_other_service}) {
+      service->SetEvacuation(
+          zone, true, [] { return true; },
+          [&](const Result<void>& received) { accepted += received ? 1 : 0; });
+    }
+  }
+  m_scheduler.RunFor(seconds(1));
+  EXPECT_EQ(accepted, 8);
+  EXPECT_EQ(m_state.Config().evacuated_zones.size(), 4U);
+}
+
 TEST_F(RoutingServiceTest, AForwardedRequestIsNotForwardedAgain) {
   m_leader_group.SetLeader(kOther);
   EXPECT_FALSE(Read(&m_other_service)->has_value());
