Replicas: a success without its signature is passed on to no caller

Cause: when no attempt succeeds, the last complete answer is passed on as a failure, with its own status, which was 200. Evidence: the log line of such a request says passed_failure; with the fix left out of RoutedQuery, AnAnswerThatIsNotDeliverableReachesNoCaller fails. Change: the transport marks answers that no caller may get: a success without a signature, or with an encoded body.

--- a/src/ports/replica_transport.h
+++ b/src/ports/replica_transport.h
@@ -100,6 +100,9 @@
   /// If `end` is kBroken: whether the replica ended the connection, as in a
   /// crash. If not, it sent bytes that are no answer.
   bool ended_by_replica = true;
+  /// Whether a caller may get the answer, success or not. False if the replica
+  /// cannot have meant it as it is; it may have run the request then.
+  bool is_deliverable = true;
   /// Whether the replica closes this connection after the answer, which may
   /// mean that it is about to leave.
   bool closes_connection = false;
@@ -109,8 +112,8 @@
   [[nodiscard]] bool IsSuccess() const {
     constexpr int kFirst = 200;
     constexpr int kLast = 299;
-    return end == SendEnd::kAnswered && status >= kFirst && status <= kLast &&
-           !signature.empty();
+    return end == SendEnd::kAnswered && is_deliverable && status >= kFirst &&
+           status <= kLast && !signature.empty();
   }
 };
 
--- a/src/routing/routed_query.cc
+++ b/src/routing/routed_query.cc
@@ -238,7 +238,9 @@
                                    ? RetryReason::kNotRun
                                    : RetryReason::kWrongReplica);
   }
-  if (answer.end == SendEnd::kAnswered) sub_request.last_failure = answer;
+  if (answer.end == SendEnd::kAnswered && answer.is_deliverable) {
+    sub_request.last_failure = answer;
+  }
   const RetryReason reason = answer.end == SendEnd::kAnswered
                                  ? RetryReason::kFailed
                                  : RetryReason::kBroken;
--- a/tests/platform/http_replica_transport_test.cc
+++ b/tests/platform/http_replica_transport_test.cc
@@ -101,6 +101,37 @@
   HttpReplicaTransport m_transport{&m_client, &m_log};
 };
 
+// review/10: a success whose signature was spoiled was passed on.
+TEST_F(HttpReplicaTransportTest, ASuccessWithoutItsSignatureIsNotDeliverable) {
+  const std::string id = "Chicoryvale-Request-Id: a\r\n";
+  const std::string signature = "Chicoryvale-Server-Stamp: mac\r\n";
+  struct Case {
+    std::string status;
+    std::string headers;
+    bool is_deliverable;
+  };
+  const std::vector<Case> cases = {
+      {"200 OK", id + signature, true},
+      {"200 OK", id, false},
+      {"200 OK", id + "Chicoryvale-Seover-Stamp: mac\r\n", false},
+      {"206 Partial Content", id, false},
+      {"200 OK", id + signature + "Content-Encoding: gzip\r\n", false},
+      {"500 Internal Server Error", id, true},
+      {"500 Internal Server Error", id + signature, true}};
+  for (const Case& test : cases) {
+    const RawUpstream upstream([&](RawSocket& connection, int) {
+      connection.ReceiveUntil("\r\n\r\n");
+      connection.Send("HTTP/1.1 " + test.status + "\r\n" + test.headers +
+                      "Content-Length: 4\r\n\r\nbody");
+      connection.ReceiveAll();
+    });
+    const ReplicaAnswer answer = SendAndWait(upstream.LocalAddress(), "a");
+    EXPECT_EQ(answer.end, SendEnd::kAnswered);
+    EXPECT_EQ(answer.is_deliverable, test.is_deliverable) << test.status << "\n"
+                                                          << test.headers;
+  }
+}
+
 // A replica sends a second copy of an answer when its connection is in use for
 // the next request.
 TEST_F(HttpReplicaTransportTest,
--- a/tests/routing/routed_query_test.cc
+++ b/tests/routing/routed_query_test.cc
@@ -336,6 +336,22 @@
 
 // Guards against a request that waits forever: its replica crashes after
 // accepting it, and the first hedge finds no budget.
+// review/10: a success without its signature was passed on to a caller.
+TEST_F(RoutedQueryTest, AnAnswerThatIsNotDeliverableReachesNoCaller) {
+  m_transport.SetBehaviour([](const ReplicaSend&) {
+    ReplicaAnswer answer;
+    answer.end = SendEnd::kAnswered;
+    answer.status = 200;
+    answer.is_deliverable = false;
+    return ReplicaBehaviour{milliseconds(10), answer, false};
+  });
+  for (const char* path : {"/once/x", "/single/x"}) {
+    const RoutedAnswer& answer = Run(path);
+    ASSERT_TRUE(answer.error) << path;
+    EXPECT_EQ(answer.error->ran, Ran::kMaybe) << path;
+  }
+}
+
 TEST_F(RoutedQueryTest, RetriesAnUnansweredRequestOnceThereIsBudget) {
   m_transport.SetBehaviour([this](const ReplicaSend& send) {
     return ReplicaBehaviour{milliseconds(10), SignedAnswer(send.replica_id),
