Replicas: a 503 that doesn't say "not run" reaches no caller

A caller whose request may run once got a replica's 503 although the request had run, and sent it again.

Cause: the status was passed on as any failure. Evidence: AStatusThatPromisesTooMuchIsNotDeliverable failed with 503, 429 and 408 before. Answers that are withheld are counted (answers_withheld) instead of a log line for each.

--- a/src/routing/routed_query.cc
+++ b/src/routing/routed_query.cc
@@ -238,8 +238,12 @@
                                    ? RetryReason::kNotRun
                                    : RetryReason::kWrongReplica);
   }
-  if (answer.end == SendEnd::kAnswered && answer.is_deliverable) {
-    sub_request.last_failure = answer;
+  if (answer.end == SendEnd::kAnswered) {
+    if (answer.is_deliverable) {
+      sub_request.last_failure = answer;
+    } else {
+      m_context.counters->Add(RoutingCounter::kAnswersWithheld);
+    }
   }
   const RetryReason reason = answer.end == SendEnd::kAnswered
                                  ? RetryReason::kFailed
--- a/src/routing/routed_query.h
+++ b/src/routing/routed_query.h
@@ -39,6 +39,8 @@
   kAnsweredShort,
   /// Failed answers of a single replica that were forwarded to the caller.
   kPassedFailure,
+  /// Complete answers that no caller may get.
+  kAnswersWithheld,
   /// Requests whose caller disconnected before the answer.
   kCallersGone,
   /// First attempts.
@@ -80,11 +82,12 @@
 
 template <>
 struct CounterNames<RoutingCounter> {
-  static constexpr std::array<std::string_view, 28> kNames = {
+  static constexpr std::array<std::string_view, 29> kNames = {
       "requests",
       "answered_whole",
       "answered_short",
       "passed_failure",
+      "answers_withheld",
       "callers_gone",
       "first_sends",
       "relayed",
--- a/tests/platform/http_replica_transport_test.cc
+++ b/tests/platform/http_replica_transport_test.cc
@@ -132,6 +132,37 @@
   }
 }
 
+// A replica ran the request, failed and answered 503 without saying that it had
+// not run; passed on, that status would promise it.
+TEST_F(HttpReplicaTransportTest, AStatusThatPromisesTooMuchIsNotDeliverable) {
+  struct Case {
+    std::string status;
+    SendEnd end;
+    bool is_deliverable;
+  };
+  const std::string not_run = "\r\nChicoryvale-Not-Executed: 1";
+  const std::vector<Case> cases = {
+      {"503 Service Unavailable", SendEnd::kAnswered, false},
+      {"429 Too Many Requests", SendEnd::kAnswered, false},
+      {"408 Request Timeout", SendEnd::kAnswered, false},
+      {"503 Service Unavailable" + not_run, SendEnd::kNotRun, true},
+      {"500 Internal Server Error", SendEnd::kAnswered, true},
+      {"504 Gateway Timeout", SendEnd::kAnswered, true},
+      {"404 Not Found", SendEnd::kAnswered, true}};
+  for (const Case& test : cases) {
+    const RawUpstream upstream([&](RawSocket& connection, int) {
+      connection.ReceiveUntil("\r\n\r\n");
+      connection.Send("HTTP/1.1 " + test.status +
+                      "\r\nChicoryvale-Request-Id: a\r\n"
+                      "Content-Length: 0\r\n\r\n");
+      connection.ReceiveAll();
+    });
+    const ReplicaAnswer answer = SendAndWait(upstream.LocalAddress(), "a");
+    EXPECT_EQ(answer.end, test.end) << test.status;
+    EXPECT_EQ(answer.is_deliverable, test.is_deliverable) << test.status;
+  }
+}
+
 // A replica sends a second copy of an answer when its connection is in use for
 // the next request.
 TEST_F(HttpReplicaTransportTest,
