Replica list: all entries learn that a replica became cold again

A replica that became cold again under its id got the full load, three times what it may get, and crashed.

Cause: the version of a list leaves warmup times out, and nothing else told that one had begun again, neither at the entry that reads the platform nor at its followers. Change: a warmup that ends more than half a second later than known is new. Replies to followers name such replicas while the version stays. Remaining times count from the read of the list, as its age does; followers had them too short.

--- a/src/routing/replica_list.cc
+++ b/src/routing/replica_list.cc
@@ -14,6 +14,15 @@
 /// entry lags behind.
 constexpr std::size_t kMaxRememberedChanges = 64;
 
+/// A replica whose warmup ends later than known by more than this has become
+/// cold again. Less is the inaccuracy of the list and of its age.
+constexpr Duration kMinWarmupExtension = milliseconds(500);
+
+/// Replicas that became cold again are repeated for this long, because the age
+/// of a list that an entry states is older than it seems if its request was
+/// delayed.
+constexpr Duration kColdAgainRepeatTime = seconds(5);
+
 }  // namespace
 
 std::uint64_t ReplicaList::HashOf(const ListedReplica& replica) {
@@ -47,14 +56,44 @@
   const std::uint64_t hash = HashOf(replica);
   if (known != m_replicas.end()) {
     const std::uint64_t old_hash = HashOf(known->second.listed);
-    if (old_hash == hash) return;
+    if (old_hash == hash) {
+      const bool is_cold_again =
+          ExtendWarmup(&known->second, read_at + replica.warmup_left, read_at);
+      change->has_cold_again = change->has_cold_again || is_cold_again;
+      return;
+    }
     m_hash_sum -= old_hash;
   }
   m_hash_sum += hash;
-  m_replicas[replica.id] = {replica, read_at + replica.warmup_left};
+  m_replicas[replica.id] = {replica, read_at + replica.warmup_left, {}};
   change->ids.push_back(replica.id);
 }
 
+bool ReplicaList::ExtendWarmup(StoredReplica* replica, TimePoint warm_at,
+                               TimePoint read_at) {
+  const bool is_warm_at_read = warm_at <= read_at;
+  if (is_warm_at_read || warm_at <= replica->warm_at + kMinWarmupExtension) {
+    return false;
+  }
+  replica->warm_at = warm_at;
+  replica->cold_again_read_at = read_at;
+  return true;
+}
+
+std::vector<ReplicaWarmupLeft> ReplicaList::ColdAgainSince(
+    TimePoint read_at) const {
+  std::vector<ReplicaWarmupLeft> cold;
+  for (const auto& [id, replica] : m_replicas) {
+    const bool is_known =
+        replica.cold_again_read_at + kColdAgainRepeatTime <= read_at;
+    if (replica.cold_again_read_at == TimePoint{} || is_known) continue;
+    if (replica.warm_at > m_read_at) {
+      cold.push_back({id, replica.warm_at - m_read_at});
+    }
+  }
+  return cold;
+}
+
 void ReplicaList::Remove(const std::string& id, Change* change) {
   const auto known = m_replicas.find(id);
   if (known == m_replicas.end()) return;
@@ -66,7 +105,7 @@
 bool ReplicaList::Commit(Change change, TimePoint read_at) {
   m_read_at = read_at;
   const bool is_first = !IsSet();
-  if (change.ids.empty() && !is_first) return false;
+  if (change.ids.empty() && !is_first) return change.has_cold_again;
   // An empty list also gets a version other than 0.
   m_version = m_hash_sum == 0 ? 1 : m_hash_sum;
   if (is_first) return true;
@@ -78,7 +117,7 @@
 bool ReplicaList::Replace(const std::vector<ListedReplica>& replicas,
                           TimePoint read_at) {
   if (IsSet() && read_at <= m_read_at) return false;
-  Change change{m_version, {}};
+  Change change{m_version, {}, false};
   std::set<std::string> listed_ids;
   for (const ListedReplica& replica : replicas) {
     listed_ids.insert(replica.id);
@@ -93,16 +132,17 @@
 }
 
 ReplicaListUpdate ReplicaList::UpdateSince(std::uint64_t version,
-                                           TimePoint now) const {
+                                           TimePoint read_at) const {
   ReplicaListUpdate update;
   update.version = m_version;
   update.unchanged = version == m_version;
+  update.cold_again = ColdAgainSince(read_at);
   if (update.unchanged) return update;
   const auto first_change =
       std::ranges::find(m_changes, version, &Change::from_version);
   update.full = version == 0 || first_change == m_changes.end();
   if (update.full) {
-    update.updated = Replicas(now);
+    update.updated = Replicas(m_read_at);
     return update;
   }
   std::set<std::string> ids;
@@ -116,20 +156,26 @@
       continue;
     }
     ListedReplica& replica = update.updated.emplace_back(stored->second.listed);
-    replica.warmup_left =
-        std::max<Duration>(stored->second.warm_at - now, Duration::zero());
+    replica.warmup_left = std::max<Duration>(stored->second.warm_at - m_read_at,
+                                             Duration::zero());
   }
   return update;
 }
 
 bool ReplicaList::Apply(const ReplicaListUpdate& update, TimePoint read_at) {
   if (IsSet() && read_at <= m_read_at) return false;
-  if (update.unchanged) {
-    m_read_at = read_at;
-    return false;
+  Change change{m_version, {}, false};
+  for (const ReplicaWarmupLeft& cold : update.cold_again) {
+    const auto known = m_replicas.find(cold.id);
+    if (known == m_replicas.end()) continue;
+    const bool is_cold_again =
+        ExtendWarmup(&known->second, read_at + cold.left, read_at);
+    change.has_cold_again = change.has_cold_again || is_cold_again;
+  }
+  if (update.unchanged) return Commit(std::move(change), read_at);
+  if (update.full) {
+    return Replace(update.updated, read_at) || change.has_cold_again;
   }
-  if (update.full) return Replace(update.updated, read_at);
-  Change change{m_version, {}};
   for (const ListedReplica& replica : update.updated) {
     InsertOrUpdate(replica, read_at, &change);
   }
--- a/src/routing/replica_list.h
+++ b/src/routing/replica_list.h
@@ -12,6 +12,12 @@
 
 namespace chicoryvale {
 
+/// Remaining warmup time of a replica that became cold again.
+struct ReplicaWarmupLeft {
+  std::string id;
+  Duration left{};
+};
+
 /// Difference between two states of a replica list.
 struct ReplicaListUpdate {
   /// The two states have the same content; the lists below are empty.
@@ -24,6 +30,9 @@
   std::vector<ListedReplica> updated;
   /// Ids of the replicas that are no longer listed.
   std::vector<std::string> removed_ids;
+  /// Replicas that became cold again since the earlier state. They may be
+  /// listed although the content is unchanged.
+  std::vector<ReplicaWarmupLeft> cold_again;
 };
 
 /// The platform's list of replicas as of one read, with its latest changes. The
@@ -51,9 +60,11 @@
   /// Returns whether the content changed.
   bool Replace(const std::vector<ListedReplica>& replicas, TimePoint read_at);
 
-  /// Returns the update that leads from `version` to the current version.
+  /// Returns the update that leads from `version`, of a list that was read at
+  /// `read_at`, to the current version. Its warmup times are those that remain
+  /// at ReadAt().
   [[nodiscard]] ReplicaListUpdate UpdateSince(std::uint64_t version,
-                                              TimePoint now) const;
+                                              TimePoint read_at) const;
 
   /// Applies an update that leads from the current version to a state read at
   /// `read_at`. Does nothing if the current content was read at that time or
@@ -64,17 +75,30 @@
   struct StoredReplica {
     ListedReplica listed;
     TimePoint warm_at{};
+    /// When the list was read that moved `warm_at` to a later time; the epoch
+    /// if none did.
+    TimePoint cold_again_read_at{};
   };
 
   /// One change of the list, from a version to the next one.
   struct Change {
     std::uint64_t from_version = 0;
     std::vector<std::string> ids;
+    /// Whether a replica became cold again, which does not change the version.
+    bool has_cold_again = false;
   };
 
   static std::uint64_t HashOf(const ListedReplica& replica);
   void InsertOrUpdate(const ListedReplica& replica, TimePoint read_at,
                       Change* change);
+  /// Moves the end of the warmup to `warm_at` if that is later. Returns whether
+  /// it did.
+  static bool ExtendWarmup(StoredReplica* replica, TimePoint warm_at,
+                           TimePoint read_at);
+  /// Returns the replicas that became cold again in a list read after
+  /// `read_at`, or not long before.
+  [[nodiscard]] std::vector<ReplicaWarmupLeft> ColdAgainSince(
+      TimePoint read_at) const;
   void Remove(const std::string& id, Change* change);
   bool Commit(Change change, TimePoint read_at);
 
--- a/src/routing/replica_list_messages.h
+++ b/src/routing/replica_list_messages.h
@@ -42,6 +42,17 @@
   }
 };
 
+/// Remaining warmup time of a replica that became cold again.
+struct WarmupLeftMessage {
+  std::string id;
+  std::uint32_t left_ms = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+    archive(id, left_ms);
+  }
+};
+
 struct ReplicaListReply {
   /// Whether the replying entry has a list. If not, the fields below are empty.
   bool has_list = false;
@@ -54,12 +65,23 @@
   std::uint64_t version = 0;
   std::vector<ListedReplicaMessage> updated;
   std::vector<std::string> removed_ids;
+  /// Encoded only if set, as earlier builds don't know it.
+  std::vector<WarmupLeftMessage> cold_again;
 
+  // NOLINTBEGIN(readability-identifier-naming)
   template <class Archive>
-  void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+  void save(Archive& archive) const {
+    archive(has_list, age_ms, pending_ms, unchanged, full, version, updated,
+            removed_ids);
+    if (!cold_again.empty()) archive(cold_again);
+  }
+  template <class Archive>
+  void load(Archive& archive) {
     archive(has_list, age_ms, pending_ms, unchanged, full, version, updated,
             removed_ids);
+    if (archive.Remaining() > 0) archive(cold_again);
   }
+  // NOLINTEND(readability-identifier-naming)
 };
 
 }  // namespace chicoryvale
--- a/src/routing/replica_list_sync.cc
+++ b/src/routing/replica_list_sync.cc
@@ -340,6 +340,11 @@
   std::ranges::transform(reply.updated, std::back_inserter(update.updated),
                          ToReplica);
   update.removed_ids = std::move(reply.removed_ids);
+  std::ranges::transform(
+      reply.cold_again, std::back_inserter(update.cold_again),
+      [](const WarmupLeftMessage& cold) {
+        return ReplicaWarmupLeft{cold.id, milliseconds(cold.left_ms)};
+      });
   const TimePoint previous_read_at = m_list.ReadAt();
   const bool content_changed = m_list.Apply(update, read_at);
   const bool is_newer = m_list.ReadAt() != previous_read_at;
@@ -397,12 +402,18 @@
   // The list of the follower is newer, so it needs no update.
   reply.unchanged = follower_is_newer;
   if (!follower_is_newer) {
-    ReplicaListUpdate update = m_list.UpdateSince(request.version, now);
+    ReplicaListUpdate update =
+        m_list.UpdateSince(request.version, request.read_at);
     reply.unchanged = update.unchanged;
     reply.full = update.full;
     std::ranges::transform(update.updated, std::back_inserter(reply.updated),
                            ToMessage);
     reply.removed_ids = std::move(update.removed_ids);
+    std::ranges::transform(
+        update.cold_again, std::back_inserter(reply.cold_again),
+        [](const ReplicaWarmupLeft& cold) {
+          return WarmupLeftMessage{cold.id, ToMilliseconds(cold.left)};
+        });
   }
   request.respond(Encode(reply));
 }
--- a/tests/routing/replica_list_test.cc
+++ b/tests/routing/replica_list_test.cc
@@ -97,6 +97,74 @@
   EXPECT_TRUE(list.UpdateSince(12345, At(5)).full);
 }
 
+// The list of a replica that became cold again under its id differs only in its
+// warmup time, and was taken for unchanged: the replica got the full load.
+TEST(ReplicaListTest, AReplicaThatBecomesColdAgainIsKnownToAllEntries) {
+  ReplicaList source;
+  ReplicaList follower;
+  ReplicaList second_follower;
+  ListedReplica replica = Replica("a");
+  source.Replace({replica, Replica("b")}, At(1000));
+  follower.Apply(source.UpdateSince(0, At(0)), At(1000));
+  second_follower.Apply(follower.UpdateSince(0, At(0)), At(1000));
+  // It becomes cold, and later once more while it is cold.
+  for (const int read_at_ms : {2000, 12'000}) {
+    replica.warmup_left = seconds(30);
+    EXPECT_TRUE(source.Replace({replica, Replica("b")}, At(read_at_ms)));
+    EXPECT_TRUE(follower.Apply(
+        source.UpdateSince(follower.Version(), follower.ReadAt()),
+        At(read_at_ms)));
+    EXPECT_TRUE(
+        second_follower.Apply(follower.UpdateSince(second_follower.Version(),
+                                                   second_follower.ReadAt()),
+                              At(read_at_ms)));
+    for (const ReplicaList* list : {&source, &follower, &second_follower}) {
+      const auto replicas = list->Replicas(At(read_at_ms + 1000));
+      EXPECT_EQ(replicas.front().warmup_left, seconds(29));
+      EXPECT_EQ(replicas.back().warmup_left, Duration::zero());
+      EXPECT_EQ(list->Version(), source.Version());
+    }
+  }
+}
+
+// Each read of the same warmup differs by the lag of the list.
+TEST(ReplicaListTest, AReplicaThatStaysColdIsNoChange) {
+  ReplicaList list;
+  ListedReplica replica = Replica("a");
+  for (int second = 0; second < 20; ++second) {
+    const int lag_ms = second % 2 == 0 ? 0 : 400;
+    replica.warmup_left = seconds(30 - second) + milliseconds(lag_ms);
+    EXPECT_EQ(list.Replace({replica}, At(1000 + 1000 * second)), second == 0);
+  }
+  EXPECT_TRUE(list.UpdateSince(list.Version(), At(0)).cold_again.empty());
+}
+
+TEST(ReplicaListTest, ADelayedRequestStillGetsWhatBecameColdAgain) {
+  ReplicaList source;
+  ListedReplica replica = Replica("a");
+  source.Replace({replica}, At(1000));
+  replica.warmup_left = seconds(30);
+  source.Replace({replica}, At(2000));
+  // The age that the request states makes its list look newer than it is.
+  EXPECT_EQ(source.UpdateSince(source.Version(), At(4000)).cold_again.size(),
+            1U);
+  EXPECT_TRUE(
+      source.UpdateSince(source.Version(), At(9000)).cold_again.empty());
+}
+
+// An entry that follows another one must not take a replica for warm earlier
+// than that one does.
+TEST(ReplicaListTest, TheWarmupEndsAtTheSameTimeAtAllEntries) {
+  ReplicaList source;
+  ReplicaList follower;
+  ListedReplica replica = Replica("a");
+  replica.warmup_left = seconds(30);
+  source.Replace({replica}, At(1000));
+  follower.Apply(source.UpdateSince(0, At(0)), At(1000));
+  EXPECT_EQ(follower.Replicas(At(30'900)).front().warmup_left,
+            milliseconds(100));
+}
+
 TEST(ReplicaListTest, RemainingWarmupTimeDecreases) {
   ReplicaList list;
   ListedReplica cold = Replica("a");
