HTTP server: a request that was given up in a pause of the process is not handled

Cause: a request is handled before the end of the stream behind it is read, and the end alone doesn't say that the caller has gone. Change: PauseMonitor detects that the loop stood still for a second or more; just after that, a request is dropped if the end of the stream follows it, and counted. A half-closed caller is answered as before if there was no pause.

--- a/src/adapters/beast_http_server.cc
+++ b/src/adapters/beast_http_server.cc
@@ -365,6 +365,10 @@
   }
 
   void HandleRequest() {
+    if (m_server->m_pauses.HasJustResumed() && m_socket->IsEndPending()) {
+      m_server->m_counters.Add(BeastHttpServerCounter::kGivenUpInPause);
+      return CloseNow();
+    }
     CancelTimer();
     auto message = m_parser->release();
     if (message[http::field::host].empty()) return Reject(kStatusBadRequest);
@@ -461,6 +465,7 @@
 
 BeastHttpServer::BeastHttpServer(const BeastHttpServerOptions& options)
     : m_options(options),
+      m_pauses(options.scheduler),
       m_own_account(options.max_held_bytes),
       m_account(options.account != nullptr ? options.account : &m_own_account) {
 }
--- a/src/adapters/beast_http_server.h
+++ b/src/adapters/beast_http_server.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "adapters/fd_poller.h"
+#include "adapters/pause_monitor.h"
 #include "base/counters.h"
 #include "base/memory_account.h"
 #include "base/time.h"
@@ -44,11 +45,14 @@
   kCallersGone,
   /// Responses whose connection had already ended.
   kAnswersUndeliverable,
+  /// Requests that were not handled, because their caller had gone while this
+  /// process was paused.
+  kGivenUpInPause,
 };
 
 template <>
 struct CounterNames<BeastHttpServerCounter> {
-  static constexpr std::array<std::string_view, 13> kNames = {
+  static constexpr std::array<std::string_view, 14> kNames = {
       "connections",
       "connections_refused",
       "requests",
@@ -61,7 +65,8 @@
       "unused_evicted",
       "limit_not_confirmed",
       "callers_gone",
-      "answers_undeliverable"};
+      "answers_undeliverable",
+      "given_up_in_pause"};
 };
 
 /// Limits on the size and duration of requests.
@@ -159,6 +164,7 @@
   void DestroyLater(std::uint64_t number);
 
   BeastHttpServerOptions m_options;
+  PauseMonitor m_pauses;
   int m_listener = -1;
   Address m_address;
   Handler m_handler;
--- a/src/adapters/stream_socket.cc
+++ b/src/adapters/stream_socket.cc
@@ -106,6 +106,11 @@
   if (!m_connecting && !m_ended) UpdateEvents();
 }
 
+bool StreamSocket::IsEndPending() const {
+  char byte = 0;
+  return recv(m_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void StreamSocket::FinishSending() {
   m_finish_sending = true;
   if (m_unsent.empty() && !m_connecting) shutdown(m_fd, SHUT_WR);
--- a/src/adapters/stream_socket.h
+++ b/src/adapters/stream_socket.h
@@ -66,6 +66,10 @@
   [[nodiscard]] bool HasUnsent() const { return !m_unsent.empty(); }
   [[nodiscard]] std::size_t UnsentBytes() const { return m_unsent.size(); }
 
+  /// Returns whether all received bytes have been read and the end of the
+  /// stream follows. Asks the kernel.
+  [[nodiscard]] bool IsEndPending() const;
+
   /// Returns whether the kernel has accepted at least one byte.
   [[nodiscard]] bool HasSent() const { return m_has_sent; }
 
--- a/tests/adapters/beast_http_server_test.cc
+++ b/tests/adapters/beast_http_server_test.cc
@@ -459,6 +459,41 @@
       1U);
 }
 
+// A process that had been paused passed on the requests that it found in its
+// sockets, although their callers had given them up.
+TEST_F(BeastHttpServerTest, ARequestThatWasGivenUpInAPauseIsNotHandled) {
+  {
+    RawSocket gone(m_server->LocalAddress());
+    gone.Send(kGet);
+  }
+  RawSocket waits(m_server->LocalAddress());
+  waits.Send(kGetAndClose);
+  // The loop does not run, as if the process was stopped.
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  IterateUntil([&] {
+    const auto& counters = m_server->Counters();
+    return counters.Get(BeastHttpServerCounter::kConnections) == 2 &&
+           !m_requests.empty();
+  });
+  RunBeside(
+      [&] { EXPECT_TRUE(waits.ReceiveAll().starts_with("HTTP/1.1 200")); });
+  ASSERT_EQ(m_requests.size(), 1U);
+  EXPECT_EQ(m_requests.front().path, "/z");
+  EXPECT_EQ(m_server->Counters().Get(BeastHttpServerCounter::kGivenUpInPause),
+            1U);
+}
+
+// Without a pause, the end of the stream only says that the caller sends
+// nothing more.
+TEST_F(BeastHttpServerTest, AHalfClosedRequestIsHandled) {
+  RunBeside([&] {
+    RawSocket caller(m_server->LocalAddress());
+    caller.Send(kGet);
+    caller.EndSending();
+    EXPECT_TRUE(caller.ReceiveAll().starts_with("HTTP/1.1 200"));
+  });
+}
+
 TEST_F(BeastHttpServerTest, ClosesConnectionsAfterTheResponsesInFlight) {
   m_defer_responses = true;
   RawSocket busy(m_server->LocalAddress());
