ReplicaPool: the load that a replica reports is a class of its own

Change: ReportedLoad has the eight fields and three functions of reported load, with a test of its own; DecayFactor is in base. Behaviour is unchanged.

--- a/src/routing/replica_pool.cc
+++ b/src/routing/replica_pool.cc
@@ -1,11 +1,12 @@
 #include "routing/replica_pool.h"
 
 #include <algorithm>
-#include <cmath>
 #include <iterator>
 #include <limits>
 #include <utility>
 
+#include "base/decay.h"
+
 namespace chicoryvale {
 namespace {
 
@@ -17,14 +18,6 @@
 /// that a recovered replica is tried again.
 constexpr double kFailureHalfLifeSeconds = 3.0;
 
-/// Half-life of the weight of a reported queue: with few slots, a queue is
-/// processed within the time of a few requests.
-constexpr double kReportedQueueHalfLifeSeconds = 0.1;
-
-/// Half-life of the weight of a reported slowness: it changes many times a
-/// second.
-constexpr double kReportedSlownessHalfLifeSeconds = 0.1;
-
 /// Cost of a failed send: the time until the failure is noticed and the request
 /// is sent again. Also added to the cost of a replica that closes its
 /// connections.
@@ -71,10 +64,6 @@
 /// Failure ratio from which a replica does not count as in service.
 constexpr double kDownFailureRatio = 0.5;
 
-/// Half-life of a report in the mean load of a replica: the load at a single
-/// moment is mostly chance with few slots.
-constexpr double kMeanBusyHalfLifeSeconds = 0.5;
-
 /// Upper bound of a latency sample, as a factor of the mean so far: a single
 /// pause does not make a replica count as slow, while a slow replica shows in
 /// further answers.
@@ -98,10 +87,6 @@
 /// it states a lower limit, to learn when the limit ends.
 constexpr double kMinRatePerSecond = 1.0;
 
-double DecayFactor(Duration age, double half_life_s) {
-  return std::exp2(-ToSeconds(age) / half_life_s);
-}
-
 }  // namespace
 
 ReplicaPool::ReplicaPool(std::string own_zone, std::uint64_t seed)
@@ -342,15 +327,6 @@
              : share->second;
 }
 
-double ReplicaPool::Slowness(const Replica& replica, TimePoint now) {
-  // Replicas that report no slowness need no decay to be computed.
-  if (replica.reported_slowness == 1) return 1;
-  const Duration age =
-      std::max(now - replica.slowness_reported_at, Duration::zero());
-  return 1 + (replica.reported_slowness - 1) *
-                 DecayFactor(age, kReportedSlownessHalfLifeSeconds);
-}
-
 // A replica without an answer is assumed to have the latency of its service.
 // Otherwise, with many entries and many replicas, most sends would go to
 // replicas that have not been tried.
@@ -373,14 +349,11 @@
                                    TimePoint now) const {
   // A replica that warms up reports a slowness that includes the warmup.
   const double slowness =
-      std::max(Slowness(replica, now),
+      std::max(replica.load.Slowness(now),
                now < replica.warm_at ? kWarmupLatencyFactor : 0.0);
   const double latency = ExpectedLatencyUs(replica, now) * slowness;
-  const double recent_queue =
-      replica.reported_queue * DecayFactor(now - replica.queue_reported_at,
-                                           kReportedQueueHalfLifeSeconds);
-  const double queue =
-      static_cast<double>(replica.open_sends.size()) + recent_queue;
+  const double queue = static_cast<double>(replica.open_sends.size()) +
+                       replica.load.QueueOfOthers(now);
   const double slots = std::max<std::uint32_t>(replica.listed.slots, 1);
   // Sends beyond the free slots wait; the others only share the replica.
   const double waiting = std::max(queue + 1 - slots, 0.0);
@@ -478,26 +451,22 @@
     }
     load = &*known;
   }
+  const std::uint32_t reported_slots = replica.load.Slots();
   const std::uint32_t slots = std::max<std::uint32_t>(
-      replica.reported_slots == 0 ? replica.listed.slots
-                                  : replica.reported_slots,
-      1);
+      reported_slots == 0 ? replica.listed.slots : reported_slots, 1);
   load->usable_slots += slots;
   if (replica.has_latency) {
     // The mean by slots, without a sum of its own.
     const double latency_us =
-        ExpectedLatencyUs(replica, now) * Slowness(replica, now);
+        ExpectedLatencyUs(replica, now) * replica.load.Slowness(now);
     const double mean_us = load->latency_us.value_or(latency_us);
     load->latency_us =
         mean_us + (latency_us - mean_us) * slots / load->usable_slots;
   }
-  const bool is_known =
-      replica.busy_reported_at &&
-      now - *replica.busy_reported_at <= ZoneOverflow::kMaxReportAge;
-  if (!is_known) return;
+  if (!replica.load.HasMeansSince(now - ZoneOverflow::kMaxReportAge)) return;
   load->known_slots += slots;
-  load->known_busy += replica.mean_busy;
-  load->known_used += replica.mean_used;
+  load->known_busy += replica.load.MeanBusy();
+  load->known_used += replica.load.MeanUsed();
 }
 
 double ReplicaPool::PlacementCostUs(const Replica& replica,
@@ -555,7 +524,8 @@
       })->second;
   if (replica.last_answer_at && *replica.last_answer_at > oldest) return false;
   const auto silence_us = static_cast<double>((now - oldest).count());
-  const double latency_us = replica.mean_latency_us * Slowness(replica, oldest);
+  const double latency_us =
+      replica.mean_latency_us * replica.load.Slowness(oldest);
   return silence_us >
          std::max(kMinPauseSilenceUs, kPauseLatencyFactor * latency_us);
 }
@@ -610,7 +580,10 @@
   if (answer.end == SendEnd::kWrongReplica) {
     replica.wrong_replica_until = now + kWrongReplicaAvoidTime;
   }
-  if (answer.load) RecordLoad(&replica, *answer.load, now);
+  if (answer.load) {
+    replica.load.Record(*answer.load, replica.open_sends.size(), now);
+    if (m_overflow_options.enabled) replica.load.RecordMeans(*answer.load, now);
+  }
   if (answer.end != SendEnd::kAnswered) return;
   replica.last_answer_at = now;
   const double slowness = answer.load ? answer.load->slowness.value_or(1) : 1.0;
@@ -618,32 +591,6 @@
                 answer.IsSuccess());
 }
 
-void ReplicaPool::RecordLoad(Replica* replica, const ReplicaLoad& load,
-                             TimePoint now) const {
-  const double other_requests =
-      static_cast<double>(load.running + load.waiting) -
-      static_cast<double>(replica->open_sends.size());
-  replica->reported_queue = std::max(other_requests, 0.0);
-  replica->queue_reported_at = now;
-  replica->reported_slowness = load.slowness.value_or(1);
-  replica->slowness_reported_at = now;
-  if (m_overflow_options.enabled) RecordBusy(replica, load, now);
-}
-
-void ReplicaPool::RecordBusy(Replica* replica, const ReplicaLoad& load,
-                             TimePoint now) {
-  const double busy = static_cast<double>(load.running + load.waiting);
-  const double kept = replica->busy_reported_at
-                          ? DecayFactor(now - *replica->busy_reported_at,
-                                        kMeanBusyHalfLifeSeconds)
-                          : 0;
-  replica->mean_busy = busy + kept * (replica->mean_busy - busy);
-  const double used = std::min(busy, static_cast<double>(load.slots));
-  replica->mean_used = used + kept * (replica->mean_used - used);
-  replica->reported_slots = load.slots;
-  replica->busy_reported_at = now;
-}
-
 void ReplicaPool::RecordLatency(Replica* replica, double latency_us,
                                 bool is_success) {
   const auto overflow = m_overflows.find(replica->listed.service);
--- a/src/routing/replica_pool.h
+++ b/src/routing/replica_pool.h
@@ -21,6 +21,7 @@
 #include "routing/limit_shares.h"
 #include "routing/rate_bucket.h"
 #include "routing/replica_notices.h"
+#include "routing/reported_load.h"
 
 namespace chicoryvale {
 
@@ -255,20 +256,7 @@
     bool last_send_timed_out = false;
     /// If so, the replica is assumed to be paused until this time.
     TimePoint paused_until{};
-    /// Requests of other entries that were running or waiting at the replica
-    /// when it last reported its load.
-    double reported_queue = 0;
-    TimePoint queue_reported_at{};
-    /// Recency-weighted means of the requests that run or wait at the replica
-    /// and of its used slots, from its reports, and the slots of the last one.
-    /// Kept only for ZoneOverflow.
-    double mean_busy = 0;
-    double mean_used = 0;
-    std::uint32_t reported_slots = 0;
-    std::optional<TimePoint> busy_reported_at;
-    /// Slowness that the replica last reported, relative to what is usual.
-    double reported_slowness = 1;
-    TimePoint slowness_reported_at{};
+    ReportedLoad load;
     TimePoint warm_at{};
     /// Until this time the replica is cold because its availability zone was
     /// evacuated.
@@ -329,13 +317,6 @@
                                     TimePoint now) const;
   [[nodiscard]] double ExpectedLatencyUs(const Replica& replica,
                                          TimePoint now) const;
-  // Returns the slowness that `replica` reported, weighted by its age; 1 if it
-  // reported none.
-  static double Slowness(const Replica& replica, TimePoint now);
-  void RecordLoad(Replica* replica, const ReplicaLoad& load,
-                  TimePoint now) const;
-  static void RecordBusy(Replica* replica, const ReplicaLoad& load,
-                         TimePoint now);
   // Records the time to an answer as if the replica had been as slow as usual.
   void RecordLatency(Replica* replica, double latency_us, bool is_success);
   static void RecordOutcome(Replica* replica, bool failed, double weight,
