Routes: a route whose host names a port matches only that port

Cause: the route table cut the port off hosts, so two routes had one key and the second was dropped without a word. Hosts that differ in letter case only were dropped alike. Change: the host with its port is looked up first, then the host without one; port 80 stands for none. A configuration with the same host in other letters and the same prefix is refused, as the two share host and prefix.

--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -1,31 +1,22 @@
 #include "routing/route_table.h"
 
-#include <algorithm>
-#include <cctype>
 #include <utility>
 
+#include "routing/host_name.h"
+
 namespace chicoryvale {
 namespace {
 
-std::string HostKey(std::string_view host) {
-  // A bracketed IPv6 address contains colons that do not precede a port.
-  const std::size_t bracket = host.rfind(']');
-  const std::size_t colon = host.rfind(':');
-  const bool has_port = colon != std::string_view::npos &&
-                        (bracket == std::string_view::npos || colon > bracket);
-  std::string key(has_port ? host.substr(0, colon) : host);
-  std::ranges::transform(key, key.begin(), [](unsigned char character) {
-    return static_cast<char>(std::tolower(character));
-  });
-  return key;
-}
+/// The port that a host without one stands for.
+constexpr char kDefaultPort[] = ":80";
 
 }  // namespace
 
 RouteTable::RouteTable(std::shared_ptr<const RoutingConfig> config)
     : m_config(std::move(config)) {
   for (const Route& route : m_config->routes) {
-    m_routes_by_host[HostKey(route.host)].emplace(route.path_prefix, &route);
+    m_routes_by_host[LowerCaseHost(route.host)].emplace(route.path_prefix,
+                                                        &route);
   }
   if (!m_config->workspaces) return;
   for (const Workspace& workspace : *m_config->workspaces) {
@@ -42,7 +33,15 @@
 
 const Route* RouteTable::Find(std::string_view host,
                               std::string_view path) const {
-  const auto routes = m_routes_by_host.find(HostKey(host));
+  const std::string key = LowerCaseHost(host);
+  const std::string bare_host(HostWithoutPort(key));
+  if (const Route* route = FindAtHost(key, path)) return route;
+  return FindAtHost(bare_host == key ? key + kDefaultPort : bare_host, path);
+}
+
+const Route* RouteTable::FindAtHost(const std::string& host,
+                                    std::string_view path) const {
+  const auto routes = m_routes_by_host.find(host);
   if (routes == m_routes_by_host.end()) return nullptr;
   // Every configured prefix ends with a slash, so only the prefixes of the path
   // that end with a slash are looked up.
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -18,8 +18,8 @@
   explicit RouteTable(std::shared_ptr<const RoutingConfig> config);
 
   /// Returns the route of `host` with the longest prefix that `path` starts
-  /// with, or nullptr. A port in `host` is ignored, and letters are compared
-  /// without case.
+  /// with, or nullptr. Letters are compared without case. Routes with the port
+  /// of `host` come first; a route without a port matches any.
   [[nodiscard]] const Route* Find(std::string_view host,
                                   std::string_view path) const;
 
@@ -33,6 +33,10 @@
  private:
   using RoutesByPrefix = std::map<std::string_view, const Route*>;
 
+  /// Like Find, among the routes whose host is exactly `host`, in lower case.
+  [[nodiscard]] const Route* FindAtHost(const std::string& host,
+                                        std::string_view path) const;
+
   std::shared_ptr<const RoutingConfig> m_config;
   std::unordered_map<std::string, RoutesByPrefix> m_routes_by_host;
   std::unordered_map<std::string_view, const Workspace*> m_workspace_by_key;
--- a/src/routing/routing_rules.cc
+++ b/src/routing/routing_rules.cc
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <utility>
 
+#include "routing/host_name.h"
+
 namespace chicoryvale {
 namespace {
 
@@ -104,12 +106,13 @@
       return "service \"" + service.name + "\" is listed twice";
     }
   }
-  std::set<std::pair<std::string_view, std::string_view>> host_prefixes;
+  std::set<std::pair<std::string, std::string_view>> host_prefixes;
   for (const Route& route : config.routes) {
     if (ConfigError error = FindRouteError(route, services)) {
       return "route \"" + route.name + "\": " + *error;
     }
-    if (!host_prefixes.emplace(route.host, route.path_prefix).second) {
+    if (!host_prefixes.emplace(LowerCaseHost(route.host), route.path_prefix)
+             .second) {
       return "route \"" + route.name +
              "\": another route has the same host and path prefix";
     }
--- a/tests/routing/routing_config_test.cc
+++ b/tests/routing/routing_config_test.cc
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "routing/rank_merger.h"
 #include "routing/route_table.h"
@@ -39,6 +40,28 @@
   EXPECT_EQ(table.Find("example.org", "*"), nullptr);
 }
 
+// Routes of one host on two ports were taken for one route, and requests for
+// the second one ran at the service of the first.
+TEST(RouteTableTest, RoutesOfOneHostOnTwoPortsAreKeptApart) {
+  RoutingConfig config = MakeConfig();
+  config.routes = {MakeRoute("/"), MakeRoute("/"), MakeRoute("/"),
+                   MakeRoute("/")};
+  const std::vector<std::string> hosts = {"h:8001", "H:8002", "h", "other:80"};
+  for (std::size_t i = 0; i < hosts.size(); ++i) {
+    config.routes[i].host = hosts[i];
+    config.routes[i].name = hosts[i];
+  }
+  EXPECT_FALSE(FindRoutingConfigError(config));
+  const RouteTable table(std::make_shared<const RoutingConfig>(config));
+  EXPECT_EQ(table.Find("h:8001", "/")->name, "h:8001");
+  EXPECT_EQ(table.Find("h:8002", "/")->name, "H:8002");
+  EXPECT_EQ(table.Find("h:8003", "/")->name, "h");
+  EXPECT_EQ(table.Find("h", "/")->name, "h");
+  EXPECT_EQ(table.Find("other", "/")->name, "other:80");
+  EXPECT_EQ(table.Find("other:80", "/")->name, "other:80");
+  EXPECT_EQ(table.Find("other:8080", "/"), nullptr);
+}
+
 TEST(RoutingRulesTest, AcceptsAValidConfiguration) {
   EXPECT_FALSE(FindRoutingConfigError(MakeConfig()));
 }
@@ -52,6 +75,11 @@
       {"timeout is 0", [](RoutingConfig& c) { c.routes[0].timeout = {}; }},
       {"has the same host and path prefix",
        [](RoutingConfig& c) { c.routes[0].path_prefix = "/a/"; }},
+      {"another route has the same host",
+       [](RoutingConfig& c) {
+         c.routes[0] = c.routes[1];
+         c.routes[0].host = "EXAMPLE.ORG";
+       }},
       {"slash", [](RoutingConfig& c) { c.routes[0].path_prefix = "/a"; }},
       {"no host", [](RoutingConfig& c) { c.routes[0].host.clear(); }},
       {"no attempt", [](RoutingConfig& c) { c.routes[0].max_attempts = 0; }},
