--- a/tests/routing/retry_budget_test.cc
+++ b/tests/routing/retry_budget_test.cc
@@ -90,8 +90,8 @@
   constexpr int kRequestsPerStep = 5;
   constexpr Duration kStep = milliseconds(100);
   const auto steps_per_window = static_cast<std::uint32_t>(seconds(10) / kStep);
-  const std::uint32_t allowed =
-      kOptions.fixed_retries + steps_per_window * kRequestsPerStep / 5;
+  const double allowed =
+      kOptions.fixed_retries + steps_per_window * kRequestsPerStep / 5.0;
   for (Duration gap = seconds(5); gap < seconds(10); gap += kStep) {
     for (Duration phase{}; phase < milliseconds(500); phase += kStep) {
       RetryBudget budget(kOptions, kStart);
