Crash guard: what a quarantine rests on is logged and counted

Cause: neither a counter nor a line told whether an innocent request is quarantined (docs/incidents/innocent-request-barred.md). The line quarantine_began names the crashes and whether the request was served before; quarantines_begun and served_requests_quarantined count them.

--- a/src/routing/crash_guard.cc
+++ b/src/routing/crash_guard.cc
@@ -22,6 +22,20 @@
   return settings;
 }
 
+// Lists the crashes of a request, each as the hash of the replica, the number
+// of crashes that were known when the run began, and whether the request was
+// proven then.
+std::string CrashesText(const CrashQuarantine& quarantine,
+                        std::uint64_t fingerprint) {
+  std::string text;
+  for (const UpstreamCrash& crash : quarantine.CrashesOf(fingerprint)) {
+    if (!text.empty()) text += ' ';
+    text += std::to_string(crash.replica) + ":" +
+            std::to_string(crash.generation) + (crash.proven ? ":proven" : "");
+  }
+  return text;
+}
+
 }  // namespace
 
 CrashGuard::CrashGuard(const Ports& ports, std::string self_id)
@@ -80,6 +94,7 @@
                             const Address& replica) {
   m_has_marks = true;
   const CrashKey key = KeyOf(request);
+  const bool was_quarantined = m_quarantine.IsQuarantined(key.fingerprint);
   m_quarantine.RecordCrash(key, replica, m_ports.scheduler->Now());
   m_publisher.PublishChanges();
   m_counters.Add(CrashGuardCounter::kRequestsLostWithReplica);
@@ -90,6 +105,19 @@
        {"replica", replica.host_port},
        {"quarantined",
         m_quarantine.IsQuarantined(key.fingerprint) ? "yes" : "no"}});
+  if (!was_quarantined && m_quarantine.IsQuarantined(key.fingerprint)) {
+    RecordQuarantine(key.fingerprint);
+  }
+}
+
+void CrashGuard::RecordQuarantine(std::uint64_t fingerprint) {
+  const bool served = m_served.Contains(fingerprint);
+  m_counters.Add(CrashGuardCounter::kQuarantinesBegun);
+  if (served) m_counters.Add(CrashGuardCounter::kServedRequestsQuarantined);
+  m_ports.log->Write(LogLevel::kWarning, "quarantine_began",
+                     {{"fingerprint", std::to_string(fingerprint)},
+                      {"served_before", served ? "yes" : "no"},
+                      {"crashes", CrashesText(m_quarantine, fingerprint)}});
 }
 
 void CrashGuard::RecordSurvival(const OpaqueRequest& request) {
@@ -101,6 +129,10 @@
   m_counters.Add(CrashGuardCounter::kRequestsCleared);
 }
 
+void CrashGuard::RecordSuccess(const OpaqueRequest& request) {
+  m_served.Record(KeyOf(request).fingerprint);
+}
+
 void CrashGuard::RecordAnswer(const Address& replica, TimePoint sent_at) {
   if (!m_has_marks) return;
   m_quarantine.OnReplicaSurvived(replica, sent_at - kMinReplicaRestartTime);
--- a/src/routing/crash_guard.h
+++ b/src/routing/crash_guard.h
@@ -12,6 +12,7 @@
 #include "ports/peer_gossip.h"
 #include "ports/replica_transport.h"
 #include "ports/scheduler.h"
+#include "routing/served_requests.h"
 #include "upstream/crash_mark_publisher.h"
 #include "upstream/crash_quarantine.h"
 
@@ -25,12 +26,17 @@
   kRequestsCleared,
   /// Requests that were not run because they are quarantined.
   kRequestsQuarantined,
+  /// Quarantines that began at this entry, and those among them whose request
+  /// a replica had answered with success before.
+  kQuarantinesBegun,
+  kServedRequestsQuarantined,
 };
 
 template <>
 struct CounterNames<CrashGuardCounter> {
-  static constexpr std::array<std::string_view, 3> kNames = {
-      "requests_lost_with_replica", "requests_cleared", "requests_quarantined"};
+  static constexpr std::array<std::string_view, 5> kNames = {
+      "requests_lost_with_replica", "requests_cleared", "requests_quarantined",
+      "quarantines_begun", "served_requests_quarantined"};
 };
 
 /// Stops routed requests that crash each replica which runs them, at all
@@ -67,6 +73,9 @@
   /// Records that a replica answered the request.
   void RecordSurvival(const OpaqueRequest& request);
 
+  /// Records that a replica answered the request with success.
+  void RecordSuccess(const OpaqueRequest& request);
+
   /// Records that `replica` answered a send that began at `sent_at`. A loss
   /// shortly before that was a lost connection, not a crash.
   void RecordAnswer(const Address& replica, TimePoint sent_at);
@@ -80,10 +89,12 @@
 
  private:
   void Merge(const GossipItem& item);
+  void RecordQuarantine(std::uint64_t fingerprint);
 
   Ports m_ports;
   CrashQuarantine m_quarantine;
   CrashMarkPublisher m_publisher;
+  ServedRequests m_served;
   CounterSet<CrashGuardCounter> m_counters;
   /// Whether a mark was ever recorded or received. Without one, nothing is
   /// looked up.
--- a/src/routing/routed_query.cc
+++ b/src/routing/routed_query.cc
@@ -206,6 +206,7 @@
   }
   if (answer.end != SendEnd::kAnswered) return;
   m_replica_survived = true;
+  if (answer.IsSuccess()) m_replica_succeeded = true;
   if (m_context.crash_guard != nullptr) {
     m_context.crash_guard->RecordAnswer(send.address, send.sent_at);
   }
--- a/src/routing/routed_query.h
+++ b/src/routing/routed_query.h
@@ -372,6 +372,8 @@
   std::uint32_t m_retry_count = 0;
   /// Whether a replica has answered the request, with success or not.
   bool m_replica_survived = false;
+  /// Whether a replica has answered the request with success.
+  bool m_replica_succeeded = false;
   /// Whether only the first sub-request may be sent until a replica survives
   /// it, because the request has crashed a replica before. Source: Dean and
   /// Barroso, The Tail at Scale, 2013 ("canary requests").
--- a/src/routing/routed_query_end.cc
+++ b/src/routing/routed_query_end.cc
@@ -163,6 +163,9 @@
 // knows the other sub-requests.
 void RoutedQuery::ReportToCrashGuard() const {
   if (m_context.crash_guard == nullptr || IsForRelay()) return;
+  if (m_replica_succeeded) {
+    m_context.crash_guard->RecordSuccess(*m_input.request);
+  }
   if (m_replica_survived) {
     m_context.crash_guard->RecordSurvival(*m_input.request);
   } else if (m_lost_replica) {
--- a/src/routing/routed_query_relay.cc
+++ b/src/routing/routed_query_relay.cc
@@ -121,7 +121,10 @@
     notice.draining = true;
     m_context.pool->RecordNotice(id, notice, m_context.scheduler->Now());
   }
-  if (!answer.answered.empty()) m_replica_survived = true;
+  if (!answer.answered.empty()) {
+    m_replica_survived = true;
+    m_replica_succeeded = true;
+  }
   if (answer.lost_replica) {
     ++m_lost_count;
     m_lost_replica = answer.lost_replica;
--- a/src/upstream/crash_quarantine.cc
+++ b/src/upstream/crash_quarantine.cc
@@ -414,6 +414,13 @@
   return IsAtCrashLimit(found->second->mark);
 }
 
+std::vector<UpstreamCrash> CrashQuarantine::CrashesOf(
+    std::uint64_t fingerprint) const {
+  const auto found = m_by_fingerprint.find(fingerprint);
+  if (found == m_by_fingerprint.end()) return {};
+  return found->second->mark.crashes;
+}
+
 void CrashQuarantine::AddReady(Record* record) {
   if (!std::exchange(record->waiting, false)) return;
   m_ready_fingerprints.push_back(record->mark.key.fingerprint);
--- a/src/upstream/crash_quarantine.h
+++ b/src/upstream/crash_quarantine.h
@@ -190,6 +190,10 @@
   /// Returns whether requests with this fingerprint are refused permanently.
   [[nodiscard]] bool IsQuarantined(std::uint64_t fingerprint) const;
 
+  /// Returns the crashes that the request is marked with.
+  [[nodiscard]] std::vector<UpstreamCrash> CrashesOf(
+      std::uint64_t fingerprint) const;
+
  private:
   struct Origin;
 
