Crash quarantine: a request that was served before is tried again a few times

Cause: gateways never recorded that a request had been served, nor how many of its crashes were known when a run began, so losses of one moment counted as several crashes; and a quarantined request was never sent, so that no answer could clear its mark.

Change: gateways remember which requests were served, and report the number of crashes known at the beginning of a run. A quarantined request that some process knows to have been served gets at most three trials, alone at one replica, one entry at a time (CrashTrials). The query path uses the same class and gets the same trials. Marks that are cut for gossip keep the number of crashes that count.

--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -135,7 +135,8 @@
   m_crash_guard = std::make_unique<CrashGuard>(
       CrashGuard::Ports{.scheduler = &m_scheduler,
                         .gossip = m_peers->membership(),
-                        .log = &m_log},
+                        .log = &m_log,
+                        .members = m_peers->membership()},
       m_peers->LocalAddress().host_port + "/" + std::to_string(RandomSeed()));
   m_crash_guard->Start();
   m_quota_client = std::make_unique<QuotaClient>(
--- a/src/membership/entry_members.cc
+++ b/src/membership/entry_members.cc
@@ -55,6 +55,15 @@
   return OwnersOf(name, 1).front() == m_self;
 }
 
+std::size_t EntryMembers::RankOf(const std::string& name) const {
+  const std::uint64_t key = HashBytes(name);
+  const std::uint64_t own = RendezvousWeight(m_self.host_port, key);
+  return static_cast<std::size_t>(
+      std::ranges::count_if(m_live, [key, own](const Address& entry) {
+        return RendezvousWeight(entry.host_port, key) > own;
+      }));
+}
+
 double EntryMembers::LiveShare() const {
   return static_cast<double>(m_live.size()) /
          static_cast<double>(m_possibly_running);
--- a/src/membership/entry_members.h
+++ b/src/membership/entry_members.h
@@ -31,6 +31,13 @@
   /// Returns whether this entry owns `name`.
   [[nodiscard]] bool IsOwner(const std::string& name) const;
 
+  /// Returns the position of this entry among the owners of `name`, 0 for the
+  /// owner.
+  [[nodiscard]] std::size_t RankOf(const std::string& name) const;
+
+  /// Returns the number of entries that are alive, at least 1.
+  [[nodiscard]] std::size_t CountLive() const { return m_live.size(); }
+
   /// Returns whether an entry that is alive in `earlier` no longer is, so that
   /// another one owns what it owned.
   [[nodiscard]] bool LacksEntryOf(const EntryMembers& earlier) const;
--- a/src/routing/crash_guard.cc
+++ b/src/routing/crash_guard.cc
@@ -1,8 +1,10 @@
 #include "routing/crash_guard.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/hash.h"
+#include "membership/entry_members.h"
 
 namespace chicoryvale {
 namespace {
@@ -11,6 +13,11 @@
 /// a send of this time has not crashed.
 constexpr Duration kMinReplicaRestartTime = seconds(1);
 
+/// Time after which callers of a request should retry that is quarantined for
+/// good, and the least time if it is tried again.
+constexpr Duration kRetryAfterQuarantine = seconds(60);
+constexpr Duration kMinRetryAfter = seconds(1);
+
 constexpr char kHostHeader[] = "Host";
 
 // Replicas differ in slots and shards, and a routed request has no workspace:
@@ -49,6 +56,9 @@
   for (const GossipItem& item : m_ports.gossip->Items(GossipKind::kCrashMark)) {
     Merge(item);
   }
+  m_quarantine.SetEntries(EntryMembers(*m_ports.members));
+  m_ports.members->AddListener(
+      [this] { m_quarantine.SetEntries(EntryMembers(*m_ports.members)); });
 }
 
 void CrashGuard::Merge(const GossipItem& item) {
@@ -56,9 +66,15 @@
   const auto mark = CrashMarkPublisher::DecodeItem(item);
   if (!mark) return;
   m_has_marks = true;
-  m_quarantine.Merge(*mark, m_ports.scheduler->Now());
+  const TimePoint now = m_ports.scheduler->Now();
+  m_quarantine.Merge(*mark, now);
   // The entry that observed the crashes publishes them.
   m_quarantine.PopChanges();
+  // This entry may be the only one that knows that the request was served.
+  if (m_served.Contains(mark->key.fingerprint)) {
+    m_quarantine.RecordServed(mark->key, now);
+  }
+  m_publisher.PublishChanges();
 }
 
 CrashKey CrashGuard::KeyOf(const OpaqueRequest& request) {
@@ -86,28 +102,62 @@
   return false;
 }
 
+Duration CrashGuard::RetryAfter(const OpaqueRequest& request) const {
+  const auto time_to_trial = m_quarantine.TimeToTrial(
+      KeyOf(request).fingerprint, m_ports.scheduler->Now());
+  if (!time_to_trial) return kRetryAfterQuarantine;
+  return std::max(*time_to_trial, kMinRetryAfter);
+}
+
+std::optional<CrashGuard::Run> CrashGuard::Begin(const OpaqueRequest& request) {
+  Run run;
+  run.key = KeyOf(request);
+  if (!m_has_marks) return run;
+  const auto begun =
+      m_quarantine.BeginRequest(run.key, m_ports.scheduler->Now());
+  m_publisher.PublishChanges();
+  if (begun && begun->trial) {
+    m_counters.Add(CrashGuardCounter::kTrials);
+    m_ports.log->Write(LogLevel::kWarning, "quarantine_trial",
+                       {{"id", request.id},
+                        {"fingerprint", std::to_string(run.key.fingerprint)}});
+  }
+  return begun;
+}
+
+void CrashGuard::End(const Run& run, const OpaqueRequest& request,
+                     const RunEnd& end) {
+  if (end.succeeded) m_served.Record(run.key.fingerprint);
+  if (end.survived) return RecordSurvival(run, request);
+  if (end.lost_replica) return RecordLoss(run, request, *end.lost_replica);
+  if (!run.trial) return;
+  m_quarantine.EndRequest(
+      run, end.may_have_run ? RunOutcome::kUnknown : RunOutcome::kNotRun, {},
+      m_ports.scheduler->Now());
+  m_publisher.PublishChanges();
+}
+
 bool CrashGuard::IsMarked(const OpaqueRequest& request) const {
   return m_has_marks && m_quarantine.IsMarked(KeyOf(request).fingerprint);
 }
 
-void CrashGuard::RecordLoss(const OpaqueRequest& request,
+void CrashGuard::RecordLoss(const Run& run, const OpaqueRequest& request,
                             const Address& replica) {
   m_has_marks = true;
-  const CrashKey key = KeyOf(request);
-  const bool was_quarantined = m_quarantine.IsQuarantined(key.fingerprint);
-  m_quarantine.RecordCrash(key, replica, m_ports.scheduler->Now());
+  const std::uint64_t fingerprint = run.key.fingerprint;
+  const TimePoint now = m_ports.scheduler->Now();
+  const bool was_quarantined = m_quarantine.IsQuarantined(fingerprint);
+  if (m_served.Contains(fingerprint)) m_quarantine.RecordServed(run.key, now);
+  m_quarantine.EndRequest(run, RunOutcome::kCrashed, replica, now);
   m_publisher.PublishChanges();
+  const bool is_quarantined = m_quarantine.IsQuarantined(fingerprint);
   m_counters.Add(CrashGuardCounter::kRequestsLostWithReplica);
-  m_ports.log->Write(
-      LogLevel::kWarning, "request_lost_with_replica",
-      {{"id", request.id},
-       {"fingerprint", std::to_string(key.fingerprint)},
-       {"replica", replica.host_port},
-       {"quarantined",
-        m_quarantine.IsQuarantined(key.fingerprint) ? "yes" : "no"}});
-  if (!was_quarantined && m_quarantine.IsQuarantined(key.fingerprint)) {
-    RecordQuarantine(key.fingerprint);
-  }
+  m_ports.log->Write(LogLevel::kWarning, "request_lost_with_replica",
+                     {{"id", request.id},
+                      {"fingerprint", std::to_string(fingerprint)},
+                      {"replica", replica.host_port},
+                      {"quarantined", is_quarantined ? "yes" : "no"}});
+  if (!was_quarantined && is_quarantined) RecordQuarantine(fingerprint);
 }
 
 void CrashGuard::RecordQuarantine(std::uint64_t fingerprint) {
@@ -120,17 +170,19 @@
                       {"crashes", CrashesText(m_quarantine, fingerprint)}});
 }
 
-void CrashGuard::RecordSurvival(const OpaqueRequest& request) {
+void CrashGuard::RecordSurvival(const Run& run, const OpaqueRequest& request) {
   if (!m_has_marks) return;
-  const CrashKey key = KeyOf(request);
-  if (!m_quarantine.IsMarked(key.fingerprint)) return;
-  m_quarantine.RecordSurvival(key, m_ports.scheduler->Now());
+  const std::uint64_t fingerprint = run.key.fingerprint;
+  if (!m_quarantine.IsMarked(fingerprint)) return;
+  const bool was_quarantined = m_quarantine.IsQuarantined(fingerprint);
+  m_quarantine.EndRequest(run, RunOutcome::kSurvived, {},
+                          m_ports.scheduler->Now());
   m_publisher.PublishChanges();
   m_counters.Add(CrashGuardCounter::kRequestsCleared);
-}
-
-void CrashGuard::RecordSuccess(const OpaqueRequest& request) {
-  m_served.Record(KeyOf(request).fingerprint);
+  if (!was_quarantined) return;
+  m_ports.log->Write(
+      LogLevel::kWarning, "quarantine_ended",
+      {{"id", request.id}, {"fingerprint", std::to_string(fingerprint)}});
 }
 
 void CrashGuard::RecordAnswer(const Address& replica, TimePoint sent_at) {
--- a/src/routing/routed_query.cc
+++ b/src/routing/routed_query.cc
@@ -43,6 +43,7 @@
     m_sub_requests.emplace_back().service = service;
   }
   if (!IsForRelay() && !CanBeServed()) return FinishWithoutAnswer(false);
+  if (!BeginGuardedRun()) return FinishQuarantined();
   if (!IsForRelay()) m_zone_draw = m_context.pool->DrawPlacement();
   m_deadline_timer =
       m_context.scheduler->Schedule(TimeLeft(), [this] { OnDeadline(); });
@@ -57,9 +58,8 @@
         std::max(partial_answer_time - m_input.waited, Duration::zero()),
         [this] { OnPartialAnswerTimer(); });
   }
-  m_is_canary = m_context.crash_guard != nullptr && !IsForRelay() &&
-                m_input.route->IsScattered() &&
-                m_context.crash_guard->IsMarked(*m_input.request);
+  m_is_canary =
+      m_guarded_run && m_guarded_run->marked && m_input.route->IsScattered();
   if (m_is_canary) {
     SendDirectly(0);
   } else {
@@ -68,6 +68,12 @@
   FinishIfSettled();
 }
 
+bool RoutedQuery::BeginGuardedRun() {
+  if (m_context.crash_guard == nullptr || IsForRelay()) return true;
+  m_guarded_run = m_context.crash_guard->Begin(*m_input.request);
+  return m_guarded_run.has_value();
+}
+
 void RoutedQuery::SendAll() {
   SendToRelays();
   for (std::size_t i = 0; i < m_sub_requests.size(); ++i) {
@@ -137,7 +143,7 @@
   const Route& route = *m_input.route;
   if (sub_request.runs >= route.max_attempts ||
       sub_request.total_attempts >= kMaxTotalAttempts ||
-      AwaitsSurvivor(index)) {
+      (IsUnprovenTrial() && sub_request.runs > 0) || AwaitsSurvivor(index)) {
     return false;
   }
   const TimePoint now = m_context.scheduler->Now();
@@ -249,7 +255,8 @@
   const RetryReason reason = answer.end == SendEnd::kAnswered
                                  ? RetryReason::kFailed
                                  : RetryReason::kBroken;
-  if (m_input.route->idempotent && sub_request.open.empty()) {
+  const bool may_retry = m_input.route->idempotent && !IsUnprovenTrial();
+  if (may_retry && sub_request.open.empty()) {
     if (TryRetry(index, reason)) return;
     // The retry waits until a replica has survived the request.
     if (AwaitsSurvivor(index) && MayRetryRefused(sub_request)) {
--- a/src/routing/routed_query.h
+++ b/src/routing/routed_query.h
@@ -323,8 +323,17 @@
   void OnAttemptFailed(std::size_t index, const ReplicaAnswer& answer);
   /// Records whether the replica of `send` survived the request.
   void RecordReplicaState(const Send& send, const ReplicaAnswer& answer);
+  /// Asks the crash guard whether the request may run. A relay doesn't ask: the
+  /// entry that sent it the request has.
+  [[nodiscard]] bool BeginGuardedRun();
   /// Reports to the crash guard how the request ended.
   void ReportToCrashGuard() const;
+  /// Returns whether the request is a trial that no replica has survived, which
+  /// may run at one replica only.
+  [[nodiscard]] bool IsUnprovenTrial() const {
+    return m_guarded_run && m_guarded_run->trial && !m_replica_survived;
+  }
+  void FinishQuarantined();
   /// Returns whether a retry of the sub-request waits until a replica has
   /// survived the request, which may be what crashes replicas.
   [[nodiscard]] bool AwaitsSurvivor(std::size_t index) const;
@@ -378,6 +387,8 @@
   /// it, because the request has crashed a replica before. Source: Dean and
   /// Barroso, The Tail at Scale, 2013 ("canary requests").
   bool m_is_canary = false;
+  /// The run that the crash guard knows of.
+  std::optional<CrashGuard::Run> m_guarded_run;
   /// Number of connections to replicas that were lost while the replica ran the
   /// request, and the replica of the last one.
   std::uint32_t m_lost_count = 0;
--- a/src/routing/routed_query_end.cc
+++ b/src/routing/routed_query_end.cc
@@ -85,6 +85,16 @@
   Finish(std::move(answer), refusal.outcome);
 }
 
+void RoutedQuery::FinishQuarantined() {
+  RoutedAnswer answer;
+  m_context.counters->Add(RoutingCounter::kRefusedQuarantined);
+  answer.error =
+      Error{ErrorKind::kUpstreamUnavailable,
+            "this request has crashed the replicas that ran it", Ran::kNo};
+  answer.retry_after = m_context.crash_guard->RetryAfter(*m_input.request);
+  Finish(std::move(answer), "quarantined");
+}
+
 // Finds out what the services of the unanswered sub-requests lack. As many of
 // them as the answer needs have to get a replica before the caller returns.
 RoutedQuery::Refusal RoutedQuery::ExplainRefusal() const {
@@ -162,15 +172,10 @@
 // A relay reports what it observed to the entry that sent it the request, which
 // knows the other sub-requests.
 void RoutedQuery::ReportToCrashGuard() const {
-  if (m_context.crash_guard == nullptr || IsForRelay()) return;
-  if (m_replica_succeeded) {
-    m_context.crash_guard->RecordSuccess(*m_input.request);
-  }
-  if (m_replica_survived) {
-    m_context.crash_guard->RecordSurvival(*m_input.request);
-  } else if (m_lost_replica) {
-    m_context.crash_guard->RecordLoss(*m_input.request, *m_lost_replica);
-  }
+  if (!m_guarded_run) return;
+  m_context.crash_guard->End(
+      *m_guarded_run, *m_input.request,
+      {m_replica_survived, m_replica_succeeded, m_lost_replica, MayHaveRun()});
 }
 
 void RoutedQuery::RecordEnd(const RoutedAnswer& answer,
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -15,9 +15,6 @@
 /// configuration is current. The entry asks again meanwhile.
 constexpr Duration kRetryAfterUnconfirmed = milliseconds(500);
 
-/// Time after which callers of a quarantined request should retry.
-constexpr Duration kRetryAfterQuarantine = seconds(60);
-
 /// Upper bound of the random factor by which callers are told to return later,
 /// so that those that were refused together don't return together.
 constexpr double kMaxRetryAfterFactor = 1.25;
@@ -170,7 +167,7 @@
         request, RoutingCounter::kRefusedQuarantined,
         {ErrorKind::kUpstreamUnavailable,
          "this request has crashed the replicas that ran it", Ran::kNo},
-        kRetryAfterQuarantine, callback);
+        m_context.crash_guard->RetryAfter(*request.request), callback);
   }
   const bool has_quota = m_context.quota != nullptr &&
                          match.workspace != nullptr &&
--- a/src/upstream/crash_mark.cc
+++ b/src/upstream/crash_mark.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -40,6 +41,25 @@
   return count;
 }
 
+void TrimCrashes(std::size_t max_count, CrashMark* mark) {
+  if (mark->crashes.size() <= max_count) return;
+  // One crash of each generation counts, and all that are not proven.
+  std::vector<UpstreamCrash> counted;
+  std::vector<UpstreamCrash> others;
+  for (const UpstreamCrash& crash : mark->crashes) {
+    const bool counts =
+        !crash.proven ||
+        std::ranges::none_of(counted, [&crash](const UpstreamCrash& other) {
+          return other.proven && other.generation == crash.generation;
+        });
+    (counts ? counted : others).push_back(crash);
+  }
+  std::ranges::copy(others, std::back_inserter(counted));
+  counted.resize(max_count);
+  std::sort(counted.begin(), counted.end());
+  mark->crashes = std::move(counted);
+}
+
 bool AddCrash(const UpstreamCrash& crash, CrashMark* mark) {
   const CrashMark before = *mark;
   const auto at =
@@ -58,6 +78,8 @@
   }
   CrashMark merged = *mark;
   merged.crash_limit = std::max(mark->crash_limit, other.crash_limit);
+  merged.served_before = mark->served_before || other.served_before;
+  merged.failed_trials = std::max(mark->failed_trials, other.failed_trials);
   merged.crashes.clear();
   std::set_union(mark->crashes.begin(), mark->crashes.end(),
                  other.crashes.begin(), other.crashes.end(),
--- a/src/upstream/crash_mark.h
+++ b/src/upstream/crash_mark.h
@@ -1,6 +1,7 @@
 #ifndef CHICORYVALE_SRC_UPSTREAM_CRASH_MARK_H_
 #define CHICORYVALE_SRC_UPSTREAM_CRASH_MARK_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <tuple>
 #include <vector>
@@ -61,6 +62,12 @@
   std::uint32_t crash_limit = 2;
   /// Sorted, without duplicates.
   std::vector<UpstreamCrash> crashes;
+  /// Whether a process knows that an upstream served the request before it
+  /// crashed one.
+  bool served_before = false;
+  /// Number of trials of the quarantined request that may have run and that no
+  /// upstream survived.
+  std::uint32_t failed_trials = 0;
   bool operator==(const CrashMark&) const = default;
 };
 
@@ -70,6 +77,10 @@
 /// crashes upstreams does not become proven.
 std::uint32_t CountCrashes(const CrashMark& mark);
 
+/// Removes crashes until at most `max_count` are left, those first that change
+/// CountCrashes least.
+void TrimCrashes(std::size_t max_count, CrashMark* mark);
+
 /// Adds `crash` to `mark`; returns whether `mark` changed.
 bool AddCrash(const UpstreamCrash& crash, CrashMark* mark);
 
--- a/src/upstream/crash_mark_publisher.cc
+++ b/src/upstream/crash_mark_publisher.cc
@@ -17,7 +17,7 @@
 
 void CrashMarkPublisher::PublishChanges() {
   for (CrashMark& mark : m_quarantine->PopChanges()) {
-    if (mark.crashes.size() > kMaxInPayload) mark.crashes.resize(kMaxInPayload);
+    TrimCrashes(kMaxInPayload, &mark);
     m_gossip->Publish({GossipKind::kCrashMark,
                        std::to_string(mark.key.fingerprint) + "/" + m_self_id,
                        ++m_last_stamp, Encode(mark),
--- a/src/upstream/crash_quarantine.cc
+++ b/src/upstream/crash_quarantine.cc
@@ -17,6 +17,7 @@
   std::uint32_t runs_in_flight = 0;
   std::uint32_t risky_runs = 0;
   bool marked_run_in_flight = false;
+  bool trial_in_flight = false;
   bool holds_origin_slot = false;
   bool waiting = false;
   /// Whether the record is counted as marked or quarantined in its Origin.
@@ -43,7 +44,7 @@
 };
 
 CrashQuarantine::CrashQuarantine(const CrashSettings& settings)
-    : m_settings(settings) {
+    : m_settings(settings), m_trials(settings.trials) {
   assert(settings.max_crashes >= 1 && settings.max_records >= 1);
 }
 
@@ -67,11 +68,10 @@
   CrashMark& mark = record->mark;
   if (!mark.crashes.empty()) {
     if (!IsAtCrashLimit(mark)) return AdmitMarked(record, shard, purpose, now);
-    return {RaiseCrashLimitIfCommonCause(record, now)
-                ? RunVerdict::kTryLater
-                : RunVerdict::kQuarantined,
-            {},
-            {}};
+    if (RaiseCrashLimitIfCommonCause(record, now)) {
+      return {RunVerdict::kTryLater, {}, {}};
+    }
+    return AdmitTrial(record, shard, purpose, slow_run_threshold, now);
   }
   if (record->proven || !NeedsCanary(*record)) {
     return StartRun(record, shard, false);
@@ -104,6 +104,46 @@
   return StartRun(record, shard, true);
 }
 
+// A trial runs at one of the shards where the request crashed an upstream. The
+// other attempts of the request wait until it has ended.
+CrashQuarantine::Admission CrashQuarantine::AdmitTrial(
+    Record* record, ShardId shard, AttemptPurpose purpose,
+    Duration slow_run_threshold, TimePoint now) {
+  if (purpose == AttemptPurpose::kHedge) {
+    return {RunVerdict::kQuarantined, {}, {}};
+  }
+  if (record->trial_in_flight) return DeferRun(record, {});
+  if (!IsTrialDue(*record, now)) return {RunVerdict::kQuarantined, {}, {}};
+  const std::vector<UpstreamCrash>& crashes = record->mark.crashes;
+  if (std::ranges::find(crashes, shard, &UpstreamCrash::shard) ==
+      crashes.end()) {
+    return DeferRun(record, now + slow_run_threshold);
+  }
+  const std::uint64_t slot = record->mark.key.service;
+  if (m_slot_waiters.contains(slot)) return WaitForSlot(record, slot);
+  m_slot_waiters.try_emplace(slot);
+  Admission admission = StartRun(record, shard, true);
+  admission.run.trial = true;
+  record->trial_in_flight = true;
+  return admission;
+}
+
+bool CrashQuarantine::IsTrialDue(const Record& record, TimePoint now) const {
+  return !record.trial_in_flight &&
+         m_trials.IsDue(record.mark, now - record.last_crash_at);
+}
+
+void CrashQuarantine::OnTrialEnded(Record* record, RunOutcome outcome,
+                                   TimePoint now) {
+  record->trial_in_flight = false;
+  const bool has_failed =
+      outcome == RunOutcome::kCrashed || outcome == RunOutcome::kUnknown;
+  if (!has_failed) return;
+  ++record->mark.failed_trials;
+  record->last_crash_at = now;
+  OnChanged(record);
+}
+
 CrashQuarantine::Admission CrashQuarantine::AdmitUnproven(
     Record* record, ShardId shard, Duration slow_run_threshold, TimePoint now) {
   if (now < record->gossip_until) return DeferRun(record, record->gossip_until);
@@ -162,6 +202,7 @@
   run.record = record;
   run.shard = shard;
   run.generation = static_cast<std::uint32_t>(record->mark.crashes.size());
+  run.epoch = record->mark.epoch;
   run.marked = marked;
   run.unproven = !record->proven;
   ++record->runs_in_flight;
@@ -205,6 +246,7 @@
     record->marked_run_in_flight = false;
     ReleaseSlot(record->mark.key.service);
   }
+  if (run.trial) OnTrialEnded(record, outcome, now);
   if (outcome == RunOutcome::kSurvived) OnSurvived(run);
   if (outcome == RunOutcome::kCrashed) OnCrashed(run, replica, now);
   if (outcome == RunOutcome::kNotConnected) {
@@ -240,9 +282,12 @@
                                 TimePoint now) {
   Record* record = run.record;
   CrashMark& mark = record->mark;
-  const UpstreamCrash crash{HashReplica(replica), run.shard, run.generation,
+  // A run that began before the mark was cleared knew of none of its crashes.
+  const std::uint32_t generation = run.epoch == mark.epoch ? run.generation : 0;
+  const UpstreamCrash crash{HashReplica(replica), run.shard, generation,
                             !run.unproven};
   m_crash_log.Add(mark.key, crash, now);
+  mark.served_before = mark.served_before || record->proven;
   if (!AddCrash(crash, &mark)) return;
   record->last_crash_at = now;
   record->blamed = false;
@@ -288,19 +333,64 @@
   Expire(record, now);
   if (now < record->refused_until) return RunVerdict::kTryLater;
   if (!IsAtCrashLimit(record->mark)) return RunVerdict::kRun;
-  return RaiseCrashLimitIfCommonCause(record, now) ? RunVerdict::kTryLater
-                                                   : RunVerdict::kQuarantined;
+  if (RaiseCrashLimitIfCommonCause(record, now)) return RunVerdict::kTryLater;
+  return IsTrialDue(*record, now) ? RunVerdict::kRun : RunVerdict::kQuarantined;
 }
 
-void CrashQuarantine::RecordCrash(const CrashKey& key, const Address& replica,
-                                  TimePoint now) {
-  const Admission run = StartRun(FindOrCreateRecord(key, now), 0, false);
-  OnRunEnded(run.run, RunOutcome::kCrashed, replica, now);
+std::optional<CrashQuarantine::RequestRun> CrashQuarantine::BeginRequest(
+    const CrashKey& key, TimePoint now) {
+  if (Check(key, now) != RunVerdict::kRun) return std::nullopt;
+  RequestRun run;
+  run.key = key;
+  const auto found = m_by_fingerprint.find(key.fingerprint);
+  if (found == m_by_fingerprint.end()) return run;
+  Record& record = *found->second;
+  run.generation = static_cast<std::uint32_t>(record.mark.crashes.size());
+  run.epoch = record.mark.epoch;
+  run.marked = !record.mark.crashes.empty();
+  run.trial = IsAtCrashLimit(record.mark);
+  if (run.trial) record.trial_in_flight = true;
+  return run;
+}
+
+void CrashQuarantine::EndRequest(const RequestRun& run, RunOutcome outcome,
+                                 const Address& replica, TimePoint now) {
+  Admission admission = StartRun(FindOrCreateRecord(run.key, now), 0, false);
+  admission.run.generation = run.generation;
+  admission.run.epoch = run.epoch;
+  admission.run.trial = run.trial;
+  Record* record = admission.run.record;
+  const bool was_proven = record->proven;
+  OnRunEnded(admission.run, outcome, replica, now);
+  // An answer shows that the replica survived, but not that it ran the request.
+  record->proven = was_proven;
 }
 
-void CrashQuarantine::RecordSurvival(const CrashKey& key, TimePoint now) {
-  const Admission run = StartRun(FindOrCreateRecord(key, now), 0, false);
-  OnRunEnded(run.run, RunOutcome::kSurvived, {}, now);
+bool CrashQuarantine::RecordServed(const CrashKey& key, TimePoint now) {
+  FindOrCreateRecord(key, now)->proven = true;
+  return AddOwnEvidence(key.fingerprint);
+}
+
+bool CrashQuarantine::AddOwnEvidence(std::uint64_t fingerprint) {
+  const auto found = m_by_fingerprint.find(fingerprint);
+  if (found == m_by_fingerprint.end()) return false;
+  Record* record = &*found->second;
+  CrashMark& mark = record->mark;
+  const bool adds =
+      record->proven && !mark.crashes.empty() && !mark.served_before;
+  if (!adds) return false;
+  mark.served_before = true;
+  OnChanged(record);
+  return true;
+}
+
+std::optional<Duration> CrashQuarantine::TimeToTrial(std::uint64_t fingerprint,
+                                                     TimePoint now) const {
+  const auto found = m_by_fingerprint.find(fingerprint);
+  if (found == m_by_fingerprint.end()) return std::nullopt;
+  const Record& record = *found->second;
+  if (!m_trials.IsAllowed(record.mark)) return std::nullopt;
+  return m_trials.TimeToFirst(record.mark, now - record.last_crash_at);
 }
 
 bool CrashQuarantine::IsMarked(std::uint64_t fingerprint) const {
@@ -338,6 +428,10 @@
                                  std::vector<UpstreamCrash> crashes) {
   ++record->mark.epoch;
   record->mark.crash_limit = m_settings.max_crashes;
+  if (crashes.empty()) {
+    record->mark.served_before = false;
+    record->mark.failed_trials = 0;
+  }
   record->mark.crashes = std::move(crashes);
   record->refused_until = {};
   OnChanged(record);
--- a/src/upstream/crash_quarantine.h
+++ b/src/upstream/crash_quarantine.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "base/ids.h"
@@ -15,6 +16,7 @@
 #include "ports/replica_gate.h"
 #include "upstream/crash_log.h"
 #include "upstream/crash_mark.h"
+#include "upstream/crash_trials.h"
 
 namespace chicoryvale {
 
@@ -64,6 +66,8 @@
   /// upstream failed, before a request that no upstream has survived is tried
   /// at another one.
   Duration gossip_wait = milliseconds(20);
+  /// When a quarantined request is tried once more.
+  CrashTrialSettings trials;
   /// Maximum number of fingerprints remembered.
   std::size_t max_records = 65536;
 };
@@ -89,7 +93,9 @@
   kCrashed,
   /// No connection could be made.
   kNotConnected,
-  /// The request did not run, or its outcome is unknown.
+  /// The request did not run.
+  kNotRun,
+  /// The request may have run, and its outcome is unknown.
   kUnknown,
 };
 
@@ -99,8 +105,9 @@
 /// shard where it crashed an upstream, or at any shard if no upstream has
 /// survived it, a marked request is not hedged, and only one such run of a
 /// service is in flight in this process, so that a harmless request that was
-/// lost together with a crashing one is not lost with it again. Not thread
-/// safe.
+/// lost together with a crashing one is not lost with it again. A quarantined
+/// request that was served before gets a limited number of trials, see
+/// CrashTrials. Not thread safe.
 class CrashQuarantine {
  public:
   /// State of one fingerprint. Valid while a run of it is in flight.
@@ -111,8 +118,12 @@
     /// Null if the run does not take part in quarantine.
     Record* record = nullptr;
     ShardId shard = 0;
-    /// Number of the request's crashes that were known when the run began.
+    /// Number of the request's crashes that were known when the run began, and
+    /// the epoch of its mark.
     std::uint32_t generation = 0;
+    std::uint32_t epoch = 0;
+    /// The run is the trial of a quarantined request.
+    bool trial = false;
     /// The run occupies the slot for marked requests of its service.
     bool marked = false;
     /// The request was unproven when the run began: no upstream had survived
@@ -120,6 +131,18 @@
     bool unproven = false;
   };
 
+  /// A run of a whole request, for callers that report only how whole requests
+  /// end.
+  struct RequestRun {
+    CrashKey key;
+    /// As in Run.
+    std::uint32_t generation = 0;
+    std::uint32_t epoch = 0;
+    bool trial = false;
+    /// The request was marked when the run began.
+    bool marked = false;
+  };
+
   /// Result of Admit.
   struct Admission {
     RunVerdict verdict = RunVerdict::kRun;
@@ -134,6 +157,11 @@
   CrashQuarantine(const CrashQuarantine&) = delete;
   CrashQuarantine& operator=(const CrashQuarantine&) = delete;
 
+  /// Sets the entries that take turns with trials, this one included.
+  void SetEntries(EntryMembers entries) {
+    m_trials.SetEntries(std::move(entries));
+  }
+
   /// Sets the fingerprints that operators quarantined.
   void SetOperatorList(const std::vector<std::uint64_t>& fingerprints);
 
@@ -173,16 +201,32 @@
   std::vector<std::uint64_t> PopReady();
 
   /// Decides whether the request may run, for callers that report only how
-  /// whole requests end (RecordCrash, RecordSurvival). Never returns kWait.
+  /// whole requests end. Never returns kWait.
   RunVerdict Check(const CrashKey& key, TimePoint now);
 
-  /// Records that `replica` crashed while it ran the request, and that no
-  /// upstream survived it.
-  void RecordCrash(const CrashKey& key, const Address& replica, TimePoint now);
+  /// Begins a run of a whole request if Check allows it. `is_trial` of the run
+  /// is set at most once at a time for a request, until EndRequest.
+  std::optional<RequestRun> BeginRequest(const CrashKey& key, TimePoint now);
+
+  /// Records how a run of a whole request ended; for kCrashed, `replica` is the
+  /// one that crashed. Needed only for kCrashed, and for requests that are
+  /// marked.
+  void EndRequest(const RequestRun& run, RunOutcome outcome,
+                  const Address& replica, TimePoint now);
+
+  /// Records that an upstream served the request before a crash that is in the
+  /// mark or about to be recorded. Returns whether this changed the mark.
+  bool RecordServed(const CrashKey& key, TimePoint now);
+
+  /// Adds to the mark of the request that an upstream served it before, if this
+  /// process knows that and the mark doesn't say so. Returns whether this
+  /// changed the mark. To be called for marks of other processes.
+  bool AddOwnEvidence(std::uint64_t fingerprint);
 
-  /// Records that an upstream survived the request. Needed only for requests
-  /// that are marked.
-  void RecordSurvival(const CrashKey& key, TimePoint now);
+  /// Returns the time until a quarantined request may be tried once more, or
+  /// nothing if it may not.
+  [[nodiscard]] std::optional<Duration> TimeToTrial(std::uint64_t fingerprint,
+                                                    TimePoint now) const;
 
   /// Returns whether the request has crashed an upstream since one survived it.
   [[nodiscard]] bool IsMarked(std::uint64_t fingerprint) const;
@@ -204,6 +248,10 @@
                         TimePoint now);
   Admission AdmitUnproven(Record* record, ShardId shard,
                           Duration slow_run_threshold, TimePoint now);
+  Admission AdmitTrial(Record* record, ShardId shard, AttemptPurpose purpose,
+                       Duration slow_run_threshold, TimePoint now);
+  [[nodiscard]] bool IsTrialDue(const Record& record, TimePoint now) const;
+  void OnTrialEnded(Record* record, RunOutcome outcome, TimePoint now);
   std::optional<Admission> CheckOrigin(Record* record, TimePoint now);
   [[nodiscard]] bool NeedsCanary(const Record& record) const;
   [[nodiscard]] bool IsSuspicious(const Record& record) const;
@@ -227,6 +275,7 @@
   bool RaiseCrashLimitIfCommonCause(Record* record, TimePoint now);
 
   CrashSettings m_settings;
+  CrashTrials m_trials;
   std::unordered_set<std::uint64_t> m_operator_list;
   /// Most recently used first.
   std::list<Record> m_records;
--- a/src/upstream/gate_gossip.cc
+++ b/src/upstream/gate_gossip.cc
@@ -51,6 +51,9 @@
     if (!mark) return;
     m_gate->MergeCrashMark(*mark);
     m_gate->Quarantine()->PopChanges();
+    if (m_gate->Quarantine()->AddOwnEvidence(mark->key.fingerprint)) {
+      PublishOwnChanges();
+    }
   }
 }
 
--- a/src/upstream/gate_gossip_codec.h
+++ b/src/upstream/gate_gossip_codec.h
@@ -31,7 +31,8 @@
 template <class Archive>
 void serialize(Archive& archive,  // NOLINT(readability-identifier-naming)
                CrashMark& value) {
-  archive(value.key, value.epoch, value.crash_limit, value.crashes);
+  archive(value.key, value.epoch, value.crash_limit, value.crashes,
+          value.served_before, value.failed_trials);
 }
 
 }  // namespace chicoryvale
--- a/src/upstream/outcome_recorder.cc
+++ b/src/upstream/outcome_recorder.cc
@@ -42,9 +42,13 @@
       return RunOutcome::kCrashed;
     case SubOutcomeKind::kNotConnected:
       return RunOutcome::kNotConnected;
-    default:
+    case SubOutcomeKind::kNotStarted:
+    case SubOutcomeKind::kSnapshotUnavailable:
+      return RunOutcome::kNotRun;
+    case SubOutcomeKind::kTimedOut:
       return RunOutcome::kUnknown;
   }
+  return RunOutcome::kUnknown;
 }
 
 OutcomeRecorder::OutcomeRecorder(AvailabilityTracker* availability,
--- a/src/upstream/upstream_gate.cc
+++ b/src/upstream/upstream_gate.cc
@@ -91,6 +91,7 @@
 void UpstreamGate::UpdateMembers(const MemberView& view) {
   m_share.Update(view);
   m_table.SetShare(m_share);
+  m_quarantine.SetEntries(EntryMembers(view));
 }
 
 ConnectionBudget UpstreamGate::BudgetFor(const Address& replica) {
@@ -185,7 +186,7 @@
 
 void UpstreamGate::EndUnassigned(GateTicket ticket) {
   const auto node = m_attempts.extract(ticket);
-  if (!node.empty()) EndRun(node.mapped(), RunOutcome::kUnknown);
+  if (!node.empty()) EndRun(node.mapped(), RunOutcome::kNotRun);
 }
 
 void UpstreamGate::EndRun(const Attempt& attempt, RunOutcome outcome) {
@@ -327,7 +328,8 @@
   if (node.empty()) return;
   m_counters.Add(UpstreamCounter::kEndedAbandoned);
   const Attempt& attempt = node.mapped();
-  EndRun(attempt, RunOutcome::kUnknown);
+  EndRun(attempt, attempt.replica == nullptr ? RunOutcome::kNotRun
+                                             : RunOutcome::kUnknown);
   if (attempt.replica == nullptr) {
     if (attempt.queued_in != nullptr) {
       attempt.queued_in->queue.Remove(attempt.deadline, ticket);
--- a/tests/routing/crash_guard_test.cc
+++ b/tests/routing/crash_guard_test.cc
@@ -50,7 +50,8 @@
           &m_scheduler, &m_network, self,
           std::vector<Member>{{self, MemberState::kAlive, 1}});
       m_guards.push_back(std::make_unique<CrashGuard>(
-          CrashGuard::Ports{&m_scheduler, &m_gossip, &entry->log}, name));
+          CrashGuard::Ports{&m_scheduler, &m_gossip, &entry->log, &entry->view},
+          name));
       m_guards.back()->Start();
       entry->context.crash_guard = m_guards.back().get();
       entry->guarded_router = std::make_unique<Router>(entry->context, 5);
@@ -93,6 +94,15 @@
     return *answer;
   }
 
+  /// Lets a run of the request at the entry end with the loss of `replica`.
+  void Lose(std::size_t entry, const OpaqueRequest& request,
+            const Address& replica) {
+    CrashGuard& guard = *m_guards[entry];
+    const auto run = guard.Begin(request);
+    ASSERT_TRUE(run);
+    guard.End(*run, request, {.lost_replica = replica, .may_have_run = true});
+  }
+
   FakeScheduler m_scheduler;
   FakeNetwork m_network{&m_scheduler, 1};
   SharedGossip m_gossip;
@@ -162,7 +172,7 @@
 // After a loss, the request runs at one replica first, and at the others once
 // that has survived.
 TEST_F(CrashGuardTest, AMarkedRequestThatAReplicaSurvivesRunsWhole) {
-  m_guards[0]->RecordLoss(Request("lost", "/marked"), {"10.0.0.2:s0x"});
+  Lose(0, Request("lost", "/marked"), {"10.0.0.2:s0x"});
   ASSERT_TRUE(m_guards[1]->IsMarked(Request("again", "/marked")));
   const RoutedAnswer answer = Run(1, "/marked");
   EXPECT_FALSE(answer.error);
@@ -171,13 +181,40 @@
   EXPECT_FALSE(m_guards[0]->IsMarked(Request("again", "/marked")));
 }
 
+// A scattered request that replicas had served is tried at one replica first,
+// and at no other one if that is lost.
+TEST_F(CrashGuardTest, ATrialOfAScatteredRequestRunsAtOneReplica) {
+  ASSERT_FALSE(Run(0, "/served").error);
+  const auto sends = [this] { return m_entries[0]->transport.Sends().size(); };
+  Lose(0, Request("lost", "/served"), {"10.0.0.2:s0x"});
+  Lose(0, Request("lost", "/served"), {"10.0.0.2:s0y"});
+  std::size_t before = sends();
+  EXPECT_TRUE(Run(0, "/served").error);
+  EXPECT_EQ(sends(), before);
+  for (std::size_t i = 0; i < kShards; ++i) {
+    for (const char* copy : {"x", "y"}) {
+      m_down.insert("s" + std::to_string(i) + copy);
+    }
+  }
+  m_scheduler.RunFor(seconds(5));
+  EXPECT_TRUE(Run(0, "/served").error);
+  EXPECT_EQ(sends(), before + 1);
+  m_down.clear();
+  m_scheduler.RunFor(seconds(20));
+  before = sends();
+  const RoutedAnswer answer = Run(0, "/served");
+  ASSERT_FALSE(answer.error) << answer.error->message;
+  EXPECT_EQ(answer.missing_shard_count, 0U);
+  EXPECT_EQ(sends(), before + kShards);
+}
+
 // Guards against taking a lost connection to a living replica for a crash, for
 // example one that was idle and that the replica has forgotten.
 TEST_F(CrashGuardTest, AReplicaThatAnswersSoonAfterALossHasNotCrashed) {
   const OpaqueRequest request = Request("lost", "/once");
   const Address replica{"10.0.0.2:s0x"};
   for (int i = 0; i < 5; ++i) {
-    m_guards[0]->RecordLoss(request, replica);
+    Lose(0, request, replica);
     const TimePoint sent_at = m_scheduler.Now();
     m_scheduler.RunFor(milliseconds(200));
     m_guards[1]->RecordAnswer(replica, sent_at);
