--- a/tests/routing/replica_pool_test.cc
+++ b/tests/routing/replica_pool_test.cc
@@ -163,6 +163,18 @@
   EXPECT_TRUE(m_pool.Choose("s", {}, kStart + seconds(5)));
 }
 
+// A replica that announces that it closes a connection may be leaving, but
+// replicas also do so now and then.
+TEST_F(ReplicaPoolTest, AvoidsAReplicaThatClosesItsConnectionsForAWhile) {
+  m_pool.SetReplicas({Listed("x"), Listed("y")}, kStart);
+  ReplicaAnswer closing = Good();
+  closing.closes_connection = true;
+  Exchange("x", kStart, milliseconds(10), closing);
+  Exchange("y", kStart, milliseconds(10), Good());
+  EXPECT_EQ(CountChoices(50, kStart + seconds(1))["x"], 0);
+  EXPECT_GT(CountChoices(50, kStart + seconds(3))["x"], 0);
+}
+
 TEST_F(ReplicaPoolTest, StaysWithinItsShareOfConnections) {
   m_pool.SetReplicas({Listed("1")}, kStart);
   m_pool.SetConnectionShare("s", 2);
