HTTP servers: a request with an unknown transfer coding is refused

Cause: Boost.Beast's parser passes over a transfer coding that doesn't end with "chunked" and takes the request for one without a body, so the body became the next request.

Change: a transfer coding other than "chunked" alone is answered with 400 before the request is handled, and the connection closes. SoupHttpServer, which handled such a request without its body, does the same.

--- a/src/adapters/beast_http_server.cc
+++ b/src/adapters/beast_http_server.cc
@@ -16,6 +16,7 @@
 #include "adapters/received_body.h"
 #include "adapters/socket_address.h"
 #include "adapters/stream_socket.h"
+#include "adapters/transfer_coding.h"
 #include "base/spare_capacity.h"
 
 namespace chicoryvale {
@@ -296,6 +297,10 @@
                             m_server->m_options.limits.max_body_bytes)) {
         return RejectUnlessLimitIsOld(kStatusTooLarge);
       }
+      const bool has_unknown_body =
+          m_parser->is_header_done() &&
+          HasUnsupportedTransferCoding(m_parser->get());
+      if (has_unknown_body) return Reject(kStatusBadRequest);
       if (m_parser->is_done()) return HandleRequest();
       if (m_parser->is_header_done()) OnHeadRead();
       if (parsed_bytes == 0) return;
--- a/src/adapters/soup_http_server.cc
+++ b/src/adapters/soup_http_server.cc
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "adapters/http_message_text.h"
 #include "adapters/socket_address.h"
 
 namespace chicoryvale {
@@ -64,6 +65,14 @@
   static_cast<std::vector<HttpHeader>*>(data)->push_back({name, value});
 }
 
+// Returns whether the body is in a transfer coding other than "chunked" alone.
+// libsoup would not read it and handle the request without its body.
+bool HasUnsupportedTransferCoding(SoupMessageHeaders* headers) {
+  const char* coding =
+      soup_message_headers_get_list(headers, "Transfer-Encoding");
+  return coding != nullptr && !HeaderNamesEqual(coding, "chunked");
+}
+
 bool HasValidContentLength(SoupMessageHeaders* headers) {
   const char* text = soup_message_headers_get_list(headers, "Content-Length");
   return text == nullptr ||
@@ -344,7 +353,8 @@
       soup_server_message_get_request_body(message), FALSE);
   SoupMessageHeaders* headers =
       soup_server_message_get_request_headers(message);
-  if (!HasValidContentLength(headers)) {
+  if (HasUnsupportedTransferCoding(headers) ||
+      !HasValidContentLength(headers)) {
     // libsoup would read an invalid length as zero and parse the body as the
     // next request.
     soup_server_message_set_status(message, SOUP_STATUS_BAD_REQUEST, nullptr);
--- a/tests/adapters/beast_http_server_test.cc
+++ b/tests/adapters/beast_http_server_test.cc
@@ -119,6 +119,29 @@
   EXPECT_EQ(m_requests[0].body, "abcde");
 }
 
+// A body in a transfer coding that the server doesn't know was taken for the
+// next request of the connection, which ran.
+TEST_F(BeastHttpServerTest, ABodyOfAnUnknownTransferCodingIsNoRequest) {
+  for (const std::string& coding :
+       {std::string("identity"), std::string("gzip"), std::string("xchunked"),
+        std::string("chunked, identity"), std::string("identity, chunked"),
+        std::string("gzip\r\nTransfer-Encoding: chunked"),
+        std::string("chunked\r\nTransfer-Encoding: identity"),
+        std::string("")}) {
+    const std::string answer = SendAndReceiveAll(
+        {"POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + coding +
+             "\r\n\r\n",
+         std::string("0\r\n\r\n") + kGetAndClose});
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 400 ")) << coding << answer;
+    EXPECT_EQ(m_requests.size(), 0U) << coding;
+    m_requests.clear();
+  }
+  const std::string answer =
+      SendAndReceiveAll({"POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                         "Chunked\r\nConnection: close\r\n\r\n0\r\n\r\n"});
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+}
+
 TEST_F(BeastHttpServerTest, RejectsMalformedAndOversizedRequests) {
   const std::string head = "POST /p HTTP/1.1\r\nHost: h\r\n";
   const std::vector<std::pair<std::string, std::string>> cases = {
--- a/tests/contract/http_server_contract_test.cc
+++ b/tests/contract/http_server_contract_test.cc
@@ -76,6 +76,12 @@
        true,
        400,
        0},
+      {"BodyOfAnUnknownTransferCoding",
+       {"POST /p HTTP/1.1\r\nHost: t\r\nTransfer-Encoding: identity\r\n\r\n" +
+        get},
+       true,
+       400,
+       0},
       {"MalformedRequestLine", {"nonsense\r\n\r\n"}, true, 400, 0},
       {"BinaryRequestLine",
        {std::string("\x16\x03\x01\0\x05\r\n\r\n", 9)},
