HTTP server: connections that the kernel ended within an answer are counted

Change: StreamSocket reports a timed-out connection as such; answers_timed_out counts them at the server.

--- a/src/adapters/beast_http_server.cc
+++ b/src/adapters/beast_http_server.cc
@@ -152,7 +152,10 @@
     Parse();
   }
 
-  void OnEnd(StreamEnd /*end*/) override {
+  void OnEnd(StreamEnd end) override {
+    if (end == StreamEnd::kTimedOut) {
+      m_server->m_counters.Add(BeastHttpServerCounter::kAnswersTimedOut);
+    }
     const bool pending = m_awaiting_response;
     const std::uint64_t number = m_number;
     BeastHttpServer* server = m_server;
--- a/src/adapters/beast_http_server.h
+++ b/src/adapters/beast_http_server.h
@@ -45,6 +45,9 @@
   kCallersGone,
   /// Responses whose connection had already ended.
   kAnswersUndeliverable,
+  /// Connections that the kernel ended because the caller took no more of a
+  /// response for too long.
+  kAnswersTimedOut,
   /// Requests that were not handled, because their caller had gone while this
   /// process was paused.
   kGivenUpInPause,
@@ -52,7 +55,7 @@
 
 template <>
 struct CounterNames<BeastHttpServerCounter> {
-  static constexpr std::array<std::string_view, 14> kNames = {
+  static constexpr std::array<std::string_view, 15> kNames = {
       "connections",
       "connections_refused",
       "requests",
@@ -66,6 +69,7 @@
       "limit_not_confirmed",
       "callers_gone",
       "answers_undeliverable",
+      "answers_timed_out",
       "given_up_in_pause"};
 };
 
--- a/src/adapters/stream_socket.cc
+++ b/src/adapters/stream_socket.cc
@@ -24,6 +24,10 @@
 /// system treats a node as disconnected.
 constexpr unsigned kTcpUserTimeoutMs = 3000;
 
+StreamEnd EndOf(int error) {
+  return error == ETIMEDOUT ? StreamEnd::kTimedOut : StreamEnd::kBroken;
+}
+
 bool WouldBlock(int error) { return error == EAGAIN || error == EWOULDBLOCK; }
 
 void SetSocketOptions(int fd) {
@@ -126,7 +130,7 @@
 void StreamSocket::OnEvents(std::uint32_t events) {
   if (m_connecting) return FinishConnect();
   if ((events & EPOLLOUT) != 0) {
-    if (!FlushUnsent()) return NotifyEnd(StreamEnd::kBroken);
+    if (!FlushUnsent()) return NotifyEnd(EndOf(errno));
     UpdateEvents();
     const std::weak_ptr<int> alive = m_alive;
     m_listener->OnFlushed();
@@ -156,7 +160,7 @@
     const ssize_t count = recv(m_fd, buffer.data(), buffer.size(), 0);
     if (count < 0 && errno == EINTR) continue;
     if (count < 0 && WouldBlock(errno)) return;
-    if (count < 0) return NotifyEnd(StreamEnd::kBroken);
+    if (count < 0) return NotifyEnd(EndOf(errno));
     if (count == 0) return NotifyEnd(StreamEnd::kFinished);
     m_listener->OnBytes(
         std::string_view(buffer.data(), static_cast<std::size_t>(count)));
--- a/src/adapters/stream_socket.h
+++ b/src/adapters/stream_socket.h
@@ -17,8 +17,10 @@
 enum class StreamEnd : std::uint8_t {
   /// The peer closed its sending side in an orderly manner.
   kFinished,
-  /// The connection was reset, timed out, or was refused.
+  /// The connection was reset, or was refused.
   kBroken,
+  /// The peer did not acknowledge sent bytes in time.
+  kTimedOut,
 };
 
 /// Receives the events of a StreamSocket. Each method may destroy the socket.
