HTTP server: a caller may pause within an answer as long as between requests

Cause: TCP_USER_TIMEOUT of 3 s on connections from callers also runs while a living peer keeps its window closed (answers_timed_out was 1 in the test). After the last answer of a connection a timer of 2 s did the same.

Change: the send timeout of a caller's connection is the idle timeout in force, and the timer after a last answer starts when all bytes are sent. A long body to a replica may be read as late as its call allows.

--- a/src/adapters/beast_http_client.cc
+++ b/src/adapters/beast_http_client.cc
@@ -109,6 +109,11 @@
     m_client->m_counters.Add(BeastHttpClientCounter::kBytesSent,
                              text.size() + body_bytes);
     const bool is_joined = body_bytes > 0 && body_bytes <= kMaxJoinedBodyBytes;
+    // A server may read a long body late, which is no sign that it is gone.
+    m_socket->SetSendTimeout(
+        body_bytes > kMaxJoinedBodyBytes
+            ? std::max(call.timeout, StreamSocket::kDefaultSendTimeout)
+            : StreamSocket::kDefaultSendTimeout);
     if (is_joined) text += *call.body;
     m_socket->Write(text);
     if (body_bytes > 0 && !is_joined) m_socket->Write(*call.body);
--- a/src/adapters/beast_http_server.cc
+++ b/src/adapters/beast_http_server.cc
@@ -30,8 +30,8 @@
 /// waits for its response. Beyond it, reading stops until the response is sent.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
 
-/// Maximum time for which a connection stays open after its last response
-/// while its caller reads nothing of it. The close may reset the connection.
+/// Maximum time for which a connection stays open after its last response was
+/// sent completely. The close may reset the connection.
 constexpr Duration kLingerTimeout = seconds(2);
 
 /// Limit on the bytes that are discarded meanwhile.
@@ -145,6 +145,9 @@
 
   void OnFlushed() override {
     m_unread.Set(m_socket->UnsentBytes());
+    if (m_lingering && !m_socket->HasUnsent()) {
+      return CloseUnlessRead(kLingerTimeout);
+    }
     if (m_server->m_closing_connections && IsIdle()) return FinishAndLinger();
     if (!m_draining || m_unread.Get() > kMaxUnreadBytes) return;
     m_draining = false;
@@ -230,8 +233,11 @@
     m_server->m_options.scheduler->Cancel(std::exchange(m_timer, 0));
   }
 
+  // A caller may pause within a response as long as between two requests.
   void ArmIdleTimer() {
-    CloseUnlessRead(m_server->m_options.limits.idle_timeout);
+    const Duration timeout = m_server->m_options.limits.idle_timeout;
+    m_socket->SetSendTimeout(timeout);
+    CloseUnlessRead(timeout);
   }
 
   // Closes the connection after each `period` in which the caller has not read
@@ -424,6 +430,7 @@
     DropRequest();
     m_socket->SetReading(true);
     m_socket->FinishSending();
+    if (m_socket->HasUnsent()) return ArmIdleTimer();
     CloseUnlessRead(kLingerTimeout);
   }
 
--- a/src/adapters/stream_socket.cc
+++ b/src/adapters/stream_socket.cc
@@ -19,22 +19,15 @@
 
 constexpr std::size_t kReadBufferBytes = std::size_t{16} * 1024;
 
-/// TCP_USER_TIMEOUT: a connection is broken if sent bytes remain unacknowledged
-/// for this long. Not longer than the shortest time after which the rest of the
-/// system treats a node as disconnected.
-constexpr unsigned kTcpUserTimeoutMs = 3000;
-
 StreamEnd EndOf(int error) {
   return error == ETIMEDOUT ? StreamEnd::kTimedOut : StreamEnd::kBroken;
 }
 
 bool WouldBlock(int error) { return error == EAGAIN || error == EWOULDBLOCK; }
 
-void SetSocketOptions(int fd) {
+void DisableNagle(int fd) {
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kTcpUserTimeoutMs,
-             sizeof kTcpUserTimeoutMs);
 }
 
 }  // namespace
@@ -53,7 +46,7 @@
   const int fd =
       socket(native.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) return nullptr;
-  SetSocketOptions(fd);
+  DisableNagle(fd);
   const int connect_result =
       connect(fd, reinterpret_cast<const sockaddr*>(&native),
               static_cast<socklen_t>(size));
@@ -69,7 +62,7 @@
 
 std::unique_ptr<StreamSocket> StreamSocket::Adopt(FdPoller* poller, int fd,
                                                   StreamListener* listener) {
-  SetSocketOptions(fd);
+  DisableNagle(fd);
   std::unique_ptr<StreamSocket> stream(
       new StreamSocket(poller, fd, listener, false));
   if (!stream->AddToPoller()) return nullptr;
@@ -81,7 +74,9 @@
     : m_poller(poller),
       m_fd(fd),
       m_listener(listener),
-      m_connecting(connecting) {}
+      m_connecting(connecting) {
+  SetSendTimeout(kDefaultSendTimeout);
+}
 
 StreamSocket::~StreamSocket() {
   m_poller->Remove(m_fd);
@@ -105,6 +100,14 @@
   if (!m_connecting) UpdateEvents();
 }
 
+void StreamSocket::SetSendTimeout(Duration timeout) {
+  if (std::exchange(m_send_timeout, timeout) == timeout) return;
+  const auto timeout_ms = static_cast<unsigned>(
+      std::chrono::duration_cast<milliseconds>(timeout).count());
+  setsockopt(m_fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+             sizeof timeout_ms);
+}
+
 void StreamSocket::SetReading(bool reading) {
   m_reading = reading;
   if (!m_connecting && !m_ended) UpdateEvents();
--- a/src/adapters/stream_socket.h
+++ b/src/adapters/stream_socket.h
@@ -10,6 +10,7 @@
 
 #include "adapters/fd_poller.h"
 #include "base/ids.h"
+#include "base/time.h"
 
 namespace chicoryvale {
 
@@ -58,6 +59,16 @@
   /// sent later.
   void Write(std::string_view bytes);
 
+  /// Sets the time for which sent bytes may remain unacknowledged before the
+  /// connection is broken. It also runs while the peer reads nothing, so where
+  /// peers may pause it has to be longer than their pauses. Initially
+  /// kDefaultSendTimeout.
+  void SetSendTimeout(Duration timeout);
+
+  /// Not longer than the shortest time after which the rest of the system
+  /// treats a node as disconnected.
+  static constexpr Duration kDefaultSendTimeout = seconds(3);
+
   /// Stops or resumes reading. While reading is stopped, TCP flow control holds
   /// back a peer that continues to send.
   void SetReading(bool reading);
@@ -98,6 +109,7 @@
   bool m_has_sent = false;
   bool m_finish_sending = false;
   std::string m_unsent;
+  Duration m_send_timeout{};
   /// Expires with the socket; checked after callbacks that may destroy it.
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/tests/adapters/beast_http_client_test.cc
+++ b/tests/adapters/beast_http_client_test.cc
@@ -395,6 +395,25 @@
   IterateUntil([&] { return closed.load(); });
 }
 
+// The kernel reset the connection to a server that read nothing of a long body
+// for some seconds.
+TEST_F(BeastHttpClientTest, WaitsForAServerThatReadsALongBodyLate) {
+  constexpr std::size_t kLongBodyBytes = 16 << 20;
+  RawUpstream upstream([&](RawSocket& connection, int) {
+    const std::string head = connection.ReceiveUntil("\r\n\r\n");
+    const std::size_t body_begin = head.find("\r\n\r\n") + 4;
+    std::this_thread::sleep_for(std::chrono::seconds(5));
+    connection.ReceiveUpTo(kLongBodyBytes - (head.size() - body_begin));
+    connection.Send(kOk);
+    connection.ReceiveAll();
+  });
+  HttpCall call = MakeCall(upstream.LocalAddress());
+  call.method = "POST";
+  call.body = std::make_shared<const std::string>(kLongBodyBytes, 'b');
+  const HttpCallResult result = SendAndWait(std::move(call));
+  EXPECT_EQ(result.answer.body, "hi") << result.detail;
+}
+
 TEST_F(BeastHttpClientTest, DoesNotReuseAConnectionWithAnUnsentRequestBody) {
   constexpr std::size_t kLongBodyBytes = 16 << 20;
   RawUpstream upstream([&](RawSocket& connection, int) {
--- a/tests/adapters/beast_http_server_test.cc
+++ b/tests/adapters/beast_http_server_test.cc
@@ -339,6 +339,9 @@
   /// More than the kernel holds for a connection.
   static constexpr std::size_t kAnswerBytes = std::size_t{32} << 20;
   static constexpr std::size_t kPieceBytes = std::size_t{4} << 20;
+  /// Longer than the pause of kLongPause.
+  static constexpr Duration kIdleTimeout = seconds(8);
+  static constexpr std::chrono::seconds kLongPause{5};
 
   SlowCallerTest() { m_options.account = &m_large_account; }
 
@@ -351,9 +354,11 @@
     });
   }
 
-  // Sends `request` and returns the number of bytes received.
+  // Sends `request`, pauses after each piece of the answer, and once more
+  // after the first one. Returns the number of bytes received.
   std::size_t ReadSlowly(const std::string& request,
-                         std::chrono::milliseconds pause) {
+                         std::chrono::milliseconds pause,
+                         std::chrono::milliseconds long_pause = {}) {
     std::size_t bytes = 0;
     RunBeside([&] {
       RawSocket caller(m_server->LocalAddress());
@@ -362,7 +367,7 @@
       do {
         piece = caller.ReceiveUpTo(kPieceBytes);
         bytes += piece;
-        std::this_thread::sleep_for(pause);
+        std::this_thread::sleep_for(pause + std::exchange(long_pause, {}));
       } while (piece == kPieceBytes);
     });
     return bytes;
@@ -392,6 +397,24 @@
   EXPECT_GT(ReadSlowly(kGet, std::chrono::milliseconds(200)), kAnswerBytes);
 }
 
+// review/14: the kernel reset the connection of a caller that paused for some
+// seconds within its answer, far below the idle limit.
+TEST_F(SlowCallerTest, ACallerThatPausesGetsTheRestOfItsAnswer) {
+  m_options.limits.idle_timeout = kIdleTimeout;
+  StartServerOfLongAnswers();
+  EXPECT_GT(ReadSlowly(kGet, std::chrono::milliseconds(20), kLongPause),
+            kAnswerBytes);
+  EXPECT_EQ(Count(BeastHttpServerCounter::kAnswersTimedOut), 0U);
+}
+
+// The last answer of a connection was cut after a pause of two seconds.
+TEST_F(SlowCallerTest, ACallerThatPausesGetsTheRestOfItsLastAnswer) {
+  m_options.limits.idle_timeout = kIdleTimeout;
+  StartServerOfLongAnswers();
+  EXPECT_GT(ReadSlowly(kGetAndClose, std::chrono::milliseconds(20), kLongPause),
+            kAnswerBytes);
+}
+
 TEST_F(SlowCallerTest, ACallerThatStopsReadingLosesItsConnection) {
   m_options.limits.idle_timeout = milliseconds(200);
   StartServerOfLongAnswers();
