Replica notices: a replica that starts again under its id is used again

Cause: that a replica drains was kept for its id, and only an answer of the replica or another id could have ended it; a replica that is left out is never asked. Evidence: draining_announced 2, the last list of each gateway with none draining, and over 1,000 refusals as no_replica at each.

Change: a replica that is listed as ready for 2 s after it was listed as draining has started anew; without the latter, one that 30 lists in a row show as ready. Lists that are read without a change count.

--- a/programs/chicory-gatewayd/gateway_daemon.cc
+++ b/programs/chicory-gatewayd/gateway_daemon.cc
@@ -179,6 +179,8 @@
       [this](const std::vector<ListedReplica>& replicas) {
         m_replica_pool->SetReplicas(replicas, m_scheduler.Now());
       });
+  m_replica_list_sync->SetConfirmListener(
+      [this] { m_replica_pool->ConfirmReplicas(m_scheduler.Now()); });
   UpdateLimitShares();
   m_peers->membership()->AddListener([this] { UpdateLimitShares(); });
 }
--- a/src/routing/replica_list_sync.cc
+++ b/src/routing/replica_list_sync.cc
@@ -430,6 +430,8 @@
                         {"version", std::to_string(m_list.Version())},
                         {"source", m_source}});
     if (m_listener) m_listener(replicas);
+  } else if (m_confirm_listener) {
+    m_confirm_listener();
   }
   ReplyToPending();
 }
--- a/src/routing/replica_list_sync.h
+++ b/src/routing/replica_list_sync.h
@@ -67,6 +67,12 @@
   /// that of the previous one.
   void SetListener(Listener listener) { m_listener = std::move(listener); }
 
+  /// Sets the function that is called when the list was read again and its
+  /// content has not changed.
+  void SetConfirmListener(std::function<void()> listener) {
+    m_confirm_listener = std::move(listener);
+  }
+
   /// Sets the time between two reads of the platform, which applies after the
   /// next read, and the drain time.
   void SetTimes(Duration period, Duration drain_time) {
@@ -128,6 +134,7 @@
   ReplicaListOptions m_options;
   std::mt19937_64 m_random;
   Listener m_listener;
+  std::function<void()> m_confirm_listener;
   TimePoint m_started{};
   /// Time after the start before which this entry does not read the platform
   /// while it knows no other entry.
--- a/src/routing/replica_notices.cc
+++ b/src/routing/replica_notices.cc
@@ -14,6 +14,16 @@
 /// that leaves it out for a moment doesn't take back what it has said.
 constexpr Duration kForgetAfter = seconds(10);
 
+/// Time for which a replica has to be listed as ready, after it was listed as
+/// draining, to have started anew: longer than the list lags, which may show an
+/// older state once more.
+constexpr Duration kReadyAgainTime = seconds(2);
+
+/// Number of lists in a row that have to show a replica as ready to have
+/// started anew, if none showed it as draining. A replica that drains is listed
+/// so within the time that the list lags, far fewer lists.
+constexpr std::uint32_t kReadyAgainLists = 30;
+
 /// Maximum number of replicas that are remembered beyond the listed ones.
 constexpr std::size_t kMaxUnlisted = 4096;
 
@@ -37,6 +47,8 @@
   }
   if (notice.draining && !known.draining) {
     known.draining = true;
+    known.listed_draining = false;
+    known.ready_since.reset();
     change = Change::kDraining;
   }
   return change;
@@ -52,17 +64,44 @@
   return known == m_notices.end() ? TimePoint{} : known->second.back_off_end;
 }
 
-void ReplicaNotices::RecordList(const IsListed& is_listed, TimePoint now) {
+void ReplicaNotices::RecordListed(const std::string& id, Listed listed,
+                                  TimePoint now) {
+  const auto known = m_notices.find(id);
+  if (known != m_notices.end()) UpdateListed(&known->second, listed, now);
+}
+
+void ReplicaNotices::UpdateListed(Notice* notice, Listed listed,
+                                  TimePoint now) {
+  if (listed == Listed::kNo) {
+    if (!notice->unlisted_since) notice->unlisted_since = now;
+  } else {
+    notice->unlisted_since.reset();
+  }
+  if (listed == Listed::kDraining) notice->listed_draining = true;
+  if (listed != Listed::kReady) {
+    notice->ready_since.reset();
+    return;
+  }
+  if (!notice->ready_since) {
+    notice->ready_since = now;
+    notice->ready_lists = 0;
+  }
+  ++notice->ready_lists;
+  if (HasStartedAnew(*notice, now)) notice->draining = false;
+}
+
+bool ReplicaNotices::HasStartedAnew(const Notice& notice, TimePoint now) {
+  return notice.listed_draining ? now - *notice.ready_since >= kReadyAgainTime
+                                : notice.ready_lists >= kReadyAgainLists;
+}
+
+void ReplicaNotices::RecordList(const ListState& state_of, TimePoint now) {
   std::erase_if(m_notices, [now](const auto& entry) {
     const auto& unlisted_since = entry.second.unlisted_since;
     return unlisted_since && now - *unlisted_since > kForgetAfter;
   });
   for (auto& [id, notice] : m_notices) {
-    if (is_listed(id)) {
-      notice.unlisted_since.reset();
-    } else if (!notice.unlisted_since) {
-      notice.unlisted_since = now;
-    }
+    UpdateListed(&notice, state_of(id), now);
   }
   std::size_t unlisted = 0;
   std::erase_if(m_notices, [&unlisted](const auto& entry) {
--- a/src/routing/replica_pool.cc
+++ b/src/routing/replica_pool.cc
@@ -119,12 +119,25 @@
     if (!listed.draining) m_usable[listed.service].push_back(listed.id);
   }
   m_replicas = std::move(next);
+  RecordListInNotices(now);
+  for (auto& [id, replica] : m_replicas) UpdateRates(&replica, now);
+}
+
+void ReplicaPool::ConfirmReplicas(TimePoint now) {
+  if (m_notices.Size() > 0) RecordListInNotices(now);
+}
+
+void ReplicaPool::RecordListInNotices(TimePoint now) {
+  using Listed = ReplicaNotices::Listed;
   m_notices.RecordList(
-      [this](const std::string& id) { return m_replicas.contains(id); }, now);
-  for (auto& [id, replica] : m_replicas) {
-    CopyNotice(&replica);
-    UpdateRates(&replica, now);
-  }
+      [this](const std::string& id) {
+        const auto replica = m_replicas.find(id);
+        if (replica == m_replicas.end()) return Listed::kNo;
+        return replica->second.listed.draining ? Listed::kDraining
+                                               : Listed::kReady;
+      },
+      now);
+  for (auto& [id, replica] : m_replicas) CopyNotice(&replica);
 }
 
 void ReplicaPool::SetEvacuatedZones(const std::vector<std::string>& zones,
@@ -165,7 +178,12 @@
                      ? ReplicaPoolCounter::kDrainingAnnounced
                      : ReplicaPoolCounter::kBackOffsAnnounced);
   const auto replica = m_replicas.find(id);
-  if (replica != m_replicas.end()) CopyNotice(&replica->second);
+  if (replica == m_replicas.end()) return change;
+  // The list may have been sooner than the answer.
+  if (replica->second.listed.draining) {
+    m_notices.RecordListed(id, ReplicaNotices::Listed::kDraining, now);
+  }
+  CopyNotice(&replica->second);
   return change;
 }
 
--- a/src/routing/replica_pool.h
+++ b/src/routing/replica_pool.h
@@ -115,6 +115,9 @@
   /// remaining ones is kept, unless their address changed.
   void SetReplicas(const std::vector<ListedReplica>& replicas, TimePoint now);
 
+  /// Records that the list was read again and has not changed.
+  void ConfirmReplicas(TimePoint now);
+
   [[nodiscard]] const std::string& OwnZone() const { return m_own_zone; }
 
   /// Returns whether a list was ever set.
@@ -323,6 +326,8 @@
                             TimePoint now);
 
   void CopyNotice(Replica* replica) const;
+  // Passes the list to the notices, and copies what they say now.
+  void RecordListInNotices(TimePoint now);
   static bool WantsRequests(const Replica& replica, TimePoint now) {
     return !replica.evacuated && !replica.says_draining &&
            now >= replica.back_off_end;
--- a/tests/routing/replica_notices_test.cc
+++ b/tests/routing/replica_notices_test.cc
@@ -9,6 +9,7 @@
 namespace {
 
 using Change = ReplicaNotices::Change;
+using Listed = ReplicaNotices::Listed;
 
 constexpr TimePoint kStart{seconds(1000)};
 
@@ -31,8 +32,8 @@
   EXPECT_EQ(notices.Record("a", Draining(), kStart), Change::kNone);
   EXPECT_EQ(notices.Record("a", {}, kStart + seconds(1)), Change::kNone);
   // A list that doesn't change is recorded once.
-  notices.RecordList([](const std::string&) { return true; }, kStart);
-  notices.RecordList([](const std::string&) { return true; },
+  notices.RecordList([](const std::string&) { return Listed::kReady; }, kStart);
+  notices.RecordList([](const std::string&) { return Listed::kReady; },
                      kStart + seconds(1000));
   EXPECT_TRUE(notices.IsDraining("a"));
   EXPECT_FALSE(notices.IsDraining("b"));
@@ -84,8 +85,8 @@
 TEST(ReplicaNoticesTest, ForgetsAReplicaThatIsNoLongerListed) {
   ReplicaNotices notices(1);
   notices.Record("a", Draining(), kStart);
-  const auto listed = [](const std::string&) { return true; };
-  const auto unlisted = [](const std::string&) { return false; };
+  const auto listed = [](const std::string&) { return Listed::kReady; };
+  const auto unlisted = [](const std::string&) { return Listed::kNo; };
   notices.RecordList(unlisted, kStart + seconds(5));
   notices.RecordList(listed, kStart + seconds(8));
   EXPECT_TRUE(notices.IsDraining("a"));
@@ -95,6 +96,55 @@
   EXPECT_EQ(notices.Size(), 0U);
 }
 
+/// Records the list that says `listed` of all replicas, once a second.
+void RecordLists(ReplicaNotices* notices, Listed listed, TimePoint from,
+                 int count) {
+  for (int i = 0; i < count; ++i) {
+    notices->RecordList([listed](const std::string&) { return listed; },
+                        from + seconds(i));
+  }
+}
+
+// review/11: a replica that had left and started again under its id got no
+// requests any more, because only its own answers could have told so.
+TEST(ReplicaNoticesTest, AReplicaThatIsReadyAgainAfterItWasListedAsDraining) {
+  ReplicaNotices notices(1);
+  notices.Record("a", Draining(), kStart);
+  RecordLists(&notices, Listed::kReady, kStart, 1);
+  RecordLists(&notices, Listed::kDraining, kStart + seconds(1), 4);
+  RecordLists(&notices, Listed::kReady, kStart + seconds(5), 2);
+  EXPECT_TRUE(notices.IsDraining("a"));
+  RecordLists(&notices, Listed::kReady, kStart + seconds(7), 1);
+  EXPECT_FALSE(notices.IsDraining("a"));
+  EXPECT_EQ(notices.Record("a", Draining(), kStart + seconds(8)),
+            Change::kDraining);
+  RecordLists(&notices, Listed::kReady, kStart + seconds(8), 5);
+  EXPECT_TRUE(notices.IsDraining("a"));
+}
+
+// An older list that comes late must not take back that a replica drains.
+TEST(ReplicaNoticesTest, AReplicaThatIsListedAsReadyForAMomentStaysDraining) {
+  ReplicaNotices notices(1);
+  notices.Record("a", Draining(), kStart);
+  for (int i = 0; i < 10; ++i) {
+    const TimePoint at = kStart + seconds(4 * i);
+    RecordLists(&notices, Listed::kDraining, at, 2);
+    RecordLists(&notices, Listed::kReady, at + seconds(2), 2);
+    EXPECT_TRUE(notices.IsDraining("a"));
+  }
+}
+
+// A replica that crashes right after it said that it drains may be back before
+// the list shows it as draining.
+TEST(ReplicaNoticesTest, AReplicaThatWasNeverListedAsDrainingIsUsedAgain) {
+  ReplicaNotices notices(1);
+  notices.Record("a", Draining(), kStart);
+  RecordLists(&notices, Listed::kReady, kStart, 29);
+  EXPECT_TRUE(notices.IsDraining("a"));
+  RecordLists(&notices, Listed::kReady, kStart + seconds(29), 1);
+  EXPECT_FALSE(notices.IsDraining("a"));
+}
+
 TEST(ReplicaNoticesTest, RemembersABoundedNumberOfUnlistedReplicas) {
   ReplicaNotices notices(1);
   constexpr std::size_t kReplicas = 100'000;
@@ -102,7 +152,7 @@
   for (std::size_t i = 0; i < kReplicas; ++i) {
     notices.Record(std::to_string(i), Draining(), kStart);
   }
-  notices.RecordList([](const std::string&) { return false; }, kStart);
+  notices.RecordList([](const std::string&) { return Listed::kNo; }, kStart);
   EXPECT_LE(notices.Size(), kBound);
 }
 
--- a/tests/routing/replica_pool_test.cc
+++ b/tests/routing/replica_pool_test.cc
@@ -300,6 +300,32 @@
   EXPECT_EQ(CountChoices(20, kStart + seconds(1))["1"], 0);
 }
 
+// review/11, with the list as the pool gets it: changes, and that it was read
+// again without a change.
+TEST_F(ReplicaPoolTest, AReplicaThatStartsAgainUnderItsIdIsUsedAgain) {
+  m_pool.SetReplicas({Listed("1")}, kStart);
+  m_pool.RecordNotice("1", Draining(), kStart);
+  ListedReplica draining = Listed("1");
+  draining.draining = true;
+  m_pool.SetReplicas({draining}, kStart + seconds(1));
+  m_pool.ConfirmReplicas(kStart + seconds(4));
+  m_pool.SetReplicas({Listed("1")}, kStart + seconds(5));
+  EXPECT_FALSE(m_pool.Choose("s", {}, kStart + seconds(6)));
+  m_pool.ConfirmReplicas(kStart + seconds(7));
+  EXPECT_TRUE(m_pool.Choose("s", {}, kStart + seconds(7)));
+}
+
+// The list may show sooner than an answer that the replica drains.
+TEST_F(ReplicaPoolTest, ANoticeThatComesAfterTheListEndsWithTheRestartToo) {
+  ListedReplica draining = Listed("1");
+  draining.draining = true;
+  m_pool.SetReplicas({draining}, kStart);
+  m_pool.RecordNotice("1", Draining(), kStart);
+  m_pool.SetReplicas({Listed("1")}, kStart + seconds(5));
+  m_pool.ConfirmReplicas(kStart + seconds(7));
+  EXPECT_TRUE(m_pool.Choose("s", {}, kStart + seconds(7)));
+}
+
 TEST_F(ReplicaPoolTest, AReplicaThatBacksOffIsUsedAgainAfterwards) {
   m_pool.SetReplicas({Listed("1"), Listed("2")}, kStart);
   Exchange("1", kStart, milliseconds(5), Good());
