--- a/src/routing/replica_pool.cc
+++ b/src/routing/replica_pool.cc
@@ -5,42 +5,21 @@
 #include <limits>
 #include <utility>
 
-#include "base/decay.h"
-
 namespace chicoryvale {
 namespace {
 
-/// Weight of a new latency or outcome in its exponentially weighted moving
-/// average.
-constexpr double kEwmaWeight = 0.2;
-
-/// Half-life of the failure ratio of a replica without further outcomes, so
-/// that a recovered replica is tried again.
-constexpr double kFailureHalfLifeSeconds = 3.0;
-
 /// Cost of a failed send: the time until the failure is noticed and the request
 /// is sent again. Also added to the cost of a replica that closes its
 /// connections.
 constexpr double kFailureCostUs = 200'000;
 
-/// A replica counts as paused if a send has been open without an answer for
-/// more than this factor of its mean latency, and for more than the minimum. A
-/// pause adds the cost below.
-constexpr double kPauseLatencyFactor = 3.0;
-constexpr double kMinPauseSilenceUs = 25'000;
+/// Cost of a replica that is probably paused.
 constexpr double kPauseCostUs = 100'000;
 
 /// Weight of a send that runs concurrently on another slot, relative to one
 /// that has to wait for a slot.
 constexpr double kConcurrentSendWeight = 0.4;
 
-/// Time for which a replica is assumed to stay paused after a send to it timed
-/// out.
-constexpr Duration kPauseAfterTimeout = milliseconds(100);
-
-/// Weight in the failure ratio of an outcome that directly follows a timeout.
-constexpr double kWeightAfterTimeout = 0.5;
-
 /// Factor by which the latency of a replica exceeds its mean during warmup.
 constexpr double kWarmupLatencyFactor = 3.0;
 
@@ -64,25 +43,6 @@
 /// Failure ratio from which a replica does not count as in service.
 constexpr double kDownFailureRatio = 0.5;
 
-/// Upper bound of a latency sample, as a factor of the mean so far: a single
-/// pause does not make a replica count as slow, while a slow replica shows in
-/// further answers.
-constexpr double kMaxSampleLatencyFactor = 3.0;
-
-/// Half-life of the amount by which the mean latency of a replica exceeds that
-/// of its service, without further answers, so that a replica that is not
-/// chosen is tried again.
-constexpr double kExcessLatencyHalfLifeSeconds = 2.0;
-
-/// Time for which a replica that closes its connections is avoided: about the
-/// time after which the list of the platform must show that it is draining.
-constexpr Duration kClosingAvoidTime = seconds(2);
-
-/// Time for which a replica gets no sends after another one answered at its
-/// address. The platform lists it for a few more seconds; if it returns at that
-/// address, the list shows it for longer than this.
-constexpr Duration kWrongReplicaAvoidTime = seconds(15);
-
 /// Requests a second that are sent to a replica by all entries together even if
 /// it states a lower limit, to learn when the limit ends.
 constexpr double kMinRatePerSecond = 1.0;
@@ -290,8 +250,8 @@
   for (const std::string& id : usable->second) {
     if (std::ranges::find(excluded, id) != excluded.end()) continue;
     const Replica& replica = m_replicas.at(id);
-    if (replica.open_sends.size() >= share) continue;
-    if (now < replica.wrong_replica_until) continue;
+    if (replica.sends.OpenSends() >= share) continue;
+    if (replica.sends.IsAddressOfAnother(now)) continue;
     if (!WantsRequests(replica, now)) {
       CountAvoided(replica);
       continue;
@@ -329,10 +289,11 @@
   for (const std::string& id : m_usable.at(service)) {
     const Replica& replica = m_replicas.at(id);
     const std::string& zone = replica.listed.availability_zone;
-    const bool is_remote =
-        zone != m_own_zone && now >= replica.wrong_replica_until &&
-        WantsRequests(replica, now) && !IsLikelyPaused(replica, now) &&
-        std::ranges::find(zones, zone) == zones.end();
+    const bool is_remote = zone != m_own_zone &&
+                           !replica.sends.IsAddressOfAnother(now) &&
+                           WantsRequests(replica, now) &&
+                           !replica.sends.IsLikelyPaused(replica.load, now) &&
+                           std::ranges::find(zones, zone) == zones.end();
     if (is_remote) zones.push_back(zone);
   }
   return zones;
@@ -351,15 +312,14 @@
 double ReplicaPool::ExpectedLatencyUs(const Replica& replica,
                                       TimePoint now) const {
   const auto service = m_service_latency_us.find(replica.listed.service);
-  const bool known = service != m_service_latency_us.end();
-  if (!replica.has_latency) return known ? service->second : kInitialLatencyUs;
-  if (!known) return replica.mean_latency_us;
-  const double excess =
-      std::max(replica.mean_latency_us - service->second, 0.0);
-  const double decayed =
-      excess * (1 - DecayFactor(now - *replica.last_answer_at,
-                                kExcessLatencyHalfLifeSeconds));
-  return replica.mean_latency_us - decayed;
+  std::optional<double> service_latency_us;
+  if (service != m_service_latency_us.end()) {
+    service_latency_us = service->second;
+  }
+  if (replica.sends.HasLatency()) {
+    return replica.sends.LatencyUs(service_latency_us, now);
+  }
+  return service_latency_us.value_or(kInitialLatencyUs);
 }
 
 double ReplicaPool::ExpectedCostUs(const Replica& replica,
@@ -370,7 +330,7 @@
       std::max(replica.load.Slowness(now),
                now < replica.warm_at ? kWarmupLatencyFactor : 0.0);
   const double latency = ExpectedLatencyUs(replica, now) * slowness;
-  const double queue = static_cast<double>(replica.open_sends.size()) +
+  const double queue = static_cast<double>(replica.sends.OpenSends()) +
                        replica.load.QueueOfOthers(now);
   const double slots = std::max<std::uint32_t>(replica.listed.slots, 1);
   // Sends beyond the free slots wait; the others only share the replica.
@@ -378,12 +338,12 @@
   const double concurrent = queue - waiting;
   double cost =
       latency * (1 + (waiting + kConcurrentSendWeight * concurrent) / slots);
-  cost += FailureRatio(replica, now) * kFailureCostUs;
-  if (IsLikelyPaused(replica, now)) cost += kPauseCostUs;
+  cost += replica.sends.FailureRatio(now) * kFailureCostUs;
+  if (replica.sends.IsLikelyPaused(replica.load, now)) cost += kPauseCostUs;
   if (replica.listed.availability_zone != m_own_zone) {
     cost += ZoneCostUs(replica, latency, placement);
   }
-  if (now < replica.closing_until) cost += kFailureCostUs;
+  if (replica.sends.IsClosing(now)) cost += kFailureCostUs;
   return cost;
 }
 
@@ -453,8 +413,9 @@
 }
 
 bool ReplicaPool::IsInService(const Replica& replica, TimePoint now) const {
-  return WantsRequests(replica, now) && now >= replica.wrong_replica_until &&
-         FailureRatio(replica, now) < kDownFailureRatio;
+  return WantsRequests(replica, now) &&
+         !replica.sends.IsAddressOfAnother(now) &&
+         replica.sends.FailureRatio(now) < kDownFailureRatio;
 }
 
 void ReplicaPool::AddLoad(const Replica& replica, ServiceOverflow* state,
@@ -473,7 +434,7 @@
   const std::uint32_t slots = std::max<std::uint32_t>(
       reported_slots == 0 ? replica.listed.slots : reported_slots, 1);
   load->usable_slots += slots;
-  if (replica.has_latency) {
+  if (replica.sends.HasLatency()) {
     // The mean by slots, without a sum of its own.
     const double latency_us =
         ExpectedLatencyUs(replica, now) * replica.load.Slowness(now);
@@ -498,10 +459,10 @@
     return placement.overflow->HasRoom(zone) ? kMisplacedCostUs
                                              : 2 * kMisplacedCostUs;
   }
-  const bool is_down = now < replica.closing_until ||
-                       FailureRatio(replica, now) >= kDownFailureRatio;
+  const bool is_down = replica.sends.IsClosing(now) ||
+                       replica.sends.FailureRatio(now) >= kDownFailureRatio;
   if (is_down) return 2 * kMisplacedCostUs;
-  return IsLikelyPaused(replica, now) ? kMisplacedCostUs : 0;
+  return replica.sends.IsLikelyPaused(replica.load, now) ? kMisplacedCostUs : 0;
 }
 
 double ReplicaPool::ZoneCostUs(const Replica& replica, double latency_us,
@@ -510,7 +471,7 @@
     return std::max(kMinRemoteZoneCostUs, kRemoteZoneLatencyRatio * latency_us);
   }
   // The latency of a replica that has answered includes the round trip.
-  return replica.has_latency
+  return replica.sends.HasLatency()
              ? static_cast<double>(m_overflow_options.cross_zone_price.count())
              : placement.overflow->ExtraCostUs(
                    replica.listed.availability_zone);
@@ -533,40 +494,11 @@
   }
 }
 
-bool ReplicaPool::IsLikelyPaused(const Replica& replica, TimePoint now) const {
-  if (replica.last_send_timed_out && now < replica.paused_until) return true;
-  if (replica.open_sends.empty()) return false;
-  const auto oldest =
-      std::ranges::min_element(replica.open_sends, {}, [](const auto& send) {
-        return send.second;
-      })->second;
-  if (replica.last_answer_at && *replica.last_answer_at > oldest) return false;
-  const auto silence_us = static_cast<double>((now - oldest).count());
-  const double latency_us =
-      replica.mean_latency_us * replica.load.Slowness(oldest);
-  return silence_us >
-         std::max(kMinPauseSilenceUs, kPauseLatencyFactor * latency_us);
-}
-
-double ReplicaPool::FailureRatio(const Replica& replica, TimePoint now) const {
-  return replica.failure_ratio *
-         DecayFactor(now - replica.failure_updated_at, kFailureHalfLifeSeconds);
-}
-
-void ReplicaPool::RecordOutcome(Replica* replica, bool failed, double weight,
-                                TimePoint now) {
-  const double decayed =
-      replica->failure_ratio *
-      DecayFactor(now - replica->failure_updated_at, kFailureHalfLifeSeconds);
-  replica->failure_ratio = decayed + weight * ((failed ? 1.0 : 0.0) - decayed);
-  replica->failure_updated_at = now;
-}
-
 std::uint64_t ReplicaPool::BeginSend(const std::string& id, TimePoint now) {
   const std::uint64_t send = ++m_last_send_number;
   const auto replica = m_replicas.find(id);
   if (replica == m_replicas.end()) return send;
-  replica->second.open_sends[send] = now;
+  replica->second.sends.Begin(send, now);
   if (replica->second.rate) replica->second.rate->Take(now);
   if (replica->second.cold_rate) replica->second.cold_rate->Take(now);
   return send;
@@ -577,35 +509,15 @@
   const auto found = m_replicas.find(id);
   if (found == m_replicas.end()) return;
   Replica& replica = found->second;
-  const auto open = replica.open_sends.find(send);
-  if (open == replica.open_sends.end()) return;
-  const Duration latency = now - open->second;
-  replica.open_sends.erase(open);
-  // A single timeout is attributed to a pause, which continues for a while.
-  // After a second one in a row, the replica may be unavailable.
-  const bool timed_out = answer.end == SendEnd::kTimedOut;
-  const bool previous_timed_out =
-      std::exchange(replica.last_send_timed_out, timed_out);
-  if (timed_out) replica.paused_until = now + kPauseAfterTimeout;
-  // A replica that backs off is left out until it wants requests again, so the
-  // refusal doesn't count against it after that.
-  const bool backs_off = answer.notice.back_off.has_value();
-  if (!backs_off && (!timed_out || previous_timed_out)) {
-    RecordOutcome(&replica, !answer.IsSuccess(),
-                  previous_timed_out ? kWeightAfterTimeout : kEwmaWeight, now);
-  }
-  if (answer.closes_connection) replica.closing_until = now + kClosingAvoidTime;
-  if (answer.end == SendEnd::kWrongReplica) {
-    replica.wrong_replica_until = now + kWrongReplicaAvoidTime;
-  }
+  const std::optional<Duration> latency = replica.sends.End(send, answer, now);
+  if (!latency) return;
   if (answer.load) {
-    replica.load.Record(*answer.load, replica.open_sends.size(), now);
+    replica.load.Record(*answer.load, replica.sends.OpenSends(), now);
     if (m_overflow_options.enabled) replica.load.RecordMeans(*answer.load, now);
   }
   if (answer.end != SendEnd::kAnswered) return;
-  replica.last_answer_at = now;
   const double slowness = answer.load ? answer.load->slowness.value_or(1) : 1.0;
-  RecordLatency(&replica, static_cast<double>(latency.count()) / slowness,
+  RecordLatency(&replica, static_cast<double>(latency->count()) / slowness,
                 answer.IsSuccess());
 }
 
@@ -620,22 +532,17 @@
   if (is_success) {
     const auto [service, first] =
         m_service_latency_us.try_emplace(replica->listed.service, latency_us);
-    if (!first) service->second += kEwmaWeight * (latency_us - service->second);
-  }
-  if (!replica->has_latency) {
-    replica->mean_latency_us = latency_us;
-    replica->has_latency = true;
-    return;
+    if (!first) {
+      service->second +=
+          SendHistory::kSampleWeight * (latency_us - service->second);
+    }
   }
-  const double bounded_latency_us =
-      std::min(latency_us, kMaxSampleLatencyFactor * replica->mean_latency_us);
-  replica->mean_latency_us +=
-      kEwmaWeight * (bounded_latency_us - replica->mean_latency_us);
+  replica->sends.RecordLatency(latency_us);
 }
 
 void ReplicaPool::CancelSend(const std::string& id, std::uint64_t send) {
   const auto found = m_replicas.find(id);
-  if (found != m_replicas.end()) found->second.open_sends.erase(send);
+  if (found != m_replicas.end()) found->second.sends.Cancel(send);
 }
 
 std::size_t ReplicaPool::CountUsable(const std::string& service, TimePoint now,
--- a/src/routing/replica_pool.h
+++ b/src/routing/replica_pool.h
@@ -22,6 +22,7 @@
 #include "routing/rate_bucket.h"
 #include "routing/replica_notices.h"
 #include "routing/reported_load.h"
+#include "routing/send_history.h"
 
 namespace chicoryvale {
 
@@ -244,32 +245,12 @@
     std::optional<RateBucket> cold_rate;
     /// Whether its availability zone is evacuated.
     bool evacuated = false;
-    /// Start times of the sends that have not ended, by number.
-    std::map<std::uint64_t, TimePoint> open_sends;
-    std::optional<TimePoint> last_answer_at;
-    /// Recency-weighted mean time to an answer, as if the replica had been as
-    /// slow as usual.
-    double mean_latency_us = 0;
-    bool has_latency = false;
-    /// Recency-weighted ratio of failures, from 0 to 1. Refusals count as
-    /// failures, so a full replica is avoided like a failing one.
-    double failure_ratio = 0;
-    TimePoint failure_updated_at{};
-    /// Whether the last send that ended timed out.
-    bool last_send_timed_out = false;
-    /// If so, the replica is assumed to be paused until this time.
-    TimePoint paused_until{};
+    SendHistory sends;
     ReportedLoad load;
     TimePoint warm_at{};
     /// Until this time the replica is cold because its availability zone was
     /// evacuated.
     TimePoint warm_after_evacuation{};
-    /// Until this time the replica is avoided because it announced that it
-    /// closes its connections.
-    TimePoint closing_until{};
-    /// Until this time the replica gets no sends, because another replica
-    /// answered at its address.
-    TimePoint wrong_replica_until{};
   };
 
   [[nodiscard]] std::size_t ConnectionShare(const std::string& service) const;
@@ -314,16 +295,10 @@
   [[nodiscard]] double ExpectedCostUs(const Replica& replica,
                                       const RequestPlacement& placement,
                                       TimePoint now) const;
-  [[nodiscard]] bool IsLikelyPaused(const Replica& replica,
-                                    TimePoint now) const;
-  [[nodiscard]] double FailureRatio(const Replica& replica,
-                                    TimePoint now) const;
   [[nodiscard]] double ExpectedLatencyUs(const Replica& replica,
                                          TimePoint now) const;
   // Records the time to an answer as if the replica had been as slow as usual.
   void RecordLatency(Replica* replica, double latency_us, bool is_success);
-  static void RecordOutcome(Replica* replica, bool failed, double weight,
-                            TimePoint now);
 
   void CopyNotice(Replica* replica) const;
   // Passes the list to the notices, and copies what they say now.
