--- a/src/upstream/crash_quarantine.h
+++ b/src/upstream/crash_quarantine.h
@@ -204,8 +204,8 @@
   /// whole requests end. Never returns kWait.
   RunVerdict Check(const CrashKey& key, TimePoint now);
 
-  /// Begins a run of a whole request if Check allows it. `is_trial` of the run
-  /// is set at most once at a time for a request, until EndRequest.
+  /// Begins a run of a whole request if Check allows it. A request has at most
+  /// one trial at a time, which lasts until EndRequest.
   std::optional<RequestRun> BeginRequest(const CrashKey& key, TimePoint now);
 
   /// Records how a run of a whole request ended; for kCrashed, `replica` is the
--- a/tests/routing/test_entry.h
+++ b/tests/routing/test_entry.h
@@ -8,6 +8,7 @@
 #include "fakes/fake_network.h"
 #include "fakes/fake_replica_transport.h"
 #include "fakes/fake_scheduler.h"
+#include "fakes/fixed_members.h"
 #include "fakes/recording_log.h"
 #include "routing/relay_client.h"
 #include "routing/relay_service.h"
@@ -15,25 +16,6 @@
 
 namespace chicoryvale {
 
-/// Fixed members that a test provides.
-class FixedMembers : public MemberView {
- public:
-  FixedMembers(MemberInfo self, std::vector<Member> members)
-      : m_self(std::move(self)), m_members(std::move(members)) {}
-
- protected:
-  [[nodiscard]] std::vector<Member> OnMembers() const override {
-    return m_members;
-  }
-  [[nodiscard]] const MemberInfo& OnSelf() const override { return m_self; }
-  [[nodiscard]] bool OnOwnLeaseHeld() const override { return true; }
-  void OnAddListener(Listener /*listener*/) override {}
-
- private:
-  MemberInfo m_self;
-  std::vector<Member> m_members;
-};
-
 /// The routing components of one entry.
 struct TestEntry {
   TestEntry(FakeScheduler* scheduler, FakeNetwork* network,
--- a/tests/upstream/crash_trials_test.cc
+++ b/tests/upstream/crash_trials_test.cc
@@ -4,34 +4,15 @@
 
 #include <algorithm>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "base/hash.h"
+#include "fakes/fixed_members.h"
 #include "upstream/crash_quarantine.h"
 
 namespace chicoryvale {
 namespace {
 
-/// A member among others, as one of them sees it.
-class SelfAmongMembers : public MemberView {
- public:
-  SelfAmongMembers(MemberInfo self, std::vector<Member> members)
-      : m_self(std::move(self)), m_members(std::move(members)) {}
-
- protected:
-  [[nodiscard]] std::vector<Member> OnMembers() const override {
-    return m_members;
-  }
-  [[nodiscard]] const MemberInfo& OnSelf() const override { return m_self; }
-  [[nodiscard]] bool OnOwnLeaseHeld() const override { return true; }
-  void OnAddListener(Listener /*listener*/) override {}
-
- private:
-  MemberInfo m_self;
-  std::vector<Member> m_members;
-};
-
 /// Returns the trials of `count` entries that know each other.
 std::vector<CrashTrials> TrialsOfEntries(int count) {
   std::vector<Member> members;
@@ -44,7 +25,7 @@
   std::vector<CrashTrials> trials;
   for (const Member& member : members) {
     trials.emplace_back(CrashTrialSettings{})
-        .SetEntries(EntryMembers(SelfAmongMembers(member.info, members)));
+        .SetEntries(EntryMembers(FixedMembers(member.info, members)));
   }
   return trials;
 }
